--- /dev/null
+++ b/core/base/result.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <boost/outcome/result.hpp>
+
+#include <string>
+
+namespace radishvane
+{
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+/// An error of one layer: its code, and the cause below it as text for the log.
+template<typename Code>
+struct LayerError
+{
+    Code code{};
+    std::string detail;
+};
+
+/// Value or error of one layer. Nothing throws across a layer.
+template<typename Value, typename Error>
+using Result = outcome::basic_result<Value, Error, outcome::policy::all_narrow>;
+
+} // namespace radishvane
--- /dev/null
+++ b/core/config/config_apply.cpp
@@ -0,0 +1,127 @@
+#include "core/config/config_apply.h"
+
+#include <algorithm>
+
+namespace radishvane
+{
+
+namespace
+{
+
+bool mayHaveTakenEffect(const PlatformAnswer &answer)
+{
+    const auto *conflict = std::get_if<WriteConflict>(&answer);
+    const auto *failed = std::get_if<PlatformFailed>(&answer);
+    const bool lost = failed != nullptr && failed->error != PlatformError::Unavailable;
+    return lost || (conflict != nullptr && conflict->inDoubt);
+}
+
+std::string detailOf(const PlatformAnswer &answer)
+{
+    const auto *failed = std::get_if<PlatformFailed>(&answer);
+    return failed == nullptr ? std::string() : failed->detail;
+}
+
+} // namespace
+
+ConfigApply::ConfigApply(std::string packedFiles, std::string writer, std::optional<ConfigVersion> expected)
+    : m_files(std::move(packedFiles)), m_object("config-" + std::move(writer)), m_expected(expected)
+{
+}
+
+ApplyEffects ConfigApply::begin()
+{
+    return call(Step::Reading, ReadRow{std::string(rowKey::config)});
+}
+
+ApplyEffects ConfigApply::answered(const PlatformAnswered &answered)
+{
+    if (answered.id != m_operation) {
+        return {};
+    }
+    switch (m_step) {
+    case Step::Reading:
+        return onRead(answered.answer);
+    case Step::Storing:
+        return onStored(answered.answer);
+    case Step::Writing:
+        return onWritten(answered.answer);
+    case Step::Checking:
+        return onChecked(answered.answer);
+    case Step::Ended:
+        return {};
+    }
+    return {};
+}
+
+ApplyEffects ConfigApply::onRead(const PlatformAnswer &answer)
+{
+    if (const auto *found = std::get_if<RowFound>(&answer)) {
+        m_row = std::get<ConfigRow>(found->row.value);
+        m_rowVersion = found->row.version;
+    } else if (!std::holds_alternative<RowAbsent>(answer)) {
+        return end(ApplyOutcome::Unavailable, {}, detailOf(answer));
+    }
+    if (m_expected && *m_expected != m_row.version) {
+        return end(ApplyOutcome::Conflict, m_row.version, "another version is current than was expected");
+    }
+    return call(Step::Storing, PutObject{m_object, m_files});
+}
+
+ApplyEffects ConfigApply::onStored(const PlatformAnswer &answer)
+{
+    if (!std::holds_alternative<ObjectStored>(answer)) {
+        return end(ApplyOutcome::Unavailable, m_row.version, detailOf(answer));
+    }
+    m_row.version.value += 1;
+    m_row.object = m_object;
+    m_row.recentObjects.insert(m_row.recentObjects.begin(), m_object);
+    if (m_row.recentObjects.size() > rememberedObjects) {
+        m_row.recentObjects.resize(rememberedObjects);
+    }
+    return call(Step::Writing, WriteRows{{RowWrite{std::string(rowKey::config), m_rowVersion, RowValue(m_row)}}});
+}
+
+ApplyEffects ConfigApply::onWritten(const PlatformAnswer &answer)
+{
+    if (std::holds_alternative<RowsWritten>(answer)) {
+        return end(ApplyOutcome::Applied, m_row.version, "");
+    }
+    if (mayHaveTakenEffect(answer)) {
+        return call(Step::Checking, ReadRow{std::string(rowKey::config)});
+    }
+    if (std::holds_alternative<WriteConflict>(answer)) {
+        return end(ApplyOutcome::Conflict, m_row.version, "another operator applied this version first");
+    }
+    return end(ApplyOutcome::Unavailable, m_row.version, detailOf(answer));
+}
+
+ApplyEffects ConfigApply::onChecked(const PlatformAnswer &answer)
+{
+    const auto *found = std::get_if<RowFound>(&answer);
+    if (found == nullptr) {
+        return end(ApplyOutcome::Unknown, m_row.version, "the answer was lost and the row cannot be read");
+    }
+    const auto &row = std::get<ConfigRow>(found->row.value);
+    const bool applied
+        = std::find(row.recentObjects.begin(), row.recentObjects.end(), m_object) != row.recentObjects.end();
+    if (applied) {
+        return end(ApplyOutcome::Applied, m_row.version, "");
+    }
+    return end(ApplyOutcome::Conflict, row.version, "another operator applied a version first");
+}
+
+ApplyEffects ConfigApply::call(Step step, PlatformRequest request)
+{
+    m_step = step;
+    ++m_operation.value;
+    return {PlatformCall{m_operation, std::move(request)}};
+}
+
+ApplyEffects ConfigApply::end(ApplyOutcome outcome, ConfigVersion version, std::string detail)
+{
+    m_step = Step::Ended;
+    return {ApplyEnded{outcome, version, std::move(detail)}};
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/config/config_keeper.cpp
@@ -0,0 +1,156 @@
+#include "core/config/config_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishvane
+{
+
+ConfigEffects ConfigKeeper::handle(const ConfigEvent &event, TimePoint now)
+{
+    m_now = now;
+    m_effects.clear();
+    std::visit([this](const auto &alternative) { on(alternative); }, event);
+    return std::exchange(m_effects, {});
+}
+
+ConfigVersion ConfigKeeper::inForce() const
+{
+    return m_inForce;
+}
+
+ConfigVersion ConfigKeeper::newestHeardOf() const
+{
+    return m_newest;
+}
+
+void ConfigKeeper::on(const PlatformAnswered &event)
+{
+    if (event.id == m_pollOperation) {
+        m_pollOperation = {};
+        if (const auto *found = std::get_if<RowFound>(&event.answer)) {
+            onCurrentRow(std::get<ConfigRow>(found->row.value));
+        }
+        return;
+    }
+    if (event.id != m_fetchOperation) {
+        return;
+    }
+    m_fetchOperation = {};
+    if (const auto *found = std::get_if<ObjectFound>(&event.answer)) {
+        m_effects.push_back(ReadFiles{m_fetchVersion, found->bytes});
+    }
+}
+
+void ConfigKeeper::on(const PeerHasConfig &event)
+{
+    if (event.version >= m_newest) {
+        m_source = event.peer;
+    }
+    hear(event.version);
+    confirm(event.version, event.confirmedAt);
+    fetch();
+}
+
+void ConfigKeeper::on(const PeerSentConfig &event)
+{
+    hear(event.version);
+    if (event.version > m_inForce) {
+        m_effects.push_back(ReadFiles{event.version, event.files});
+    }
+}
+
+void ConfigKeeper::on(const ConfigRead &event)
+{
+    if (event.version <= m_inForce) {
+        return;
+    }
+    m_inForce = event.version;
+    m_effects.push_back(ConfigAdopted{event.config, event.files});
+    if (m_inForce >= m_newest) {
+        m_outdatedReported = false;
+    }
+    if (m_pendingVersion == m_inForce) {
+        m_effects.push_back(ConfigConfirmedAt{m_pendingConfirmation});
+    }
+}
+
+void ConfigKeeper::on(const ConfigUnreadable &event)
+{
+    m_unreadable = event.version;
+}
+
+void ConfigKeeper::on(const KeeperTick &)
+{
+    if (m_now >= m_nextPoll && m_pollOperation == OperationId{}) {
+        m_nextPoll = m_now + pollInterval;
+        m_pollSentAt = m_now;
+        m_pollOperation = call(ReadRow{std::string(rowKey::config)});
+    }
+    fetch();
+    if (m_newest > m_inForce && !m_outdatedReported && m_now >= m_heardAt + adoptWithin) {
+        m_outdatedReported = true;
+        m_effects.push_back(ConfigOutdated{m_newest});
+    }
+}
+
+void ConfigKeeper::onCurrentRow(const ConfigRow &row)
+{
+    if (row.version >= m_objectVersion) {
+        m_object = row.object;
+        m_objectVersion = row.version;
+    }
+    hear(row.version);
+    // The row was current at some time after the question was sent.
+    confirm(row.version, m_pollSentAt);
+    fetch();
+}
+
+void ConfigKeeper::hear(ConfigVersion version)
+{
+    if (version <= m_newest) {
+        return;
+    }
+    if (m_newest <= m_inForce) {
+        m_heardAt = m_now;
+    }
+    m_newest = version;
+    m_nextFetch = m_now;
+}
+
+void ConfigKeeper::confirm(ConfigVersion version, TimePoint at)
+{
+    if (version == m_inForce && version == m_newest && version != ConfigVersion{}) {
+        m_effects.push_back(ConfigConfirmedAt{at});
+        return;
+    }
+    if (version > m_inForce && (version > m_pendingVersion || at > m_pendingConfirmation)) {
+        m_pendingVersion = version;
+        m_pendingConfirmation = at;
+    }
+}
+
+void ConfigKeeper::fetch()
+{
+    const bool wanted = m_newest > m_inForce && m_newest != m_unreadable;
+    if (!wanted || m_now < m_nextFetch) {
+        return;
+    }
+    m_nextFetch = m_now + fetchInterval;
+    if (m_object && m_objectVersion == m_newest && m_fetchOperation == OperationId{}) {
+        m_fetchVersion = m_newest;
+        m_fetchOperation = call(ReadObject{*m_object});
+    }
+    if (!m_source.empty()) {
+        m_effects.push_back(AskPeerForConfig{m_source, m_newest});
+    }
+}
+
+OperationId ConfigKeeper::call(PlatformRequest request)
+{
+    const OperationId id{++m_lastOperation};
+    m_effects.push_back(PlatformCall{id, std::move(request)});
+    return id;
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/config/config_keeper.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/config/config.h"
+#include "core/messages/platform_messages.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace radishvane
+{
+
+// Events.
+
+/// Another entry host has this version in force.
+struct PeerHasConfig
+{
+    ConfigVersion version;
+    HostId peer;
+    /// When the peer confirmed it to be the newest, at the earliest.
+    TimePoint confirmedAt;
+};
+
+/// Files of a version, as another entry host sent them.
+struct PeerSentConfig
+{
+    ConfigVersion version;
+    std::string files;
+};
+
+/// The files of a version were read and hold a configuration.
+struct ConfigRead
+{
+    ConfigVersion version;
+    std::shared_ptr<const Config> config;
+    std::string files;
+};
+
+/// The files of a version cannot be read by this program.
+struct ConfigUnreadable
+{
+    ConfigVersion version;
+    std::string detail;
+};
+
+struct KeeperTick
+{
+};
+
+using ConfigEvent
+    = std::variant<PlatformAnswered, PeerHasConfig, PeerSentConfig, ConfigRead, ConfigUnreadable, KeeperTick>;
+
+// Effects.
+
+/// Read the files into a configuration; ConfigRead or ConfigUnreadable follows.
+struct ReadFiles
+{
+    ConfigVersion version;
+    std::string files;
+};
+
+/// Ask another entry host for the files of its version.
+struct AskPeerForConfig
+{
+    HostId peer;
+    ConfigVersion version;
+};
+
+/// A newer configuration is in force from now on.
+struct ConfigAdopted
+{
+    std::shared_ptr<const Config> config;
+    std::string files;
+};
+
+/// The configuration in force was the newest at this time.
+struct ConfigConfirmedAt
+{
+    TimePoint at;
+};
+
+/// A newer version is known and could not be had in time, so nothing may be served under the old one.
+struct ConfigOutdated
+{
+    ConfigVersion newest;
+};
+
+using ConfigEffect
+    = std::variant<PlatformCall, ReadFiles, AskPeerForConfig, ConfigAdopted, ConfigConfirmedAt, ConfigOutdated>;
+using ConfigEffects = std::vector<ConfigEffect>;
+
+/// Keeps the newest configuration in force on one entry host. The version in force never decreases.
+class ConfigKeeper
+{
+public:
+    /// Interval between looks at the current version.
+    static constexpr Duration pollInterval{1'000};
+    /// Time from hearing of a newer version until the old one is no longer served.
+    static constexpr Duration adoptWithin{3'000};
+    /// Interval between attempts to get the files of a newer version.
+    static constexpr Duration fetchInterval{500};
+
+    ConfigEffects handle(const ConfigEvent &event, TimePoint now);
+
+    ConfigVersion inForce() const;
+    ConfigVersion newestHeardOf() const;
+
+private:
+    void on(const PlatformAnswered &event);
+    void on(const PeerHasConfig &event);
+    void on(const PeerSentConfig &event);
+    void on(const ConfigRead &event);
+    void on(const ConfigUnreadable &event);
+    void on(const KeeperTick &event);
+
+    void onCurrentRow(const ConfigRow &row);
+    void hear(ConfigVersion version);
+    void confirm(ConfigVersion version, TimePoint at);
+    void fetch();
+    OperationId call(PlatformRequest request);
+
+    TimePoint m_now;
+    ConfigEffects m_effects;
+    std::uint64_t m_lastOperation = 0;
+    ConfigVersion m_inForce;
+    ConfigVersion m_newest;
+    TimePoint m_heardAt;
+    bool m_outdatedReported = false;
+    TimePoint m_nextPoll;
+    TimePoint m_nextFetch;
+    OperationId m_pollOperation;
+    TimePoint m_pollSentAt;
+    OperationId m_fetchOperation;
+    ConfigVersion m_fetchVersion;
+    /// Object of m_newest, when the table told it.
+    std::optional<std::string> m_object;
+    ConfigVersion m_objectVersion;
+    /// Latest entry host that said it has m_newest.
+    HostId m_source;
+    ConfigVersion m_unreadable;
+    /// Latest confirmation of a version that is not in force yet.
+    ConfigVersion m_pendingVersion;
+    TimePoint m_pendingConfirmation;
+};
+
+} // namespace radishvane
--- /dev/null
+++ b/core/config/field_reader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "core/config/config_problem.h"
+
+#include <cstdint>
+#include <limits>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishvane
+{
+
+/// Bounds of a whole number, both included.
+struct Range
+{
+    std::uint32_t least = 0;
+    std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+};
+
+/// Reads the fields of one mapping and collects every problem in place of stopping at the first.
+class FieldReader
+{
+public:
+    FieldReader(const Node &node, std::string what, std::vector<ConfigProblem> &problems);
+
+    /// A name of lower-case letters, digits and hyphens; empty after a problem.
+    std::string name(const std::string &field);
+    /// Any text that is not empty.
+    std::string text(const std::string &field);
+    std::uint32_t number(const std::string &field, Range range);
+    std::uint32_t number(const std::string &field, Range range, std::uint32_t fallback);
+    bool flag(const std::string &field, bool fallback);
+    /// An IPv4 address and a port, written address:port.
+    Endpoint endpoint(const std::string &field);
+    std::optional<Endpoint> optionalEndpoint(const std::string &field);
+    /// The items of a sequence; empty when the field is absent.
+    const std::vector<Node> &items(const std::string &field);
+    bool has(const std::string &field) const;
+    /// Reports every field that nothing has read.
+    void finish();
+
+    void report(ConfigProblemKind kind, const std::string &field, const std::string &value, const std::string &message);
+    const Position &at() const;
+
+private:
+    const Node *find(const std::string &field);
+    const Scalar *scalar(const std::string &field);
+    Position positionOf(const std::string &field) const;
+
+    const Node &m_node;
+    const Mapping *m_mapping = nullptr;
+    std::string m_what;
+    std::vector<ConfigProblem> &m_problems;
+    std::set<std::string> m_read;
+};
+
+/// Parses address:port with an IPv4 address in numbers.
+std::optional<Endpoint> parseEndpoint(const std::string &text);
+
+} // namespace radishvane
