--- /dev/null
+++ b/core/messages/peer_messages.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/base/ids.h"
+#include "core/config/config.h"
+#include "core/messages/rows.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace radishvane
+{
+
+/// An entry host as others know it.
+struct PeerAddress
+{
+    HolderId holder;
+    ZoneId zone;
+    Endpoint endpoint;
+
+    auto operator<=>(const PeerAddress &) const = default;
+};
+
+/// Latest heartbeat that the sender had from one other entry host.
+struct HeartbeatEcho
+{
+    HolderId holder;
+    std::uint64_t sequence = 0;
+    /// Time that the sender has seen this holder's session without a renewal while the table answered.
+    Duration sessionIdle{};
+};
+
+/// Slot time spent by one team on one service since the last heartbeat with usage.
+struct PeerSpent
+{
+    ServiceId service;
+    TeamId team;
+    std::uint32_t slotMilliseconds = 0;
+};
+
+struct PeerSpare
+{
+    ServiceId service;
+    std::uint32_t slots = 0;
+};
+
+/// Rights of one team that the sender uses and wants.
+struct PeerDemand
+{
+    TeamId team;
+    RightsUse use = RightsUse::Requests;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+};
+
+/// What each entry host tells each other one at a fixed interval, by UDP.
+struct Heartbeat
+{
+    PeerAddress sender;
+    std::uint64_t sequence = 0;
+    /// The sender stops and should get no new share of slots.
+    bool leaving = false;
+    ConfigVersion config;
+    /// Time since the sender's configuration was confirmed to be the newest.
+    Duration configAge{};
+    std::vector<HeartbeatEcho> echoes;
+    /// Other live entry hosts, so that a new one is found by all.
+    std::vector<PeerAddress> known;
+    std::vector<PeerSpent> spent;
+    std::vector<PeerSpare> spare;
+    std::vector<PeerDemand> demand;
+};
+
+/// Asks for the files of a configuration, by TCP.
+struct ConfigWanted
+{
+    ConfigVersion version;
+};
+
+/// Files of a configuration, by TCP.
+struct ConfigFiles
+{
+    ConfigVersion version;
+    std::string files;
+};
+
+using PeerStreamMessage = std::variant<ConfigWanted, ConfigFiles>;
+
+} // namespace radishvane
--- /dev/null
+++ b/core/quota/holder_watch.cpp
@@ -0,0 +1,80 @@
+#include "core/quota/holder_watch.h"
+
+#include "core/quota/lease_times.h"
+
+#include <utility>
+
+namespace radishvane
+{
+
+void HolderWatch::seen(const SessionsSeen &sessions, TimePoint now)
+{
+    const std::map<HostId, Known> before = std::exchange(m_sessions, {});
+    m_everSeen = true;
+    for (const SessionsSeen::Seen &seen : sessions.sessions) {
+        m_sessions[seen.row.holder.host] = Known{seen.row.holder, seen.row.epoch, seen.row.ended};
+    }
+    // The waits begin now, so that rights are free by the time somebody wants them.
+    for (const auto &known : {before, m_sessions}) {
+        for (const auto &[host, session] : known) {
+            noteOver(session, now);
+        }
+    }
+}
+
+void HolderWatch::listed(const std::set<HostId> &hosts, TimePoint now)
+{
+    m_everListed = true;
+    m_listed = hosts;
+    for (const auto &[host, session] : m_sessions) {
+        noteOver(session, now);
+    }
+}
+
+void HolderWatch::noteOver(const Known &session, TimePoint now)
+{
+    leaseIsOver(session.holder, session.epoch, Duration(0), now);
+    processIsOver(session.holder, Duration(0), now);
+}
+
+bool HolderWatch::leaseIsOver(const HolderId &holder, std::uint64_t epoch, Duration longestRun, TimePoint now)
+{
+    if (!m_everSeen || !sessionOver(holder, epoch)) {
+        m_overSince.erase({holder, epoch});
+        return false;
+    }
+    const TimePoint since = m_overSince.try_emplace({holder, epoch}, now).first->second;
+    // A process that was restarted leaves a session that nobody ended, so its lease has to pass as well.
+    return now - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
+}
+
+bool HolderWatch::processIsOver(const HolderId &holder, Duration longestRun, TimePoint now)
+{
+    if (!m_everSeen || !processGone(holder)) {
+        m_goneSince.erase(holder);
+        return false;
+    }
+    const TimePoint since = m_goneSince.try_emplace(holder, now).first->second;
+    return now - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
+}
+
+bool HolderWatch::sessionOver(const HolderId &holder, std::uint64_t epoch) const
+{
+    const auto found = m_sessions.find(holder.host);
+    if (found == m_sessions.end()) {
+        return true;
+    }
+    const Known &known = found->second;
+    return known.holder.incarnation > holder.incarnation
+        || (known.holder == holder && (known.epoch > epoch || known.ended));
+}
+
+bool HolderWatch::processGone(const HolderId &holder) const
+{
+    const auto found = m_sessions.find(holder.host);
+    const bool replaced = found != m_sessions.end() && found->second.holder.incarnation > holder.incarnation;
+    const bool unlisted = m_everListed && !m_listed.contains(holder.host);
+    return replaced || unlisted;
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/quota/rights_ledger.cpp
@@ -0,0 +1,506 @@
+#include "core/quota/rights_ledger.h"
+
+#include "core/quota/lease_times.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishvane
+{
+
+namespace
+{
+
+/// Rights asked for beyond the present demand, so that the next request need not wait for a write.
+constexpr std::uint32_t slack = 1;
+
+std::size_t indexOf(RightsUse use)
+{
+    return static_cast<std::size_t>(use);
+}
+
+constexpr std::array<RightsUse, 2> allUses{RightsUse::Requests, RightsUse::Jobs};
+
+} // namespace
+
+RightsLedger::RightsLedger(HostId host) : m_host(std::move(host))
+{
+}
+
+LedgerEffects RightsLedger::handle(const LedgerEvent &event, TimePoint now)
+{
+    m_now = now;
+    m_effects.clear();
+    std::visit([this](const auto &alternative) { on(alternative); }, event);
+    return std::exchange(m_effects, {});
+}
+
+void RightsLedger::on(const PlatformAnswered &event)
+{
+    const auto operation = m_operations.find(event.id);
+    if (operation == m_operations.end()) {
+        return;
+    }
+    const TeamId team = operation->second;
+    m_operations.erase(operation);
+    TeamState &state = m_teams[team];
+    state.operation = {};
+    if (const auto *found = std::get_if<RowFound>(&event.answer)) {
+        onRow(team, state, found->row);
+    } else if (std::holds_alternative<RowAbsent>(event.answer)) {
+        onRow(team, state, StoredRow{rowKey::rightsOf(team), 0, RightsRow{team, 0, {}, {}}, {}});
+    } else if (const auto *written = std::get_if<RowsWritten>(&event.answer)) {
+        onWritten(team, state, *written);
+    } else {
+        // A conflict, or a write in doubt: what this host holds is read from the row before anything else.
+        state.rowKnown = false;
+        state.nextLook = m_now + (std::holds_alternative<WriteConflict>(event.answer) ? Duration(0) : starvedInterval);
+    }
+    consider(team, state);
+    finishStop();
+}
+
+void RightsLedger::on(const LedgerConfig &event)
+{
+    const std::shared_ptr<const Config> before = std::exchange(m_config, event.config);
+    m_longestRun = Duration(0);
+    for (const auto &[id, service] : m_config->services) {
+        m_longestRun = std::max(m_longestRun, service.longestRun);
+    }
+    for (const auto &[team, settings] : m_config->teams) {
+        TeamState &state = m_teams[team];
+        const auto old = before == nullptr ? m_config->teams.end() : before->teams.find(team);
+        if (before != nullptr && old != before->teams.end() && old->second.ceiling > settings.ceiling) {
+            // Only the row tells whether the grants still fit under the lower ceiling.
+            state.rowKnown = false;
+        }
+        consider(team, state);
+    }
+}
+
+void RightsLedger::on(const LedgerDemand &event)
+{
+    TeamState &state = m_teams[event.team];
+    Use &use = state.use[indexOf(event.use)];
+    use.running = event.running;
+    use.waiting = event.waiting;
+    use.confirmed = std::max(use.confirmed, event.generation);
+    consider(event.team, state);
+    finishStop();
+}
+
+void RightsLedger::on(const LedgerPeerDemand &event)
+{
+    TeamState &state = m_teams[event.team];
+    state.peers[{event.peer, event.use}] = {event.running + event.waiting, m_now};
+}
+
+void RightsLedger::on(const LedgerPeers &event)
+{
+    m_live = event.live;
+}
+
+void RightsLedger::on(const LedgerHostList &event)
+{
+    m_watch.listed(event.hosts, m_now);
+}
+
+void RightsLedger::on(const SessionHeld &event)
+{
+    m_self = event.holder;
+    m_epoch = event.epoch;
+    for (auto &[team, state] : m_teams) {
+        // Leased rights of the epoch before are void; what the row still holds for this host is read again.
+        state.rowKnown = false;
+        for (const RightsUse kind : allUses) {
+            Use &use = state.use[indexOf(kind)];
+            use.held.leased = 0;
+            allow(team, use, kind, Rights{use.allowed.standing, 0});
+        }
+    }
+}
+
+void RightsLedger::on(const SessionLost &event)
+{
+    m_epoch = 0;
+    for (auto &[team, state] : m_teams) {
+        for (const RightsUse kind : allUses) {
+            Use &use = state.use[indexOf(kind)];
+            // Another process of the same name owns the standing rights now.
+            use.held = Rights{event.nameTaken ? 0 : use.held.standing, 0};
+            allow(team, use, kind, use.held);
+        }
+    }
+}
+
+void RightsLedger::on(const SessionsSeen &event)
+{
+    m_watch.seen(event, m_now);
+}
+
+void RightsLedger::on(const LedgerTick &)
+{
+    const double passed = std::chrono::duration<double>(m_now - m_budgetAt).count();
+    m_writeBudget = std::min(writesPerSecond, m_writeBudget + passed * writesPerSecond);
+    m_budgetAt = m_now;
+    for (auto &[team, state] : m_teams) {
+        consider(team, state);
+    }
+    finishStop();
+}
+
+void RightsLedger::on(const LedgerStop &)
+{
+    m_stopping = true;
+    for (auto &[team, state] : m_teams) {
+        consider(team, state);
+    }
+    finishStop();
+}
+
+void RightsLedger::consider(const TeamId &team, TeamState &state)
+{
+    if (state.operation != OperationId{} || m_epoch == 0 || m_config == nullptr) {
+        return;
+    }
+    considerTurn(state, ceilingOf(team));
+    const UseRights wanted = targets(team, state);
+    raise(team, state, wanted);
+    bool more = false;
+    bool less = false;
+    for (std::size_t index = 0; index < uses; ++index) {
+        const Rights &held = state.use[index].held;
+        more = more || wanted[index].standing > held.standing || wanted[index].leased > held.leased;
+        less = less || wanted[index].standing < held.standing || wanted[index].leased < held.leased;
+    }
+    state.surplusSince = less ? std::min(state.surplusSince, m_now) : TimePoint::max();
+    const bool overCeiling = state.rowKnown && state.row.granted() > ceilingOf(team);
+    const bool overdue = less && m_now - state.surplusSince >= surplusFor;
+    const bool giveBack = less && (m_stopping || overCeiling || overdue || othersAreShort(state));
+    const bool unread = !state.rowKnown && (more || less || state.use[0].held.total() + state.use[1].held.total() > 0);
+    if ((!more && !giveBack && !unread) || m_now < state.nextLook) {
+        return;
+    }
+    if (!state.rowKnown) {
+        read(team, state);
+        return;
+    }
+    if (giveBack && lower(team, state, wanted)) {
+        return;
+    }
+    write(team, state, wanted);
+}
+
+void RightsLedger::considerTurn(TeamState &state, std::uint32_t ceiling)
+{
+    const Use &use = state.use[indexOf(RightsUse::Requests)];
+    const std::uint32_t demand = use.demand() + demandOfPeers(state);
+    const bool tooFew = demand > ceiling && use.held.total() == 1 && use.held.leased == 1 && othersAreShort(state);
+    if (!tooFew) {
+        state.turnEnds = TimePoint::max();
+        return;
+    }
+    if (state.turnEnds == TimePoint::max()) {
+        state.turnEnds = m_now + turnLength;
+    } else if (m_now >= state.turnEnds) {
+        state.turnEnds = TimePoint::max();
+        state.restEnds = m_now + turnLength;
+    }
+}
+
+RightsLedger::UseRights RightsLedger::targets(const TeamId &team, const TeamState &state) const
+{
+    UseRights wanted{};
+    if (m_stopping) {
+        return wanted;
+    }
+    const auto settings = m_config->teams.find(team);
+    if (settings == m_config->teams.end()) {
+        return wanted;
+    }
+    wanted[indexOf(RightsUse::Requests)].standing = standingPart(settings->second);
+    if (m_now < state.restEnds) {
+        return wanted;
+    }
+    for (std::size_t index = 0; index < uses; ++index) {
+        const std::uint32_t demand = state.use[index].demand();
+        const std::uint32_t need = demand == 0 ? 0 : fairPart(state, demand, settings->second.ceiling);
+        const std::uint32_t standing = wanted[index].standing;
+        wanted[index].leased = need > standing ? need - standing : 0;
+    }
+    return wanted;
+}
+
+std::uint32_t RightsLedger::fairPart(const TeamState &state, std::uint32_t need, std::uint32_t ceiling) const
+{
+    std::uint64_t total = demandOfPeers(state);
+    for (const Use &use : state.use) {
+        total += use.demand();
+    }
+    if (total + slack <= ceiling) {
+        return need + slack;
+    }
+    // Rounded up, so that all rights are used; the row decides who gets the last ones.
+    const std::uint64_t part = (static_cast<std::uint64_t>(ceiling) * need + total - 1) / total;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(part, need + slack));
+}
+
+std::uint32_t RightsLedger::demandOfPeers(const TeamState &state) const
+{
+    std::uint32_t total = 0;
+    for (const auto &[peer, need] : state.peers) {
+        total += m_now - need.at <= peerDemandFor ? need.demand : 0;
+    }
+    return total;
+}
+
+std::uint32_t RightsLedger::standingPart(const Team &team) const
+{
+    constexpr std::uint32_t percent = 100;
+    const std::uint32_t total = (team.ceiling * team.standingPercent + percent - 1) / percent;
+    // Hosts take turns zone by zone, so that each zone has its part before one has two.
+    std::map<ZoneId, std::uint32_t> ranks;
+    std::vector<std::tuple<std::uint32_t, ZoneId, HostId>> order;
+    for (const auto &[host, zone] : m_live) {
+        order.emplace_back(ranks[zone]++, zone, host);
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t place = 0; place < order.size(); ++place) {
+        if (std::get<HostId>(order[place]) == m_host) {
+            const auto count = static_cast<std::uint32_t>(order.size());
+            return total / count + (place < total % count ? 1 : 0);
+        }
+    }
+    return 0;
+}
+
+std::uint32_t RightsLedger::ceilingOf(const TeamId &team) const
+{
+    const auto found = m_config->teams.find(team);
+    return found == m_config->teams.end() ? 0 : found->second.ceiling;
+}
+
+bool RightsLedger::othersAreShort(const TeamState &state) const
+{
+    return std::any_of(state.peers.begin(), state.peers.end(), [&](const auto &entry) {
+        const auto &[peer, need] = entry;
+        if (m_now - need.at > peerDemandFor) {
+            return false;
+        }
+        std::uint32_t granted = 0;
+        for (const RightsGrant &grant : state.row.grants) {
+            granted += grant.holder.host == peer.first && grant.use == peer.second ? grant.total() : 0;
+        }
+        return need.demand > granted;
+    });
+}
+
+void RightsLedger::raise(const TeamId &team, TeamState &state, const UseRights &wanted)
+{
+    for (const RightsUse kind : allUses) {
+        Use &use = state.use[indexOf(kind)];
+        const Rights &target = wanted[indexOf(kind)];
+        const Rights raised{std::max(use.allowed.standing, std::min(target.standing, use.held.standing)),
+                            std::max(use.allowed.leased, std::min(target.leased, use.held.leased))};
+        if (raised != use.allowed) {
+            allow(team, use, kind, raised);
+        }
+    }
+}
+
+bool RightsLedger::lower(const TeamId &team, TeamState &state, const UseRights &wanted)
+{
+    bool unconfirmed = false;
+    for (const RightsUse kind : allUses) {
+        Use &use = state.use[indexOf(kind)];
+        const Rights &target = wanted[indexOf(kind)];
+        const Rights lowered{std::min(use.allowed.standing, target.standing),
+                             std::min(use.allowed.leased, target.leased)};
+        if (lowered != use.allowed) {
+            allow(team, use, kind, lowered);
+        }
+        unconfirmed = unconfirmed || use.confirmed < use.generation;
+    }
+    return unconfirmed;
+}
+
+void RightsLedger::read(const TeamId &team, TeamState &state)
+{
+    state.operation = call(team, ReadRow{rowKey::rightsOf(team)});
+}
+
+void RightsLedger::write(const TeamId &team, TeamState &state, const UseRights &wanted)
+{
+    RightsRow row = state.row;
+    const bool reclaimed = dropOverGrants(row);
+    std::erase_if(row.grants, [this](const RightsGrant &grant) { return grant.holder == m_self; });
+    if (m_config->version >= row.version) {
+        row.team = team;
+        row.ceiling = ceilingOf(team);
+        row.version = m_config->version;
+    }
+    const std::uint32_t others = row.granted();
+    const UseRights own = affordable(state, wanted, row.ceiling > others ? row.ceiling - others : 0);
+    bool changed = reclaimed;
+    bool grown = false;
+    bool starved = false;
+    for (const RightsUse kind : allUses) {
+        const Rights &rights = own[indexOf(kind)];
+        const Rights &held = state.use[indexOf(kind)].held;
+        changed = changed || rights != held;
+        grown = grown || rights.total() > held.total();
+        starved = starved || wanted[indexOf(kind)].total() > rights.total();
+        if (rights.total() > 0) {
+            row.grants.push_back({m_self, kind, m_epoch, rights.standing, rights.leased});
+        }
+    }
+    if (!changed) {
+        state.nextLook = m_now + starvedInterval;
+        if (starved) {
+            // Nothing is free: the row is read again before the next try.
+            state.rowKnown = false;
+            note(team, state, LedgerChange::Refused);
+        }
+        return;
+    }
+    if (!spendWrite()) {
+        return;
+    }
+    state.writing = row;
+    state.writingOwn = own;
+    const std::uint64_t expected = state.rowVersion;
+    state.operation = call(team, WriteRows{{RowWrite{rowKey::rightsOf(team), expected, RowValue(std::move(row))}}});
+    note(team, state, reclaimed ? LedgerChange::Reclaimed : grown ? LedgerChange::Grown : LedgerChange::Shrunk);
+}
+
+RightsLedger::UseRights RightsLedger::affordable(const TeamState &state, const UseRights &wanted,
+                                                 std::uint32_t free) const
+{
+    UseRights own{};
+    // What may be in use stays, whatever the ceiling says now.
+    for (std::size_t index = 0; index < uses; ++index) {
+        const Use &use = state.use[index];
+        own[index] = use.allowed;
+        if (use.running > own[index].total()) {
+            own[index].leased = use.running - own[index].standing;
+        }
+        free -= std::min(free, own[index].total());
+    }
+    for (std::size_t index = 0; index < uses; ++index) {
+        const std::uint32_t standing
+            = wanted[index].standing > own[index].standing ? wanted[index].standing - own[index].standing : 0;
+        const std::uint32_t taken = std::min(standing, free);
+        own[index].standing += taken;
+        free -= taken;
+    }
+    for (std::size_t index = 0; index < uses; ++index) {
+        const std::uint32_t leased
+            = wanted[index].leased > own[index].leased ? wanted[index].leased - own[index].leased : 0;
+        const std::uint32_t taken = std::min(leased, free);
+        own[index].leased += taken;
+        free -= taken;
+    }
+    return own;
+}
+
+bool RightsLedger::dropOverGrants(RightsRow &row)
+{
+    bool dropped = false;
+    for (RightsGrant &grant : row.grants) {
+        if (grant.holder == m_self) {
+            continue;
+        }
+        if (grant.leased > 0 && m_watch.leaseIsOver(grant.holder, grant.epoch, m_longestRun, m_now)) {
+            grant.leased = 0;
+            dropped = true;
+        }
+        if (grant.standing > 0 && m_watch.processIsOver(grant.holder, m_longestRun, m_now)) {
+            grant.standing = 0;
+            dropped = true;
+        }
+    }
+    std::erase_if(row.grants, [](const RightsGrant &grant) { return grant.total() == 0; });
+    return dropped;
+}
+
+void RightsLedger::onRow(const TeamId &team, TeamState &state, const StoredRow &stored)
+{
+    state.row = std::get<RightsRow>(stored.value);
+    state.rowVersion = stored.version;
+    state.rowKnown = true;
+    for (const RightsUse kind : allUses) {
+        Use &use = state.use[indexOf(kind)];
+        use.held = Rights{};
+        for (const RightsGrant &grant : state.row.grants) {
+            if (grant.holder == m_self && grant.use == kind) {
+                use.held = Rights{grant.standing, grant.epoch == m_epoch ? grant.leased : 0};
+            }
+        }
+        const Rights bounded{std::min(use.allowed.standing, use.held.standing),
+                             std::min(use.allowed.leased, use.held.leased)};
+        if (bounded != use.allowed) {
+            allow(team, use, kind, bounded);
+        }
+    }
+}
+
+void RightsLedger::onWritten(const TeamId &, TeamState &state, const RowsWritten &written)
+{
+    state.row = state.writing;
+    state.rowVersion = written.versions.front();
+    state.nextLook = m_now + writeInterval;
+    for (std::size_t index = 0; index < uses; ++index) {
+        state.use[index].held = state.writingOwn[index];
+    }
+}
+
+void RightsLedger::allow(const TeamId &team, Use &use, RightsUse kind, Rights rights)
+{
+    use.allowed = rights;
+    use.generation = ++m_lastGeneration;
+    m_effects.push_back(AllowanceSet{team, kind, rights.standing, rights.leased, use.generation});
+}
+
+bool RightsLedger::spendWrite()
+{
+    if (m_writeBudget < 1) {
+        return false;
+    }
+    m_writeBudget -= 1;
+    return true;
+}
+
+OperationId RightsLedger::call(const TeamId &team, PlatformRequest request)
+{
+    const OperationId id{++m_lastOperation};
+    m_operations.emplace(id, team);
+    m_effects.push_back(PlatformCall{id, std::move(request)});
+    return id;
+}
+
+void RightsLedger::note(const TeamId &team, const TeamState &state, LedgerChange change)
+{
+    std::uint32_t own = 0;
+    for (const Rights &rights : state.writingOwn) {
+        own += rights.total();
+    }
+    const RightsRow &row = change == LedgerChange::Refused ? state.row : state.writing;
+    m_effects.push_back(LedgerNoted{team, change, own, row.granted(), row.ceiling});
+}
+
+void RightsLedger::finishStop()
+{
+    if (!m_stopping || m_released) {
+        return;
+    }
+    for (const auto &[team, state] : m_teams) {
+        const bool holds = state.use[0].held.total() + state.use[1].held.total() > 0;
+        if (holds || state.operation != OperationId{}) {
+            return;
+        }
+    }
+    m_released = true;
+    m_effects.push_back(LedgerReleased{});
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/quota/session_keeper.cpp
@@ -0,0 +1,287 @@
+#include "core/quota/session_keeper.h"
+
+#include "core/quota/lease_times.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishvane
+{
+
+SessionKeeper::SessionKeeper(HostId host, ZoneId zone, Endpoint peer, Incarnation start)
+    : m_host(std::move(host)), m_zone(std::move(zone)), m_peer(std::move(peer)), m_incarnation(start)
+{
+}
+
+SessionEffects SessionKeeper::handle(const SessionEvent &event, TimePoint now)
+{
+    m_now = now;
+    m_effects.clear();
+    std::visit([this](const auto &alternative) { on(alternative); }, event);
+    return std::exchange(m_effects, {});
+}
+
+TimePoint SessionKeeper::validUntil() const
+{
+    return m_validUntil;
+}
+
+void SessionKeeper::on(const PlatformAnswered &event)
+{
+    if (event.id == m_readOperation) {
+        m_readOperation = {};
+        if (const auto *found = std::get_if<RowFound>(&event.answer)) {
+            onOwnRow(found->row);
+        } else if (std::holds_alternative<RowAbsent>(event.answer)) {
+            onOwnRow(StoredRow{rowKey::session(m_host), 0, SessionRow{}, {}});
+        }
+    } else if (event.id == m_writeOperation) {
+        m_writeOperation = {};
+        onOwnWritten(event.answer);
+    } else if (event.id == m_scanOperation) {
+        m_scanOperation = {};
+        const auto *found = std::get_if<RowsFound>(&event.answer);
+        if (found != nullptr) {
+            onScanned(*found);
+        }
+        m_lastScanAnswered = found != nullptr;
+    } else if (event.id == m_releaseOperation) {
+        m_effects.push_back(SessionReleased{});
+    } else if (const auto ended = m_endOperations.find(event.id); ended != m_endOperations.end()) {
+        const auto observed = m_observed.find(ended->second.host);
+        if (observed != m_observed.end()) {
+            observed->second.endAsked = false;
+        }
+        if (std::holds_alternative<RowsWritten>(event.answer)) {
+            m_effects.push_back(
+                SessionEnded{ended->second, observed == m_observed.end() ? Duration(0) : observed->second.idle});
+        }
+        m_endOperations.erase(ended);
+    }
+}
+
+void SessionKeeper::on(const WitnessesChanged &event)
+{
+    m_witnesses = event.hosts;
+}
+
+void SessionKeeper::on(const VouchReceived &event)
+{
+    const TimePoint until = event.at + leaseTimes::vouchFor - event.idle;
+    TimePoint &vouched = m_vouchedUntil[event.voucher];
+    // A statement that saw idle time takes an earlier, better one back.
+    vouched = event.idle > Duration(0) ? until : std::max(vouched, until);
+    updateValidity();
+}
+
+void SessionKeeper::on(const SessionTick &)
+{
+    switch (m_stage) {
+    case Stage::Unknown:
+        readOwn();
+        break;
+    case Stage::Held:
+        renew();
+        break;
+    case Stage::Lost:
+    case Stage::Released:
+        break;
+    }
+    scan();
+}
+
+void SessionKeeper::on(const SessionStop &)
+{
+    const bool held = m_stage == Stage::Held;
+    m_stage = Stage::Released;
+    m_validUntil = TimePoint{};
+    if (!held) {
+        m_effects.push_back(SessionReleased{});
+        return;
+    }
+    m_releaseOperation = call(WriteRows{{RowWrite{rowKey::session(m_host), m_version, std::nullopt}}});
+}
+
+void SessionKeeper::readOwn()
+{
+    const bool busy = m_readOperation != OperationId{} || m_writeOperation != OperationId{};
+    if (busy || m_now < m_nextRenewal) {
+        return;
+    }
+    constexpr Duration retryInterval{500};
+    m_nextRenewal = m_now + retryInterval;
+    m_readOperation = call(ReadRow{rowKey::session(m_host)});
+}
+
+void SessionKeeper::onOwnRow(const StoredRow &stored)
+{
+    const auto &found = std::get<SessionRow>(stored.value);
+    const bool own = stored.version > 0 && m_row.epoch > 0 && found.holder == m_row.holder;
+    if (m_row.epoch > 0 && stored.version > 0 && found.holder.incarnation > m_incarnation) {
+        lose(true);
+        return;
+    }
+    if (own && !found.ended && found.epoch == m_row.epoch) {
+        // A renewal took effect whose answer was lost.
+        m_stage = Stage::Held;
+        m_conflict = false;
+        m_row = found;
+        m_version = stored.version;
+        m_nextRenewal = m_now;
+        return;
+    }
+    SessionRow row;
+    if (m_row.epoch == 0) {
+        m_incarnation = std::max(m_incarnation, Incarnation{found.holder.incarnation.value + 1});
+    }
+    row.holder = HolderId{m_host, m_incarnation};
+    row.zone = m_zone;
+    row.peer = m_peer;
+    row.epoch = std::max(m_row.epoch, own ? found.epoch : 0) + 1;
+    writeOwn(std::move(row), stored.version);
+}
+
+void SessionKeeper::writeOwn(SessionRow row, std::uint64_t expected)
+{
+    row.witnesses = m_witnesses;
+    m_writtenRow = row;
+    m_writeSentAt = m_now;
+    m_writeOperation = call(WriteRows{{RowWrite{rowKey::session(m_host), expected, RowValue(std::move(row))}}});
+}
+
+void SessionKeeper::onOwnWritten(const PlatformAnswer &answer)
+{
+    if (const auto *written = std::get_if<RowsWritten>(&answer)) {
+        const bool newEpoch = m_writtenRow.epoch != m_row.epoch;
+        m_row = m_writtenRow;
+        m_version = written->versions.front();
+        m_renewedAt = m_writeSentAt;
+        m_conflict = false;
+        m_vouchedUntil.clear();
+        m_nextRenewal = m_writeSentAt + leaseTimes::renewInterval;
+        m_stage = Stage::Held;
+        if (newEpoch) {
+            m_effects.push_back(SessionHeld{m_row.holder, m_row.epoch});
+        }
+        updateValidity();
+        return;
+    }
+    const auto *failed = std::get_if<PlatformFailed>(&answer);
+    const bool nothingWritten = failed != nullptr && failed->error == PlatformError::Unavailable;
+    if (nothingWritten) {
+        constexpr Duration retryInterval{1'000};
+        m_nextRenewal = m_now + retryInterval;
+        return;
+    }
+    // Another version stands there, or it is unknown which: the row tells whether the session still holds.
+    m_stage = Stage::Unknown;
+    m_nextRenewal = m_now;
+    m_conflict = std::holds_alternative<WriteConflict>(answer);
+    readOwn();
+}
+
+void SessionKeeper::renew()
+{
+    if (m_now < m_nextRenewal || m_writeOperation != OperationId{}) {
+        return;
+    }
+    SessionRow row = m_row;
+    ++row.renewals;
+    writeOwn(std::move(row), m_version);
+}
+
+void SessionKeeper::scan()
+{
+    if (m_now < m_nextScan || m_scanOperation != OperationId{}) {
+        return;
+    }
+    m_nextScan = m_now + leaseTimes::scanInterval;
+    m_scanSentAt = m_now;
+    m_scanOperation = call(ScanRows{std::string(rowKey::sessions)});
+}
+
+void SessionKeeper::onScanned(const RowsFound &found)
+{
+    // Time in which the table did not answer proves nothing about a holder, which could not renew either.
+    const auto between = std::chrono::duration_cast<Duration>(m_scanSentAt - m_lastScanSentAt);
+    const Duration gap = m_lastScanAnswered ? std::min(between, leaseTimes::mostIdlePerScan) : Duration(0);
+    m_lastScanSentAt = m_scanSentAt;
+    SessionsSeen seen;
+    std::set<HostId> present;
+    for (const StoredRow &stored : found.rows) {
+        const auto &row = std::get<SessionRow>(stored.value);
+        present.insert(row.holder.host);
+        if (row.holder.host == m_host) {
+            seen.sessions.push_back({row, Duration(0)});
+            continue;
+        }
+        observe(stored, gap, seen);
+    }
+    std::erase_if(m_observed, [&](const auto &entry) { return !present.contains(entry.first); });
+    m_effects.push_back(std::move(seen));
+}
+
+void SessionKeeper::observe(const StoredRow &stored, Duration gap, SessionsSeen &seen)
+{
+    const auto &row = std::get<SessionRow>(stored.value);
+    Observed &observed = m_observed[row.holder.host];
+    if (observed.version != stored.version) {
+        observed = Observed{stored.version, Duration(0), false};
+    } else {
+        observed.idle += gap;
+    }
+    seen.sessions.push_back({row, row.ended ? leaseTimes::ended : observed.idle});
+    if (row.ended || observed.endAsked || !mayEnd(row, observed.idle)) {
+        return;
+    }
+    observed.endAsked = true;
+    SessionRow ended = row;
+    ended.ended = true;
+    const OperationId id = call(WriteRows{{RowWrite{stored.key, stored.version, RowValue(std::move(ended))}}});
+    m_endOperations.emplace(id, row.holder);
+}
+
+bool SessionKeeper::mayEnd(const SessionRow &row, Duration idle) const
+{
+    const bool witness
+        = row.witnesses.empty() || std::find(row.witnesses.begin(), row.witnesses.end(), m_host) != row.witnesses.end();
+    return idle >= (witness ? leaseTimes::endAfter : leaseTimes::endByAnyoneAfter);
+}
+
+void SessionKeeper::lose(bool nameTaken)
+{
+    m_stage = Stage::Lost;
+    m_validUntil = TimePoint{};
+    m_effects.push_back(SessionLost{nameTaken});
+    m_effects.push_back(SessionValidUntil{m_validUntil});
+}
+
+void SessionKeeper::updateValidity()
+{
+    // After a conflict the session may have been ended, so nothing extends it until the row was read.
+    if (m_row.epoch == 0 || m_conflict || m_stage == Stage::Lost || m_stage == Stage::Released) {
+        return;
+    }
+    TimePoint until = m_renewedAt + leaseTimes::lease;
+    if (!m_row.witnesses.empty()) {
+        TimePoint vouched = m_renewedAt + leaseTimes::longestWithoutRenewal;
+        for (const HostId &witness : m_row.witnesses) {
+            const auto found = m_vouchedUntil.find(witness);
+            vouched = std::min(vouched, found == m_vouchedUntil.end() ? TimePoint{} : found->second);
+        }
+        until = std::max(until, vouched);
+    }
+    if (until != m_validUntil) {
+        m_validUntil = until;
+        m_effects.push_back(SessionValidUntil{until});
+    }
+}
+
+OperationId SessionKeeper::call(PlatformRequest request)
+{
+    const OperationId id{++m_lastOperation};
+    m_effects.push_back(PlatformCall{id, std::move(request)});
+    return id;
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/routing/admission.cpp
@@ -0,0 +1,56 @@
+#include "core/routing/admission.h"
+
+namespace radishvane
+{
+
+namespace
+{
+
+bool keyIsVouched(const Team &team, Duration unconfirmedFor)
+{
+    if (unconfirmedFor <= configFreshFor) {
+        return true;
+    }
+    switch (team.cutOffKeys) {
+    case CutOffKeys::Serve:
+        return true;
+    case CutOffKeys::Refuse:
+        return false;
+    case CutOffKeys::ServeForATime:
+        return unconfirmedFor <= team.cutOffKeyLife;
+    }
+    return false;
+}
+
+} // namespace
+
+Result<Admission, RefusalReason> admit(const Config *config, const RequestHead &head, Duration unconfirmedFor)
+{
+    if (config == nullptr) {
+        return RefusalReason::NoConfiguration;
+    }
+    const auto service = config->services.find(head.service);
+    if (service == config->services.end()) {
+        return RefusalReason::UnknownService;
+    }
+    if (head.key.empty()) {
+        if (!service->second.openToAll) {
+            return RefusalReason::KeyMissing;
+        }
+        return Admission{&service->second, TeamId()};
+    }
+    const auto key = config->keys.find(head.key);
+    if (key == config->keys.end()) {
+        return RefusalReason::UnknownKey;
+    }
+    const Team &team = config->teams.at(key->second.team);
+    if (!keyIsVouched(team, unconfirmedFor)) {
+        return RefusalReason::KeyNotVouched;
+    }
+    if (team.ceiling == 0) {
+        return RefusalReason::TeamCeilingZero;
+    }
+    return Admission{&service->second, team.id};
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/routing/request_plane.cpp
@@ -0,0 +1,602 @@
+#include "core/routing/request_plane.h"
+
+#include "core/base/enum_names.h"
+
+#include <algorithm>
+
+namespace radishvane
+{
+
+namespace
+{
+
+/// Weight of the newest run time in the smoothed estimate.
+constexpr double estimateWeight = 0.1;
+/// Slot time charged for a start before any run time is known, in milliseconds.
+constexpr double firstCharge = 10.0;
+/// Least time told to callers in Retry-After.
+constexpr Duration leastRetryAfter{1'000};
+
+double milliseconds(TimePoint::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+Duration toDuration(TimePoint::duration time)
+{
+    return std::chrono::duration_cast<Duration>(time);
+}
+
+bool endIsKnown(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::NotSent:
+        return true;
+    case AttemptOutcome::ConnectionLost:
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::AnswerIncomplete:
+        return false;
+    }
+    return false;
+}
+
+UnknownReason unknownReason(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::TimedOut:
+        return UnknownReason::TimedOut;
+    case AttemptOutcome::AnswerIncomplete:
+        return UnknownReason::AnswerIncomplete;
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::NotSent:
+    case AttemptOutcome::ConnectionLost:
+        return UnknownReason::ConnectionLost;
+    }
+    return UnknownReason::ConnectionLost;
+}
+
+} // namespace
+
+RequestPlane::RequestPlane(std::uint64_t seed) : m_seed(seed)
+{
+}
+
+RequestEffects RequestPlane::handle(const RequestEvent &event, TimePoint now)
+{
+    m_now = now;
+    m_effects.clear();
+    std::visit([this](const auto &alternative) { on(alternative); }, event);
+    return std::move(m_effects);
+}
+
+std::size_t RequestPlane::waiting() const
+{
+    return m_exchanges.size() - std::min(m_exchanges.size(), m_attempts.size());
+}
+
+std::size_t RequestPlane::running() const
+{
+    return m_attempts.size();
+}
+
+bool RequestPlane::idle() const
+{
+    return m_exchanges.empty() && m_attempts.empty();
+}
+
+std::shared_ptr<const Config> RequestPlane::config() const
+{
+    return m_config;
+}
+
+void RequestPlane::on(const ConfigInForce &event)
+{
+    if (m_config && event.config->version <= m_config->version) {
+        return;
+    }
+    m_config = event.config;
+    m_suspended = false;
+    applyServices();
+    applyTeams();
+    recheckWaiting();
+    dispatchAll();
+}
+
+void RequestPlane::on(const LeavingHosts &event)
+{
+    m_leaving = event.hosts;
+    for (auto &[id, service] : m_services) {
+        service.backends.setLeaving(m_leaving);
+    }
+    dispatchAll();
+}
+
+void RequestPlane::on(const EntryHostPlace &event)
+{
+    m_place = event;
+    for (auto &[id, service] : m_services) {
+        service.backends.setPlace(m_place);
+    }
+    dispatchAll();
+}
+
+void RequestPlane::on(const ConfigConfirmed &event)
+{
+    m_configConfirmed = std::max(m_configConfirmed, event.at);
+}
+
+void RequestPlane::on(const ConfigSuspended &)
+{
+    m_suspended = true;
+}
+
+void RequestPlane::on(const RequestArrived &event)
+{
+    Exchange exchange;
+    exchange.head = event.head;
+    exchange.service = event.head.service;
+    exchange.arrived = m_now;
+    exchange.deadline = m_now + event.head.timeout;
+    const auto admission
+        = admit(m_suspended ? nullptr : m_config.get(), event.head, toDuration(m_now - m_configConfirmed));
+    if (admission) {
+        exchange.team = admission.value().team;
+    }
+    const auto [entry, added] = m_exchanges.emplace(event.exchange, std::move(exchange));
+    if (!added) {
+        return;
+    }
+    m_deadlines.emplace(entry->second.deadline, event.exchange);
+    if (m_stopping) {
+        refuse(event.exchange, RefusalReason::Stopping, leastRetryAfter);
+        return;
+    }
+    if (!admission) {
+        refuse(event.exchange, admission.error());
+        return;
+    }
+    if (!event.head.idempotent && !event.head.idempotencyKey.empty()) {
+        m_effects.push_back(ClaimKey{event.exchange, entry->second.team, event.head.idempotencyKey});
+        return;
+    }
+    enqueue(event.exchange, entry->second);
+}
+
+void RequestPlane::on(const CallerLeft &event)
+{
+    const auto found = m_exchanges.find(event.exchange);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    // An attempt goes on without its caller, since only its end tells when the slot and the right are free.
+    if (found->second.stage == Stage::Waiting && found->second.claimed && !found->second.mayHaveRun) {
+        m_effects.push_back(ReleaseClaim{found->second.team, found->second.head.idempotencyKey});
+    }
+    forget(event.exchange);
+}
+
+void RequestPlane::on(const AttemptEnded &event)
+{
+    const auto found = m_attempts.find(event.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const Attempt attempt = found->second;
+    m_attempts.erase(found);
+    settleWork(attempt, event.outcome);
+    const auto exchange = m_exchanges.find(attempt.exchange);
+    if (exchange != m_exchanges.end()) {
+        resolve(attempt.exchange, exchange->second, attempt, event.attempt, event.outcome);
+    }
+    dispatchAll();
+}
+
+void RequestPlane::on(const TeamAllowance &event)
+{
+    m_rights.setAllowance(event.team, event.standing, event.leased, event.generation);
+    m_reportedDemand.try_emplace(event.team, TeamDemand{event.team, 0, 0, 0});
+    dispatchAll();
+    reportDemand();
+}
+
+void RequestPlane::on(const LeaseExtended &event)
+{
+    m_rights.setLeasedUntil(event.until);
+    dispatchAll();
+}
+
+void RequestPlane::on(const PeerUsage &event)
+{
+    const auto found = m_services.find(event.service);
+    if (found != m_services.end()) {
+        found->second.queue.charge(event.team, event.slotMilliseconds);
+    }
+}
+
+void RequestPlane::on(const PeerSpareSlots &event)
+{
+    const auto found = m_services.find(event.service);
+    if (found == m_services.end()) {
+        return;
+    }
+    found->second.spareOfPeers[event.peer] = {event.slots, m_now};
+    updateBorrowable(found->second);
+    dispatch(event.service, found->second);
+}
+
+void RequestPlane::updateBorrowable(ServiceState &state)
+{
+    std::erase_if(state.spareOfPeers, [this](const auto &entry) { return m_now - entry.second.toldAt > spareFor; });
+    std::uint32_t spare = 0;
+    for (const auto &[peer, told] : state.spareOfPeers) {
+        spare += told.slots;
+    }
+    state.backends.setBorrowable(spare);
+}
+
+void RequestPlane::on(const ClaimDecided &event)
+{
+    const auto found = m_exchanges.find(event.exchange);
+    if (found == m_exchanges.end() || found->second.stage != Stage::Admitting) {
+        return;
+    }
+    switch (event.outcome) {
+    case ClaimOutcome::Claimed:
+        found->second.claimed = true;
+        enqueue(event.exchange, found->second);
+        return;
+    case ClaimOutcome::ClaimedBefore:
+        refuse(event.exchange, RefusalReason::DuplicateRequest);
+        return;
+    case ClaimOutcome::Unavailable:
+        refuse(event.exchange, RefusalReason::ClaimUnavailable, leastRetryAfter);
+        return;
+    }
+}
+
+void RequestPlane::on(const StopRequested &)
+{
+    m_stopping = true;
+}
+
+void RequestPlane::on(const TimePassed &)
+{
+    passDeadlines();
+    endLingering();
+    for (auto &[id, service] : m_services) {
+        service.backends.readmit(m_now);
+        updateBorrowable(service);
+    }
+    dispatchAll();
+    reportDemand();
+    reportUsage();
+}
+
+void RequestPlane::applyServices()
+{
+    for (auto &[id, state] : m_services) {
+        state.removed = true;
+    }
+    for (const auto &[id, declared] : m_config->services) {
+        ServiceState &state = service(id);
+        state.removed = false;
+        state.longestRun = declared.longestRun;
+        state.queueLimit = declared.queueLimit;
+        state.backends.setServers(declared);
+        state.backends.setLeaving(m_leaving);
+        state.backends.setPlace(m_place);
+        for (const auto &[team, settings] : m_config->teams) {
+            state.queue.setShare(team, settings.share);
+        }
+    }
+}
+
+void RequestPlane::applyTeams()
+{
+    for (const auto &[team, demand] : m_reportedDemand) {
+        if (!m_config->teams.contains(team)) {
+            m_rights.withdraw(team);
+        }
+    }
+    for (const auto &[team, settings] : m_config->teams) {
+        m_rights.setCeiling(team, settings.ceiling);
+        m_reportedDemand.try_emplace(team, TeamDemand{team, 0, 0, 0});
+    }
+}
+
+void RequestPlane::recheckWaiting()
+{
+    std::vector<std::pair<ExchangeId, RefusalReason>> refused;
+    for (const auto &[id, exchange] : m_exchanges) {
+        if (exchange.stage == Stage::Running) {
+            continue;
+        }
+        const auto admission = admit(m_config.get(), exchange.head, Duration(0));
+        if (!admission) {
+            refused.emplace_back(id, admission.error());
+        }
+    }
+    std::sort(refused.begin(), refused.end());
+    for (const auto &[id, reason] : refused) {
+        refuse(id, reason);
+    }
+}
+
+void RequestPlane::enqueue(ExchangeId id, Exchange &exchange)
+{
+    ServiceState &state = service(exchange.service);
+    if (!state.backends.hasUsableServer()) {
+        refuse(id, RefusalReason::NoBackendServer, leastRetryAfter);
+        return;
+    }
+    const Duration expected = predictedWait(state, exchange.team);
+    const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
+    if (m_now + expected + estimate > exchange.deadline) {
+        refuse(id, RefusalReason::DeadlineTooClose, std::max(expected, leastRetryAfter));
+        return;
+    }
+    if (state.queue.size() >= state.queueLimit && !makeRoom(state, exchange.team)) {
+        refuse(id, RefusalReason::QueueFull, std::max(expected, leastRetryAfter));
+        return;
+    }
+    wait(id, exchange, state);
+    dispatch(exchange.service, state);
+    if (exchange.team.empty() || m_rights.mayTake(exchange.team, m_now)) {
+        return;
+    }
+    // A team without a free right cannot wait for the next report of its demand.
+    reportDemand();
+}
+
+void RequestPlane::wait(ExchangeId id, Exchange &exchange, ServiceState &state)
+{
+    exchange.stage = Stage::Waiting;
+    ++m_waiting[exchange.team];
+    state.queue.push(WaitingRequest{id, exchange.team, exchange.head.urgency, exchange.arrived});
+}
+
+Duration RequestPlane::predictedWait(const ServiceState &state, const TeamId &team) const
+{
+    if (state.runEstimate <= 0 || state.backends.slots() == 0) {
+        return Duration(0);
+    }
+    double slots = state.backends.slots() * state.queue.part(team);
+    if (!team.empty()) {
+        slots = std::min(slots, std::max(1.0, static_cast<double>(m_rights.ceiling(team)) / m_place.count));
+    }
+    const double ahead = static_cast<double>(state.queue.size(team));
+    return Duration(static_cast<Duration::rep>(ahead * state.runEstimate / slots));
+}
+
+bool RequestPlane::makeRoom(ServiceState &state, const TeamId &team)
+{
+    const auto displaced = state.queue.makeRoomFor(team);
+    if (!displaced) {
+        return false;
+    }
+    refuse(displaced->exchange, RefusalReason::QueueFull, leastRetryAfter);
+    return true;
+}
+
+void RequestPlane::dispatchAll()
+{
+    for (auto &[id, state] : m_services) {
+        dispatch(id, state);
+    }
+}
+
+void RequestPlane::dispatch(const ServiceId &id, ServiceState &state)
+{
+    const auto eligible = [this](const TeamId &team) {
+        return team.empty() || m_rights.mayTake(team, m_now);
+    };
+    while (state.queue.size() > 0 && state.backends.hasFreeSlot()) {
+        const auto request = state.queue.next(eligible);
+        if (!request) {
+            return;
+        }
+        start(*request, id, state);
+    }
+}
+
+void RequestPlane::start(const WaitingRequest &request, const ServiceId &id, ServiceState &state)
+{
+    Exchange &exchange = m_exchanges.at(request.exchange);
+    const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
+    if (m_now + estimate > exchange.deadline) {
+        refuse(request.exchange, RefusalReason::DeadlineTooClose, leastRetryAfter);
+        return;
+    }
+    const BackendServer *backend = state.backends.take(exchange.lastBackend, m_now);
+    if (!request.team.empty()) {
+        m_rights.take(request.team, m_now);
+    }
+    const AttemptId attemptId{++m_lastAttempt};
+    const double charge = state.runEstimate > 0 ? state.runEstimate : firstCharge;
+    state.queue.charge(request.team, charge);
+    m_attempts.emplace(
+        attemptId, Attempt{request.exchange, request.team, id, backend->id, m_now, m_now + state.longestRun, charge});
+    exchange.stage = Stage::Running;
+    --m_waiting[exchange.team];
+    exchange.lastBackend = backend->id;
+    m_effects.push_back(StartAttempt{attemptId, request.exchange, backend->id, backend->endpoint, state.longestRun,
+                                     toDuration(exchange.deadline - m_now), !exchange.head.idempotent});
+    log(DecisionKind::Route, request.exchange, exchange, enumName(urgencyNames, request.urgency));
+}
+
+void RequestPlane::settleWork(const Attempt &attempt, AttemptOutcome outcome)
+{
+    ServiceState &state = service(attempt.service);
+    const double spent = milliseconds(m_now - attempt.started);
+    const bool ran = outcome != AttemptOutcome::NotRun && outcome != AttemptOutcome::NotSent;
+    state.queue.charge(attempt.team, (ran ? spent : 0) - attempt.charged);
+    state.spent[attempt.team] += ran ? spent : 0;
+    if (outcome == AttemptOutcome::Answered) {
+        const double weight = state.runEstimate > 0 ? estimateWeight : 1.0;
+        state.runEstimate += weight * (spent - state.runEstimate);
+    }
+    if (state.backends.release(attempt.backend, outcome, m_now)) {
+        m_effects.push_back(Decision{DecisionKind::Eject,
+                                     attempt.exchange,
+                                     attempt.team,
+                                     attempt.service,
+                                     attempt.backend,
+                                     "failures-in-a-row",
+                                     {}});
+    }
+    if (endIsKnown(outcome) || attempt.endsBy <= m_now) {
+        m_rights.release(attempt.team);
+        return;
+    }
+    // The backend server may still be running the request, so its right stays taken.
+    m_lingering.emplace(attempt.endsBy, attempt);
+}
+
+void RequestPlane::resolve(ExchangeId id, Exchange &exchange, const Attempt &attempt, AttemptId attemptId,
+                           AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::Failed:
+        m_effects.push_back(ForwardAnswer{id, attemptId});
+        log(DecisionKind::Finish, id, exchange, enumName(attemptOutcomeNames, outcome));
+        forget(id);
+        return;
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::NotSent:
+        break;
+    case AttemptOutcome::ConnectionLost:
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::AnswerIncomplete:
+        exchange.mayHaveRun = true;
+        break;
+    }
+    exchange.lastBackend = attempt.backend;
+    if ((!exchange.mayHaveRun || exchange.head.idempotent) && retry(id, exchange, outcome)) {
+        return;
+    }
+    if (exchange.mayHaveRun) {
+        reportUnknown(id, unknownReason(outcome));
+        return;
+    }
+    refuse(id, RefusalReason::NoBackendServer, leastRetryAfter);
+}
+
+bool RequestPlane::retry(ExchangeId id, Exchange &exchange, AttemptOutcome outcome)
+{
+    ServiceState &state = service(exchange.service);
+    if (exchange.deadline <= m_now || !state.backends.hasUsableServer() || !state.retries.spend()) {
+        return false;
+    }
+    log(DecisionKind::Retry, id, exchange, enumName(attemptOutcomeNames, outcome));
+    wait(id, exchange, state);
+    return true;
+}
+
+void RequestPlane::refuse(ExchangeId id, RefusalReason reason, std::optional<Duration> retryAfter)
+{
+    const auto found = m_exchanges.find(id);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    if (found->second.mayHaveRun) {
+        reportUnknown(id, UnknownReason::ConnectionLost);
+        return;
+    }
+    if (found->second.claimed) {
+        m_effects.push_back(ReleaseClaim{found->second.team, found->second.head.idempotencyKey});
+    }
+    m_effects.push_back(Refuse{id, reason, retryAfter});
+    log(DecisionKind::Refuse, id, found->second, enumName(refusalReasonNames, reason));
+    forget(id);
+}
+
+void RequestPlane::reportUnknown(ExchangeId id, UnknownReason reason)
+{
+    m_effects.push_back(ReportUnknown{id, reason});
+    log(DecisionKind::Unknown, id, m_exchanges.at(id), enumName(unknownReasonNames, reason));
+    forget(id);
+}
+
+void RequestPlane::forget(ExchangeId id)
+{
+    const auto found = m_exchanges.find(id);
+    if (found->second.stage == Stage::Waiting) {
+        service(found->second.service).queue.remove(id);
+        --m_waiting[found->second.team];
+    }
+    m_deadlines.erase({found->second.deadline, id});
+    m_exchanges.erase(found);
+}
+
+void RequestPlane::passDeadlines()
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now) {
+        const ExchangeId id = m_deadlines.begin()->second;
+        if (m_exchanges.at(id).stage == Stage::Running) {
+            reportUnknown(id, UnknownReason::TimedOut);
+        } else {
+            refuse(id, RefusalReason::DeadlinePassed, leastRetryAfter);
+        }
+    }
+}
+
+void RequestPlane::endLingering()
+{
+    while (!m_lingering.empty() && m_lingering.begin()->first <= m_now) {
+        m_rights.release(m_lingering.begin()->second.team);
+        m_lingering.erase(m_lingering.begin());
+    }
+}
+
+void RequestPlane::reportDemand()
+{
+    for (auto &[team, reported] : m_reportedDemand) {
+        const TeamDemand demand{team, m_rights.running(team), m_waiting[team], m_rights.generation(team)};
+        if (demand != reported) {
+            reported = demand;
+            m_effects.push_back(demand);
+        }
+    }
+}
+
+void RequestPlane::reportUsage()
+{
+    if (m_now < m_nextUsageReport) {
+        return;
+    }
+    m_nextUsageReport = m_now + usageInterval;
+    UsageReport report;
+    for (auto &[id, state] : m_services) {
+        for (const auto &[team, spent] : state.spent) {
+            report.spent.push_back({id, team, spent});
+        }
+        state.spent.clear();
+        const std::uint32_t idle = state.queue.size() == 0 ? state.backends.idleSlots() : 0;
+        report.spare.push_back({id, idle});
+    }
+    m_effects.push_back(std::move(report));
+}
+
+void RequestPlane::log(DecisionKind kind, ExchangeId id, const Exchange &exchange, std::string_view reason)
+{
+    m_effects.push_back(Decision{kind, id, exchange.team, exchange.service, exchange.lastBackend, reason,
+                                 toDuration(m_now - exchange.arrived)});
+}
+
+RequestPlane::ServiceState &RequestPlane::service(const ServiceId &id)
+{
+    const auto found = m_services.find(id);
+    if (found != m_services.end()) {
+        return found->second;
+    }
+    const std::uint64_t seed = m_seed + m_services.size();
+    return m_services.emplace(id, ServiceState(seed)).first->second;
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/core/routing/request_plane.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "core/quota/team_rights.h"
+#include "core/routing/admission.h"
+#include "core/routing/backend_set.h"
+#include "core/routing/fair_queue.h"
+#include "core/routing/request_messages.h"
+#include "core/routing/retry_budget.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace radishvane
+{
+
+/// Decides for every request of one entry host: whether it is taken, when it starts, where, and what the caller is
+/// told.
+///
+/// Invariants: a request runs only under a right of its team; a request that is not idempotent is sent again only when
+/// it is certain that it did not run; a refusal is given only to requests that did not run.
+class RequestPlane
+{
+public:
+    /// Interval between reports to other entry hosts.
+    static constexpr Duration usageInterval{1'000};
+
+    /// Slots that another entry host leaves idle may be borrowed for this long.
+    static constexpr Duration spareFor{2'500};
+
+    /// @param seed of the choice between backend servers.
+    explicit RequestPlane(std::uint64_t seed);
+
+    RequestEffects handle(const RequestEvent &event, TimePoint now);
+
+    std::size_t waiting() const;
+    std::size_t running() const;
+    /// True when no request waits or runs.
+    bool idle() const;
+    std::shared_ptr<const Config> config() const;
+
+private:
+    enum class Stage {
+        Admitting,
+        Waiting,
+        Running,
+    };
+
+    struct Exchange
+    {
+        RequestHead head;
+        TeamId team;
+        ServiceId service;
+        Stage stage = Stage::Admitting;
+        TimePoint arrived;
+        TimePoint deadline;
+        BackendId lastBackend;
+        /// An earlier attempt may have run, so that "not run" would be false.
+        bool mayHaveRun = false;
+        bool claimed = false;
+    };
+
+    struct Attempt
+    {
+        ExchangeId exchange;
+        TeamId team;
+        ServiceId service;
+        BackendId backend;
+        TimePoint started;
+        /// A backend server has ended the request by then.
+        TimePoint endsBy;
+        double charged = 0;
+    };
+
+    struct PeerSpare
+    {
+        std::uint32_t slots = 0;
+        TimePoint toldAt;
+    };
+
+    struct ServiceState
+    {
+        explicit ServiceState(std::uint64_t seed) : backends(seed)
+        {
+        }
+
+        FairQueue queue;
+        BackendSet backends;
+        RetryBudget retries;
+        Duration longestRun{};
+        std::uint32_t queueLimit = 0;
+        /// Smoothed run time of answered requests in milliseconds; 0 before the first.
+        double runEstimate = 0;
+        std::map<TeamId, double> spent;
+        std::map<HostId, PeerSpare> spareOfPeers;
+        bool removed = false;
+    };
+
+    void on(const ConfigInForce &event);
+    void on(const LeavingHosts &event);
+    void on(const EntryHostPlace &event);
+    void on(const ConfigConfirmed &event);
+    void on(const ConfigSuspended &event);
+    void on(const RequestArrived &event);
+    void on(const CallerLeft &event);
+    void on(const AttemptEnded &event);
+    void on(const TeamAllowance &event);
+    void on(const LeaseExtended &event);
+    void on(const PeerUsage &event);
+    void on(const PeerSpareSlots &event);
+    void on(const ClaimDecided &event);
+    void on(const StopRequested &event);
+    void on(const TimePassed &event);
+
+    void updateBorrowable(ServiceState &state);
+    void applyServices();
+    void applyTeams();
+    void recheckWaiting();
+    void enqueue(ExchangeId id, Exchange &exchange);
+    void wait(ExchangeId id, Exchange &exchange, ServiceState &state);
+    Duration predictedWait(const ServiceState &service, const TeamId &team) const;
+    bool makeRoom(ServiceState &service, const TeamId &team);
+    void dispatchAll();
+    void dispatch(const ServiceId &id, ServiceState &service);
+    void start(const WaitingRequest &request, const ServiceId &id, ServiceState &service);
+    void settleWork(const Attempt &attempt, AttemptOutcome outcome);
+    void resolve(ExchangeId id, Exchange &exchange, const Attempt &attempt, AttemptId attemptId,
+                 AttemptOutcome outcome);
+    bool retry(ExchangeId id, Exchange &exchange, AttemptOutcome outcome);
+    void refuse(ExchangeId id, RefusalReason reason, std::optional<Duration> retryAfter = std::nullopt);
+    void reportUnknown(ExchangeId id, UnknownReason reason);
+    void forget(ExchangeId id);
+    void passDeadlines();
+    void endLingering();
+    void reportDemand();
+    void reportUsage();
+    void log(DecisionKind kind, ExchangeId id, const Exchange &exchange, std::string_view reason);
+    ServiceState &service(const ServiceId &id);
+
+    std::uint64_t m_seed;
+    TimePoint m_now;
+    RequestEffects m_effects;
+    std::shared_ptr<const Config> m_config;
+    TimePoint m_configConfirmed;
+    bool m_stopping = false;
+    bool m_suspended = false;
+    EntryHostPlace m_place;
+    std::set<HostId> m_leaving;
+    TeamRights m_rights;
+    std::map<ServiceId, ServiceState> m_services;
+    std::unordered_map<ExchangeId, Exchange> m_exchanges;
+    std::set<std::pair<TimePoint, ExchangeId>> m_deadlines;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    /// Attempts without a known end, by the time at which their work has ended for certain.
+    std::multimap<TimePoint, Attempt> m_lingering;
+    std::uint64_t m_lastAttempt = 0;
+    std::unordered_map<TeamId, std::uint32_t> m_waiting;
+    std::map<TeamId, TeamDemand> m_reportedDemand;
+    TimePoint m_nextUsageReport;
+};
+
+} // namespace radishvane
--- /dev/null
+++ b/drivers/http_client.cpp
@@ -0,0 +1,229 @@
+#include "drivers/http_client.h"
+
+#include "drivers/evhttp_text.h"
+#include "drivers/time_value.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <algorithm>
+
+namespace radishvane::drivers
+{
+
+namespace
+{
+
+constexpr auto requestIdHeader = "X-Request-Id";
+
+struct evbuffer *outputOf(evhttp_connection *connection)
+{
+    return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+}
+
+bool hasLength(evhttp_request *request)
+{
+    evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    const int status = evhttp_request_get_response_code(request);
+    const bool bodiless = status == 204 || status == 304 || evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
+    return bodiless || evhttp_find_header(headers, "Content-Length") != nullptr
+        || evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+}
+
+} // namespace
+
+struct HttpClient::Exchange
+{
+    HttpClient *client = nullptr;
+    std::uint64_t id = 0;
+    HttpCall call;
+    OutcomeHandler onOutcome;
+    evhttp_connection *connection = nullptr;
+    evbuffer_cb_entry *watch = nullptr;
+    bool written = false;
+    bool timedOut = false;
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : m_loop(loop)
+    , m_closeEvent(event_new(
+          loop.base(), -1, 0,
+          [](evutil_socket_t, short, void *self) {
+              auto *client = static_cast<HttpClient *>(self);
+              for (evhttp_connection *connection : client->m_closing) {
+                  evhttp_connection_free(connection);
+              }
+              client->m_closing.clear();
+          },
+          this))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    event_free(m_closeEvent);
+    for (evhttp_connection *connection : m_closing) {
+        evhttp_connection_free(connection);
+    }
+    for (auto &[endpoint, connections] : m_idle) {
+        for (evhttp_connection *connection : connections) {
+            evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            evhttp_connection_free(connection);
+        }
+    }
+    for (auto &[id, exchange] : m_exchanges) {
+        // Freeing a connection ends its request, whose handler must not run any more.
+        exchange->client = nullptr;
+        evhttp_connection_free(exchange->connection);
+    }
+}
+
+void HttpClient::send(const HttpCall &call, OutcomeHandler onOutcome)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->client = this;
+    exchange->id = ++m_lastId;
+    exchange->call = call;
+    exchange->onOutcome = std::move(onOutcome);
+    exchange->connection = connect(call);
+    exchange->watch = evbuffer_add_cb(
+        outputOf(exchange->connection),
+        [](evbuffer *, const evbuffer_cb_info *info, void *target) {
+            auto *watched = static_cast<Exchange *>(target);
+            // Bytes that are queued may be written at any moment, so they already count.
+            watched->written = watched->written || info->n_added > 0;
+        },
+        exchange.get());
+
+    evhttp_request *request = evhttp_request_new(&HttpClient::done, exchange.get());
+    evhttp_request_set_error_cb(request, [](evhttp_request_error error, void *target) {
+        static_cast<Exchange *>(target)->timedOut = error == EVREQ_HTTP_TIMEOUT;
+    });
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    for (const HttpHeader &header : call.headers) {
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    if (!call.requestId.empty()) {
+        evhttp_add_header(headers, requestIdHeader, call.requestId.c_str());
+    }
+    const std::string host = call.endpoint.address + ':' + std::to_string(call.endpoint.port);
+    evhttp_add_header(headers, "Host", host.c_str());
+    if (call.freshConnection) {
+        evhttp_add_header(headers, "Connection", "close");
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+    const timeval timeout = toTimeval(call.timeout);
+    evhttp_connection_set_timeout_tv(exchange->connection, &timeout);
+    evhttp_connection *connection = exchange->connection;
+    m_exchanges.emplace(exchange->id, std::move(exchange));
+    evhttp_make_request(connection, request, toCommand(call.method), call.target.c_str());
+}
+
+std::size_t HttpClient::open() const
+{
+    return m_exchanges.size();
+}
+
+evhttp_connection *HttpClient::connect(const HttpCall &call)
+{
+    std::vector<evhttp_connection *> &idle = m_idle[call.endpoint];
+    if (!call.freshConnection && !idle.empty()) {
+        evhttp_connection *connection = idle.back();
+        idle.pop_back();
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+        return connection;
+    }
+    evhttp_connection *connection
+        = evhttp_connection_base_new(m_loop.base(), nullptr, call.endpoint.address.c_str(), call.endpoint.port);
+    evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(mostAnswerBytes));
+    return connection;
+}
+
+void HttpClient::done(evhttp_request *request, void *target)
+{
+    auto *exchange = static_cast<Exchange *>(target);
+    if (exchange->client != nullptr) {
+        exchange->client->finish(*exchange, request);
+    }
+}
+
+void HttpClient::finish(Exchange &exchange, evhttp_request *request)
+{
+    evbuffer_remove_cb_entry(outputOf(exchange.connection), exchange.watch);
+    HttpOutcome outcome = outcomeOf(exchange, request);
+    keepOrClose(exchange, outcome);
+    const auto found = m_exchanges.find(exchange.id);
+    const std::unique_ptr<Exchange> ended = std::move(found->second);
+    m_exchanges.erase(found);
+    ended->onOutcome(std::move(outcome));
+}
+
+HttpOutcome HttpClient::outcomeOf(const Exchange &exchange, evhttp_request *request) const
+{
+    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+        if (!exchange.written) {
+            return HttpFailure::NotSent;
+        }
+        return exchange.timedOut ? HttpFailure::TimedOut : HttpFailure::ConnectionLost;
+    }
+    if (!hasLength(request)) {
+        return HttpFailure::AnswerIncomplete;
+    }
+    HttpAnswer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    answer.headers = readHeaders(evhttp_request_get_input_headers(request));
+    answer.body = readBody(evhttp_request_get_input_buffer(request));
+    if (!exchange.call.requestId.empty()) {
+        const std::string repeated = headerValue(answer.headers, requestIdHeader);
+        if (!repeated.empty() && repeated != exchange.call.requestId) {
+            return HttpFailure::AnswerIncomplete;
+        }
+    }
+    return answer;
+}
+
+void HttpClient::keepOrClose(const Exchange &exchange, const HttpOutcome &outcome)
+{
+    evhttp_connection *connection = exchange.connection;
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    std::vector<evhttp_connection *> &idle = m_idle[exchange.call.endpoint];
+    const bool repeatsId = answer != nullptr
+        && (exchange.call.requestId.empty()
+            || headerValue(answer->headers, requestIdHeader) == exchange.call.requestId);
+    // Bytes after the answer belong to nobody, and the next call must not take them for its own answer.
+    const bool clean = answer != nullptr
+        && evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(connection))) == 0
+        && headerValue(answer->headers, "Connection") != "close";
+    if (exchange.call.freshConnection || !repeatsId || !clean || idle.size() >= mostIdlePerEndpoint) {
+        closeLater(connection);
+        return;
+    }
+    evhttp_connection_set_closecb(connection, &HttpClient::idleClosed, this);
+    idle.push_back(connection);
+}
+
+void HttpClient::closeLater(evhttp_connection *connection)
+{
+    // The library still uses the connection while it calls back.
+    m_closing.push_back(connection);
+    event_active(m_closeEvent, EV_TIMEOUT, 0);
+}
+
+void HttpClient::idleClosed(evhttp_connection *connection, void *self)
+{
+    auto *client = static_cast<HttpClient *>(self);
+    for (auto &[endpoint, idle] : client->m_idle) {
+        const auto found = std::find(idle.begin(), idle.end(), connection);
+        if (found != idle.end()) {
+            idle.erase(found);
+            evhttp_connection_set_closecb(connection, nullptr, nullptr);
+            client->closeLater(connection);
+            return;
+        }
+    }
+}
+
+} // namespace radishvane::drivers
--- /dev/null
+++ b/drivers/http_server.cpp
@@ -0,0 +1,130 @@
+#include "drivers/http_server.h"
+
+#include "core/base/enum_names.h"
+#include "drivers/evhttp_text.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace radishvane::drivers
+{
+
+namespace
+{
+
+constexpr ev_uint16_t allowedMethods
+    = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
+
+HttpRequest read(evhttp_request *request, ExchangeId id)
+{
+    HttpRequest result;
+    result.id = id;
+    result.method = toHttpMethod(evhttp_request_get_command(request));
+    const std::string target = evhttp_request_get_uri(request);
+    const auto question = target.find('?');
+    result.path = target.substr(0, question);
+    result.query = question == std::string::npos ? std::string() : target.substr(question + 1);
+    result.headers = readHeaders(evhttp_request_get_input_headers(request));
+    result.body = readBody(evhttp_request_get_input_buffer(request));
+    return result;
+}
+
+} // namespace
+
+HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, RequestHandler onRequest, LeftHandler onLeft)
+    : m_onRequest(std::move(onRequest)), m_onLeft(std::move(onLeft)), m_http(evhttp_new(loop.base()))
+{
+    evhttp_set_allowed_methods(m_http, allowedMethods);
+    evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.bodyBytes));
+    evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.headerBytes));
+    evhttp_set_timeout(m_http, static_cast<int>(std::chrono::duration_cast<std::chrono::seconds>(limits.idle).count()));
+    evhttp_set_gencb(m_http, &HttpServer::receive, this);
+}
+
+HttpServer::~HttpServer()
+{
+    for (const auto &[connection, id] : m_connections) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+    evhttp_free(m_http);
+}
+
+bool HttpServer::listen(const Endpoint &endpoint)
+{
+    m_socket = evhttp_bind_socket_with_handle(m_http, endpoint.address.c_str(), endpoint.port);
+    return m_socket != nullptr;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_closing = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    m_closing = true;
+    if (m_socket != nullptr) {
+        evhttp_del_accept_socket(m_http, m_socket);
+        m_socket = nullptr;
+    }
+}
+
+void HttpServer::answer(ExchangeId id, const HttpAnswer &answer)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end()) {
+        return;
+    }
+    evhttp_request *request = found->second;
+    m_requests.erase(found);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    m_connections.erase(connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    for (const HttpHeader &header : answer.headers) {
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    }
+    if (m_closing) {
+        evhttp_add_header(headers, "Connection", "close");
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), answer.body.data(), answer.body.size());
+    evhttp_send_reply(request, answer.status, nullptr, nullptr);
+}
+
+std::size_t HttpServer::open() const
+{
+    return m_requests.size();
+}
+
+void HttpServer::receive(evhttp_request *request, void *self)
+{
+    static_cast<HttpServer *>(self)->take(request);
+}
+
+void HttpServer::closed(evhttp_connection *connection, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    const auto found = server->m_connections.find(connection);
+    if (found == server->m_connections.end()) {
+        return;
+    }
+    const ExchangeId id = found->second;
+    server->m_connections.erase(found);
+    server->m_requests.erase(id);
+    server->m_onLeft(id);
+}
+
+void HttpServer::take(evhttp_request *request)
+{
+    const ExchangeId id{++m_lastId};
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    m_requests.emplace(id, request);
+    m_connections.emplace(connection, id);
+    evhttp_connection_set_closecb(connection, &HttpServer::closed, this);
+    m_onRequest(read(request, id));
+}
+
+} // namespace radishvane::drivers
--- /dev/null
+++ b/drivers/http_server.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "drivers/event_loop.h"
+#include "drivers/http_types.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+struct evhttp;
+struct evhttp_request;
+struct evhttp_connection;
+struct evhttp_bound_socket;
+
+namespace radishvane::drivers
+{
+
+/// Bounds on what a caller may send.
+struct HttpLimits
+{
+    std::size_t bodyBytes = 1 << 20;
+    std::size_t headerBytes = 16 << 10;
+    /// Time for a caller to send or take bytes before its connection is closed.
+    Duration idle{60'000};
+};
+
+/// An HTTP/1.1 server on one event loop. Requests are addressed by ids and answered at any later time.
+class HttpServer
+{
+public:
+    using RequestHandler = std::function<void(HttpRequest &&)>;
+    using LeftHandler = std::function<void(ExchangeId)>;
+
+    HttpServer(EventLoop &loop, HttpLimits limits, RequestHandler onRequest, LeftHandler onLeft);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// @return false when the address cannot be bound.
+    bool listen(const Endpoint &endpoint);
+    /// From now on each connection closes after its next answer; new ones are still accepted.
+    void closeAfterAnswers();
+    /// Accepts no more connections; open exchanges go on and their connections close after the answer.
+    void stopAccepting();
+    /// Answers an exchange once; ignored when the caller has left.
+    void answer(ExchangeId id, const HttpAnswer &answer);
+    std::size_t open() const;
+
+private:
+    static void receive(evhttp_request *request, void *self);
+    static void closed(evhttp_connection *connection, void *self);
+    void take(evhttp_request *request);
+
+    RequestHandler m_onRequest;
+    LeftHandler m_onLeft;
+    evhttp *m_http;
+    evhttp_bound_socket *m_socket = nullptr;
+    std::uint64_t m_lastId = 0;
+    bool m_closing = false;
+    std::unordered_map<ExchangeId, evhttp_request *> m_requests;
+    std::unordered_map<evhttp_connection *, ExchangeId> m_connections;
+};
+
+} // namespace radishvane::drivers
--- /dev/null
+++ b/drivers/platform_client.cpp
@@ -0,0 +1,183 @@
+#include "drivers/platform_client.h"
+
+#include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
+#include "drivers/row_codec.h"
+
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <memory>
+
+namespace radishvane::drivers
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+std::string escape(const std::string &text)
+{
+    const std::unique_ptr<char, decltype(&std::free)> encoded(evhttp_encode_uri(text.c_str()), &std::free);
+    return encoded.get();
+}
+
+std::string encodeWrites(const WriteRows &request, const std::string &token)
+{
+    Json writes = Json::array();
+    for (const RowWrite &write : request.writes) {
+        Json entry{{"key", write.key}, {"expected", write.expected}};
+        if (write.value) {
+            entry["value"] = encodeRow(*write.value);
+        } else {
+            entry["value"] = nullptr;
+        }
+        writes.push_back(std::move(entry));
+    }
+    return Json{{"writer", token}, {"writes", std::move(writes)}}.dump();
+}
+
+PlatformAnswer badAnswer(std::string detail)
+{
+    return PlatformFailed{PlatformError::BadAnswer, std::move(detail)};
+}
+
+/// Reads one row; throws on a missing field, as the JSON library does.
+StoredRow readRow(const Json &json)
+{
+    const auto key = json.at("key").get<std::string>();
+    auto value = decodeRow(key, json.at("value").get<std::string>());
+    if (!value) {
+        throw std::runtime_error(value.error().detail);
+    }
+    return StoredRow{key, json.at("version").get<std::uint64_t>(), std::move(value).value(),
+                     json.at("writer").get<std::string>()};
+}
+
+PlatformAnswer readAnswer(const ReadRow &request, const HttpAnswer &answer)
+{
+    if (answer.status == httpStatus::notFound) {
+        return RowAbsent{request.key};
+    }
+    return RowFound{readRow(Json::parse(answer.body))};
+}
+
+PlatformAnswer readAnswer(const ScanRows &, const HttpAnswer &answer)
+{
+    RowsFound found;
+    const Json json = Json::parse(answer.body);
+    for (const Json &row : json.at("rows")) {
+        found.rows.push_back(readRow(row));
+    }
+    return found;
+}
+
+PlatformAnswer readAnswer(const WriteRows &, const HttpAnswer &answer)
+{
+    const Json json = Json::parse(answer.body);
+    if (answer.status == httpStatus::conflict) {
+        return WriteConflict{json.at("key").get<std::string>()};
+    }
+    return RowsWritten{json.at("versions").get<std::vector<std::uint64_t>>()};
+}
+
+PlatformAnswer readAnswer(const PutObject &, const HttpAnswer &)
+{
+    return ObjectStored{};
+}
+
+PlatformAnswer readAnswer(const ReadObject &, const HttpAnswer &answer)
+{
+    if (answer.status == httpStatus::notFound) {
+        return ObjectAbsent{};
+    }
+    return ObjectFound{answer.body};
+}
+
+PlatformAnswer readAnswer(const ListHosts &, const HttpAnswer &answer)
+{
+    HostsListed listed;
+    const Json json = Json::parse(answer.body);
+    for (const Json &host : json.at("hosts")) {
+        const auto listing = enumValue<HostListing>(hostListingNames, host.at("state").get<std::string>());
+        if (!listing) {
+            return badAnswer("host list has the unknown state " + host.at("state").dump());
+        }
+        listed.hosts.push_back({HostId(host.at("host").get<std::string>()), *listing});
+    }
+    return listed;
+}
+
+bool isExpected(int status)
+{
+    return status == httpStatus::ok || status == httpStatus::created || status == httpStatus::notFound
+        || status == httpStatus::conflict;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(EventLoop &loop, Endpoint platform, Duration timeout, AnswerHandler onAnswer)
+    : m_platform(std::move(platform)), m_timeout(timeout), m_onAnswer(std::move(onAnswer)), m_http(loop)
+{
+}
+
+void PlatformClient::send(const PlatformCall &call)
+{
+    m_http.send(encode(call), [this, call](HttpOutcome &&outcome) { settle(call, outcome); });
+}
+
+HttpCall PlatformClient::encode(const PlatformCall &call)
+{
+    HttpCall http;
+    http.endpoint = m_platform;
+    http.timeout = m_timeout;
+    std::visit(Overloaded{
+                   [&](const ReadRow &request) { http.target = "/table/row?key=" + escape(request.key); },
+                   [&](const ScanRows &request) { http.target = "/table/rows?prefix=" + escape(request.prefix); },
+                   [&](const WriteRows &request) {
+                       http.method = HttpMethod::Post;
+                       http.target = "/table/write";
+                       http.body = encodeWrites(request, call.writer);
+                   },
+                   [&](const PutObject &request) {
+                       http.method = HttpMethod::Put;
+                       http.target = "/objects/" + escape(request.name);
+                       http.body = request.bytes;
+                   },
+                   [&](const ReadObject &request) { http.target = "/objects/" + escape(request.name); },
+                   [&](const ListHosts &) { http.target = "/hosts"; },
+               },
+               call.request);
+    return http;
+}
+
+void PlatformClient::settle(const PlatformCall &call, const HttpOutcome &outcome)
+{
+    PlatformAnswered answered{call.id, {}};
+    if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
+        const bool notSent = *failure == HttpFailure::NotSent;
+        const PlatformError error = notSent ? PlatformError::Unavailable : PlatformError::AnswerLost;
+        answered.answer = PlatformFailed{error, std::string(enumName(httpFailureNames, *failure))};
+        m_onAnswer(std::move(answered));
+        return;
+    }
+    const auto &answer = std::get<HttpAnswer>(outcome);
+    if (answer.status == httpStatus::unavailable) {
+        answered.answer = PlatformFailed{PlatformError::Unavailable, "status 503"};
+    } else if (!isExpected(answer.status)) {
+        // A failing platform may have written before it failed.
+        answered.answer = PlatformFailed{PlatformError::AnswerLost, "status " + std::to_string(answer.status)};
+    } else {
+        try {
+            answered.answer
+                = std::visit([&](const auto &request) { return readAnswer(request, answer); }, call.request);
+        } catch (const std::exception &error) {
+            answered.answer = badAnswer(error.what());
+        }
+    }
+    m_onAnswer(std::move(answered));
+}
+
+} // namespace radishvane::drivers
