Serve a request from caller to backend server and back as separate processes

Change: tasks in servers/, wired by sigc++ in main/; radishvaned and radishvane; stand-ins of the platform, backend servers and callers; example configurations of both sites.

--- /dev/null
+++ b/main/commands/apply.cpp
@@ -0,0 +1,225 @@
+#include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
+#include "core/config/config_apply.h"
+#include "drivers/config_files.h"
+#include "main/commands/command_line.h"
+#include "main/commands/platform_session.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <map>
+#include <memory>
+#include <thread>
+
+namespace radishvane::commands
+{
+
+namespace
+{
+
+constexpr Duration confirmPollInterval{200};
+
+struct Options
+{
+    std::string folder;
+    Endpoint platform;
+    Endpoint operatorPort;
+    std::uint64_t expected = 0;
+    bool expects = false;
+    std::uint32_t waitSeconds = 10;
+    OutputFormat format = OutputFormat::Text;
+};
+
+/// Entry hosts of one zone that have and have not confirmed a version.
+struct ZoneConfirmation
+{
+    std::vector<std::string> confirmed;
+    std::vector<std::string> missing;
+};
+
+using Confirmation = std::map<std::string, ZoneConfirmation>;
+
+ApplyEnded applyFiles(const Options &options, const std::string &packed)
+{
+    const std::string writer = uniqueWriter();
+    const auto expected = options.expects ? std::optional(ConfigVersion{options.expected}) : std::nullopt;
+    ConfigApply application(packed, writer, expected);
+    ApplyEnded result;
+    std::function<void(const ApplyEffects &)> perform;
+    PlatformSession platform(options.platform, writer,
+                             [&](const PlatformAnswered &answered) { perform(application.answered(answered)); });
+    perform = [&](const ApplyEffects &effects) {
+        for (const ApplyEffect &effect : effects) {
+            std::visit(Overloaded{
+                           [&](const PlatformCall &call) { platform.send(call); },
+                           [&](const ApplyEnded &ended) {
+                               result = ended;
+                               platform.stop();
+                           },
+                       },
+                       effect);
+        }
+    };
+    perform(application.begin());
+    platform.run();
+    return result;
+}
+
+/// Entry hosts that hold a session, by name; these are asked for.
+std::map<std::string, std::string> readSessions(const Endpoint &platformPort)
+{
+    std::map<std::string, std::string> zones;
+    PlatformSession platform(platformPort, uniqueWriter(), [&](const PlatformAnswered &answered) {
+        if (const auto *found = std::get_if<RowsFound>(&answered.answer)) {
+            for (const StoredRow &stored : found->rows) {
+                const auto &session = std::get<SessionRow>(stored.value);
+                if (!session.ended) {
+                    zones[session.holder.host.name()] = session.zone.name();
+                }
+            }
+        }
+        platform.stop();
+    });
+    platform.send(PlatformCall{OperationId{1}, ScanRows{std::string(rowKey::sessions)}});
+    platform.run();
+    return zones;
+}
+
+/// Versions in force by entry host, as the one asked knows them.
+std::map<std::string, std::uint64_t> readVersions(const Endpoint &operatorPort)
+{
+    std::map<std::string, std::uint64_t> versions;
+    const auto outcome = getFrom(operatorPort, "/status");
+    const auto *answer = std::get_if<drivers::HttpAnswer>(&outcome);
+    const auto json = answer == nullptr ? nlohmann::json() : nlohmann::json::parse(answer->body, nullptr, false);
+    if (!json.is_object()) {
+        return versions;
+    }
+    const auto hosts = json.value("entry_hosts", nlohmann::json::array());
+    for (const auto &host : hosts) {
+        versions[host.value("host", "")] = host.value("version", std::uint64_t{0});
+    }
+    return versions;
+}
+
+Confirmation readConfirmation(const Endpoint &operatorPort, const std::map<std::string, std::string> &zones,
+                              ConfigVersion version)
+{
+    Confirmation confirmation;
+    const auto versions = readVersions(operatorPort);
+    for (const auto &[host, zone] : zones) {
+        const auto found = versions.find(host);
+        const bool has = found != versions.end() && found->second >= version.value;
+        (has ? confirmation[zone].confirmed : confirmation[zone].missing).push_back(host);
+    }
+    return confirmation;
+}
+
+bool isComplete(const Confirmation &confirmation)
+{
+    for (const auto &[zone, hosts] : confirmation) {
+        if (!hosts.missing.empty()) {
+            return false;
+        }
+    }
+    return !confirmation.empty();
+}
+
+void printConfirmation(const Confirmation &confirmation, ConfigVersion version, OutputFormat format)
+{
+    if (format == OutputFormat::Json) {
+        nlohmann::json zones = nlohmann::json::array();
+        for (const auto &[zone, hosts] : confirmation) {
+            zones.push_back({{"zone", zone}, {"confirmed", hosts.confirmed}, {"missing", hosts.missing}});
+        }
+        std::cout << nlohmann::json{{"outcome", "applied"}, {"version", version.value}, {"zones", zones}}.dump()
+                  << '\n';
+        return;
+    }
+    std::cout << "applied version " << version.value << '\n';
+    for (const auto &[zone, hosts] : confirmation) {
+        std::cout << "  zone " << zone << ": " << hosts.confirmed.size() << " of "
+                  << hosts.confirmed.size() + hosts.missing.size() << " entry hosts have it in force";
+        for (const std::string &host : hosts.missing) {
+            std::cout << ", not " << host;
+        }
+        std::cout << '\n';
+    }
+}
+
+ExitCode awaitConfirmation(const Options &options, ConfigVersion version)
+{
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(options.waitSeconds);
+    const auto zones
+        = options.operatorPort.port != 0 ? readSessions(options.platform) : std::map<std::string, std::string>();
+    Confirmation confirmation;
+    while (options.operatorPort.port != 0 && !isComplete(confirmation) && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(confirmPollInterval);
+        confirmation = readConfirmation(options.operatorPort, zones, version);
+    }
+    printConfirmation(confirmation, version, options.format);
+    const bool asked = options.operatorPort.port != 0;
+    return asked && !isComplete(confirmation) ? ExitCode::NotConfirmed : ExitCode::Done;
+}
+
+ExitCode reportFailure(const ApplyEnded &ended)
+{
+    std::cerr << "apply: " << enumName(applyOutcomeNames, ended.outcome) << ": version " << ended.version.value << ": "
+              << ended.detail << '\n';
+    switch (ended.outcome) {
+    case ApplyOutcome::Applied:
+        return ExitCode::Done;
+    case ApplyOutcome::Conflict:
+        return ExitCode::Conflict;
+    case ApplyOutcome::Unavailable:
+        return ExitCode::Unavailable;
+    case ApplyOutcome::Unknown:
+        return ExitCode::Unknown;
+    }
+    return ExitCode::Failed;
+}
+
+ExitCode run(const Options &options)
+{
+    const auto files = drivers::readFolder(options.folder);
+    if (!files) {
+        printProblems({files.error()}, options.format);
+        return ExitCode::BadInput;
+    }
+    const auto config = drivers::checkFiles(files.value());
+    if (!config) {
+        printProblems(config.error(), options.format);
+        return ExitCode::BadInput;
+    }
+    const ApplyEnded ended = applyFiles(options, drivers::packFiles(files.value()));
+    if (ended.outcome != ApplyOutcome::Applied) {
+        return reportFailure(ended);
+    }
+    return awaitConfirmation(options, ended.version);
+}
+
+} // namespace
+
+void addApply(CLI::App &app, ExitCode &exitCode)
+{
+    auto options = std::make_shared<Options>();
+    CLI::App *command
+        = app.add_subcommand("apply", "Check a set of declarative files and put it in force, whole or not at all");
+    command->add_option("folder", options->folder, "folder that holds the .yaml files")
+        ->required()
+        ->check(CLI::ExistingDirectory);
+    addEndpoint(*command, "--platform", options->platform, "the platform's table service")->required();
+    addEndpoint(*command, "--operator", options->operatorPort,
+                "operator port of any entry host, to wait for confirmation by zone");
+    CLI::Option *expected
+        = command->add_option("--expect", options->expected, "apply only when this version is current");
+    command->add_option("--wait", options->waitSeconds, "longest wait for confirmation, in seconds");
+    addOutput(*command, options->format);
+    command->callback([options, expected, &exitCode] {
+        options->expects = expected->count() > 0;
+        exitCode = run(*options);
+    });
+}
+
+} // namespace radishvane::commands
--- /dev/null
+++ b/main/commands/command_line.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/config/config.h"
+#include "core/config/config_problem.h"
+#include "drivers/http_client.h"
+#include "main/commands/command.h"
+
+#include <CLI/CLI.hpp>
+
+#include <string>
+#include <vector>
+
+namespace radishvane::commands
+{
+
+/// Adds an option for an address and a port.
+CLI::Option *addEndpoint(CLI::App &command, const std::string &name, Endpoint &endpoint, const std::string &help);
+
+/// Adds --output text|json.
+void addOutput(CLI::App &command, OutputFormat &format);
+
+/// Prints problems of files, one a line or as JSON, to standard error.
+void printProblems(const std::vector<ConfigProblem> &problems, OutputFormat format);
+
+/// Prints why a call brought no answer. @return the exit code for it.
+ExitCode printFailure(const std::string &what, const Endpoint &endpoint, drivers::HttpFailure failure);
+
+/// GET of an operator port.
+drivers::HttpOutcome getFrom(const Endpoint &endpoint, const std::string &target, Duration timeout = Duration(5'000));
+
+} // namespace radishvane::commands
--- /dev/null
+++ b/main/logging.h
@@ -0,0 +1,6 @@
+#pragma once
+
+#include <easylogging++.h>
+
+// The logging library wants this once in each program.
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/servers/config_task.cpp
@@ -0,0 +1,87 @@
+#include "servers/config_task.h"
+
+#include "core/routing/admission.h"
+#include "drivers/config_files.h"
+#include "drivers/log.h"
+
+namespace radishvane::servers
+{
+
+ConfigTask::ConfigTask(drivers::EventLoop &loop, const Clock &clock)
+    : m_clock(clock)
+    , m_mailbox(loop, [this](ConfigEvent &&message) { handle(message); })
+    , m_timer(loop, tickInterval, [this] { onTick(); })
+{
+}
+
+void ConfigTask::post(ConfigEvent message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void ConfigTask::handle(const ConfigEvent &event)
+{
+    for (const ConfigEffect &effect : m_keeper.handle(event, m_clock.now())) {
+        std::visit([this](const auto &alternative) { apply(alternative); }, effect);
+    }
+}
+
+void ConfigTask::apply(const PlatformCall &effect)
+{
+    platformCalled.emit(effect);
+}
+
+void ConfigTask::apply(const ReadFiles &effect)
+{
+    auto config = drivers::readPacked(effect.files);
+    if (!config) {
+        const std::string detail = describe(config.error().front());
+        drivers::logLine(drivers::LogLevel::Error, "config-unreadable",
+                         {{"version", std::to_string(effect.version.value)}, {"detail", detail}});
+        m_mailbox.post(ConfigUnreadable{effect.version, detail});
+        return;
+    }
+    auto shared = std::make_shared<Config>(std::move(config).value());
+    shared->version = effect.version;
+    m_mailbox.post(ConfigRead{effect.version, std::move(shared), effect.files});
+}
+
+void ConfigTask::apply(const AskPeerForConfig &effect)
+{
+    peerAsked.emit(effect);
+}
+
+void ConfigTask::apply(const ConfigAdopted &effect)
+{
+    drivers::logLine(drivers::LogLevel::Info, "config-in-force",
+                     {{"version", std::to_string(effect.config->version.value)}});
+    m_status.config = effect.config;
+    m_nextStatus = TimePoint{};
+    adopted.emit(effect);
+}
+
+void ConfigTask::apply(const ConfigConfirmedAt &effect)
+{
+    m_confirmedAt = std::max(m_confirmedAt, effect.at);
+    confirmed.emit(effect.at);
+}
+
+void ConfigTask::apply(const ConfigOutdated &effect)
+{
+    drivers::logLine(drivers::LogLevel::Warning, "config-outdated", {{"newest", std::to_string(effect.newest.value)}});
+    outdated.emit();
+}
+
+void ConfigTask::onTick()
+{
+    handle(KeeperTick{});
+    const TimePoint now = m_clock.now();
+    if (now >= m_nextStatus) {
+        m_nextStatus = now + statusInterval;
+        m_status.newestHeardOf = m_keeper.newestHeardOf();
+        m_status.confirmed = now - m_confirmedAt <= configFreshFor;
+        statusChanged.emit(m_status);
+    }
+}
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/config_task.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/config/config_keeper.h"
+#include "drivers/mailbox.h"
+#include "drivers/timer.h"
+#include "servers/task_messages.h"
+
+#include <sigc++/signal.h>
+
+namespace radishvane::servers
+{
+
+/// Keeps the newest configuration in force on this entry host and tells the other tasks of it.
+class ConfigTask
+{
+public:
+    static constexpr Duration tickInterval{200};
+    static constexpr Duration statusInterval{1'000};
+
+    ConfigTask(drivers::EventLoop &loop, const Clock &clock);
+
+    void post(ConfigEvent message);
+
+    sigc::signal<void(const PlatformCall &)> platformCalled;
+    sigc::signal<void(const AskPeerForConfig &)> peerAsked;
+    sigc::signal<void(const ConfigAdopted &)> adopted;
+    sigc::signal<void(TimePoint)> confirmed;
+    sigc::signal<void()> outdated;
+    sigc::signal<void(const ConfigStatus &)> statusChanged;
+
+private:
+    void handle(const ConfigEvent &event);
+    void apply(const PlatformCall &effect);
+    void apply(const ReadFiles &effect);
+    void apply(const AskPeerForConfig &effect);
+    void apply(const ConfigAdopted &effect);
+    void apply(const ConfigConfirmedAt &effect);
+    void apply(const ConfigOutdated &effect);
+    void onTick();
+
+    const Clock &m_clock;
+    ConfigKeeper m_keeper;
+    ConfigStatus m_status;
+    TimePoint m_confirmedAt;
+    TimePoint m_nextStatus;
+    drivers::Mailbox<ConfigEvent> m_mailbox;
+    drivers::Timer m_timer;
+};
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/front_task.cpp
@@ -0,0 +1,78 @@
+#include "servers/front_task.h"
+
+namespace radishvane::servers
+{
+
+namespace
+{
+
+constexpr std::string_view jobsPath = "/v1/jobs";
+/// Bodies up to this many times the limit are read, so that the caller gets our answer in place of a closed connection.
+constexpr std::size_t readBeyondLimit = 4;
+
+drivers::HttpLimits serverLimits(drivers::HttpLimits limits)
+{
+    limits.bodyBytes *= readBeyondLimit;
+    return limits;
+}
+
+} // namespace
+
+FrontTask::FrontTask(drivers::EventLoop &loop, drivers::HttpLimits limits)
+    : m_bodyBytes(limits.bodyBytes)
+    , m_server(
+          loop, serverLimits(limits), [this](drivers::HttpRequest &&http) { receive(std::move(http)); },
+          [this](ExchangeId id) { callerLeft.emit(id); })
+    , m_mailbox(loop, [this](Message &&message) {
+        std::visit([this](const auto &alternative) { on(alternative); }, message);
+    })
+{
+}
+
+bool FrontTask::listen(const Endpoint &endpoint)
+{
+    return m_server.listen(endpoint);
+}
+
+void FrontTask::post(Message message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void FrontTask::on(const AnswerCaller &message)
+{
+    m_server.answer(message.exchange, message.answer);
+}
+
+void FrontTask::on(const CloseAfterAnswers &)
+{
+    m_server.closeAfterAnswers();
+}
+
+void FrontTask::on(const StopAccepting &)
+{
+    m_server.stopAccepting();
+}
+
+void FrontTask::receive(drivers::HttpRequest &&http)
+{
+    const std::string_view path = http.path;
+    if (path == jobsPath || path.starts_with("/v1/jobs/")) {
+        if (http.body.size() > m_bodyBytes) {
+            m_server.answer(http.id,
+                            drivers::refusalAnswer(RefusalReason::TooLarge, std::nullopt, "the payload is too large"));
+            return;
+        }
+        jobRequestCame.emit(http);
+        return;
+    }
+    auto request = drivers::readCallerRequest(http, m_bodyBytes);
+    if (!request) {
+        const drivers::CallerError &error = request.error();
+        m_server.answer(http.id, drivers::refusalAnswer(error.reason, std::nullopt, error.detail));
+        return;
+    }
+    requestCame.emit(request.value());
+}
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/front_task.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "drivers/caller_http.h"
+#include "drivers/http_server.h"
+#include "drivers/mailbox.h"
+#include "servers/task_messages.h"
+
+#include <sigc++/signal.h>
+
+#include <variant>
+
+namespace radishvane::servers
+{
+
+/// Close each connection after its next answer, so that callers go to other entry hosts.
+struct CloseAfterAnswers
+{
+};
+
+/// Accept no more connections.
+struct StopAccepting
+{
+};
+
+/// Owns the callers' port: reads requests and writes answers, and decides nothing about them.
+class FrontTask
+{
+public:
+    using Message = std::variant<AnswerCaller, CloseAfterAnswers, StopAccepting>;
+
+    FrontTask(drivers::EventLoop &loop, drivers::HttpLimits limits);
+
+    bool listen(const Endpoint &endpoint);
+    void post(Message message);
+
+    sigc::signal<void(const drivers::CallerRequest &)> requestCame;
+    sigc::signal<void(const drivers::HttpRequest &)> jobRequestCame;
+    sigc::signal<void(ExchangeId)> callerLeft;
+
+private:
+    void on(const AnswerCaller &message);
+    void on(const CloseAfterAnswers &message);
+    void on(const StopAccepting &message);
+    void receive(drivers::HttpRequest &&http);
+
+    std::size_t m_bodyBytes;
+    drivers::HttpServer m_server;
+    drivers::Mailbox<Message> m_mailbox;
+};
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/tests/stand_ins/platform_stand_in.cpp
@@ -0,0 +1,271 @@
+// Stands in for the platform: a transactional table, an object store and a lagging host list, all in memory.
+//
+// POST /control with JSON sets how it fails:
+//   {"mode": "ok" | "down" | "slow" | "lose-answers", "delay_ms": 500, "only_writes": false}
+// POST /control/hosts with {"host": "h1", "state": "live" | "leaving" | "gone"} changes the host list, which is told
+// after the lag.
+
+#include "drivers/event_loop.h"
+#include "drivers/http_server.h"
+#include "drivers/one_shot.h"
+#include "tests/stand_ins/control.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+
+namespace radishvane::stand_ins
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using namespace drivers;
+
+enum class Mode {
+    Ok,
+    /// Refuses everything with 503.
+    Down,
+    /// Answers after a delay.
+    Slow,
+    /// Lets writes take effect and then closes the connection without an answer.
+    LoseAnswers,
+};
+
+constexpr std::array<std::string_view, 4> modeNames{"ok", "down", "slow", "lose-answers"};
+
+struct Row
+{
+    std::uint64_t version = 0;
+    std::string value;
+    std::string writer;
+};
+
+class Platform
+{
+public:
+    Platform(EventLoop &loop, Duration lag)
+        : m_loop(loop)
+        , m_lag(lag)
+        , m_server(
+              loop, HttpLimits{16 << 20, 64 << 10, Duration(60'000)},
+              [this](HttpRequest &&request) { receive(std::move(request)); }, [](ExchangeId) {})
+    {
+    }
+
+    bool listen(const Endpoint &endpoint)
+    {
+        return m_server.listen(endpoint);
+    }
+
+private:
+    void receive(HttpRequest &&request)
+    {
+        if (request.path == "/control") {
+            control(request);
+            return;
+        }
+        if (request.path == "/control/hosts") {
+            controlHosts(request);
+            return;
+        }
+        if (request.path == "/control/counts") {
+            m_server.answer(
+                request.id,
+                jsonAnswer(httpStatus::ok, {{"reads", m_reads}, {"writes", m_writes}, {"conflicts", m_conflicts}}));
+            return;
+        }
+        switch (m_mode) {
+        case Mode::Ok:
+            m_server.answer(request.id, answer(request));
+            return;
+        case Mode::Down:
+            m_server.answer(request.id, textAnswer(httpStatus::unavailable, "down"));
+            return;
+        case Mode::Slow:
+            later(m_delay, [this, request = std::move(request)] { m_server.answer(request.id, answer(request)); });
+            return;
+        case Mode::LoseAnswers:
+            if (request.method == HttpMethod::Get) {
+                m_server.answer(request.id, answer(request));
+                return;
+            }
+            answer(request);
+            later(m_delay,
+                  [this, id = request.id] { m_server.answer(id, textAnswer(httpStatus::badGateway, "lost")); });
+            return;
+        }
+    }
+
+    HttpAnswer answer(const HttpRequest &request)
+    {
+        const auto query = readQuery(request.query);
+        if (request.path == "/table/row") {
+            return readRow(query.at("key"));
+        }
+        if (request.path == "/table/rows") {
+            return readRows(query.at("prefix"));
+        }
+        if (request.path == "/table/write") {
+            return write(Json::parse(request.body));
+        }
+        if (request.path == "/hosts") {
+            return hosts();
+        }
+        if (request.path.starts_with("/objects/")) {
+            return object(request);
+        }
+        return textAnswer(httpStatus::notFound, "no such path");
+    }
+
+    HttpAnswer readRow(const std::string &key)
+    {
+        ++m_reads;
+        const auto found = m_rows.find(key);
+        if (found == m_rows.end()) {
+            return jsonAnswer(httpStatus::notFound, {{"key", key}});
+        }
+        return jsonAnswer(httpStatus::ok, rowJson(key, found->second));
+    }
+
+    HttpAnswer readRows(const std::string &prefix)
+    {
+        ++m_reads;
+        Json rows = Json::array();
+        for (auto row = m_rows.lower_bound(prefix); row != m_rows.end() && row->first.starts_with(prefix); ++row) {
+            rows.push_back(rowJson(row->first, row->second));
+        }
+        return jsonAnswer(httpStatus::ok, {{"rows", rows}});
+    }
+
+    static Json rowJson(const std::string &key, const Row &row)
+    {
+        return {{"key", key}, {"version", row.version}, {"value", row.value}, {"writer", row.writer}};
+    }
+
+    HttpAnswer write(const Json &request)
+    {
+        for (const Json &entry : request.at("writes")) {
+            const auto key = entry.at("key").get<std::string>();
+            const auto found = m_rows.find(key);
+            const std::uint64_t version = found == m_rows.end() ? 0 : found->second.version;
+            if (version != entry.at("expected").get<std::uint64_t>()) {
+                ++m_conflicts;
+                return jsonAnswer(httpStatus::conflict, {{"key", key}});
+            }
+        }
+        Json versions = Json::array();
+        for (const Json &entry : request.at("writes")) {
+            ++m_writes;
+            const auto key = entry.at("key").get<std::string>();
+            if (entry.at("value").is_null()) {
+                m_rows.erase(key);
+                versions.push_back(0);
+                continue;
+            }
+            m_rows[key]
+                = Row{++m_lastVersion, entry.at("value").get<std::string>(), request.at("writer").get<std::string>()};
+            versions.push_back(m_lastVersion);
+        }
+        return jsonAnswer(httpStatus::ok, {{"versions", versions}});
+    }
+
+    HttpAnswer object(const HttpRequest &request)
+    {
+        const std::string name = decode(request.path.substr(std::string_view("/objects/").size()));
+        if (request.method == HttpMethod::Put) {
+            m_objects[name] = request.body;
+            return textAnswer(httpStatus::created, "stored");
+        }
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end()) {
+            return textAnswer(httpStatus::notFound, "no such object");
+        }
+        return textAnswer(httpStatus::ok, found->second);
+    }
+
+    HttpAnswer hosts()
+    {
+        ++m_reads;
+        Json list = Json::array();
+        for (const auto &[host, state] : m_listed) {
+            list.push_back({{"host", host}, {"state", state}});
+        }
+        return jsonAnswer(httpStatus::ok, {{"hosts", list}});
+    }
+
+    void control(const HttpRequest &request)
+    {
+        const Json json = Json::parse(request.body);
+        const auto mode = json.at("mode").get<std::string>();
+        const auto found = std::find(modeNames.begin(), modeNames.end(), mode);
+        if (found == modeNames.end()) {
+            m_server.answer(request.id, textAnswer(httpStatus::badRequest, "unknown mode " + mode));
+            return;
+        }
+        m_mode = static_cast<Mode>(found - modeNames.begin());
+        m_delay = Duration(json.value("delay_ms", 0));
+        m_server.answer(request.id, textAnswer(httpStatus::ok, "ok"));
+    }
+
+    void controlHosts(const HttpRequest &request)
+    {
+        const Json json = Json::parse(request.body);
+        for (const Json &entry : json.is_array() ? json : Json::array({json})) {
+            const auto host = entry.at("host").get<std::string>();
+            const auto state = entry.at("state").get<std::string>();
+            later(m_lag, [this, host, state] {
+                if (state == "gone") {
+                    m_listed.erase(host);
+                } else {
+                    m_listed[host] = state;
+                }
+            });
+        }
+        m_server.answer(request.id, textAnswer(httpStatus::ok, "ok"));
+    }
+
+    void later(Duration delay, std::function<void()> action)
+    {
+        runOnce(m_loop, delay, std::move(action));
+    }
+
+    EventLoop &m_loop;
+    Duration m_lag;
+    Mode m_mode = Mode::Ok;
+    Duration m_delay{};
+    std::uint64_t m_lastVersion = 0;
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_conflicts = 0;
+    std::map<std::string, Row> m_rows;
+    std::map<std::string, std::string> m_objects;
+    std::map<std::string, std::string> m_listed;
+    HttpServer m_server;
+};
+
+} // namespace
+
+} // namespace radishvane::stand_ins
+
+int main(int argumentCount, char **arguments)
+{
+    CLI::App app("Stand-in of the platform for tests.");
+    std::uint16_t port = 0;
+    std::int64_t lag = 500;
+    app.add_option("--port", port)->required();
+    app.add_option("--host-list-lag-ms", lag);
+    CLI11_PARSE(app, argumentCount, arguments);
+    std::signal(SIGPIPE, SIG_IGN);
+    radishvane::drivers::EventLoop loop;
+    radishvane::stand_ins::Platform platform(loop, radishvane::Duration(lag));
+    if (!platform.listen({"127.0.0.1", port})) {
+        std::cerr << "port " << port << " cannot be bound\n";
+        return 1;
+    }
+    loop.run();
+    return 0;
+}
