--- a/core/config/document.h
+++ b/core/config/document.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -17,6 +16,7 @@
 };
 
 struct Node;
+struct MappingField;
 
 /// A value as written.
 using Scalar = std::string;
@@ -28,7 +28,7 @@
 
 struct Mapping
 {
-    std::vector<std::pair<std::string, Node>> fields;
+    std::vector<MappingField> fields;
 };
 
 /// One node of a parsed file, free of the syntax it was written in.
@@ -38,6 +38,13 @@
     std::variant<std::monostate, Scalar, Sequence, Mapping> value;
 };
 
+/// One named value of a mapping.
+struct MappingField
+{
+    std::string name;
+    Node value;
+};
+
 /// One parsed file of a set.
 struct Document
 {
--- a/core/config/field_reader.cpp
+++ b/core/config/field_reader.cpp
@@ -87,7 +87,7 @@
 {
     return m_mapping != nullptr
         && std::any_of(m_mapping->fields.begin(), m_mapping->fields.end(),
-                       [&](const auto &entry) { return entry.first == field; });
+                       [&](const auto &entry) { return entry.name == field; });
 }
 
 const Node *FieldReader::find(const std::string &field)
--- a/core/membership/peer_table.cpp
+++ b/core/membership/peer_table.cpp
@@ -103,7 +103,7 @@
 void PeerTable::on(const SessionIdle &event)
 {
     const auto found = m_peers.find(event.holder.host);
-    if (found != m_peers.end()) {
+    if (found != m_peers.end() && found->second.address.holder == event.holder) {
         found->second.sessionIdle = event.idle;
     }
 }
@@ -129,7 +129,7 @@
 {
     const auto found = m_peers.find(sender.holder.host);
     if (found == m_peers.end()) {
-        Peer peer{sender, makeDetector(m_detectorKind, heartbeatInterval), 0, {}, false, false, m_now, {}};
+        Peer peer{sender, makeDetector(m_detectorKind, heartbeatInterval), 0, {}, false, false, m_now, notVouched};
         const auto entry = m_peers.emplace(sender.holder.host, std::move(peer)).first;
         note(entry->second, PeerChange::Joined);
         return &entry->second;
@@ -142,7 +142,7 @@
         const bool restarted = peer.sequence > 0 && peer.address.holder.incarnation != Incarnation{};
         peer.detector = makeDetector(m_detectorKind, heartbeatInterval);
         peer.sequence = 0;
-        peer.sessionIdle = Duration(0);
+        peer.sessionIdle = notVouched;
         if (restarted) {
             note(peer, PeerChange::Restarted);
         }
--- a/core/membership/peer_table.h
+++ b/core/membership/peer_table.h
@@ -168,7 +168,7 @@
         bool live = false;
         bool leaving = false;
         TimePoint lastHeard;
-        Duration sessionIdle{};
+        Duration sessionIdle = notVouched;
     };
 
     void on(const HeartbeatReceived &event);
--- a/core/messages/peer_messages.h
+++ b/core/messages/peer_messages.h
@@ -23,13 +23,17 @@
     auto operator<=>(const PeerAddress &) const = default;
 };
 
+/// Told in place of an idle time by a process that has not itself seen the session alive: an earlier process of its
+/// host may have ended it.
+inline constexpr Duration notVouched{24 * 3'600'000};
+
 /// Latest heartbeat that the sender had from one other entry host.
 struct HeartbeatEcho
 {
     HolderId holder;
     std::uint64_t sequence = 0;
     /// Time that the sender has seen this holder's session without a renewal while the table answered.
-    Duration sessionIdle{};
+    Duration sessionIdle = notVouched;
 };
 
 /// Slot time spent by one team on one service since the last heartbeat with usage.
--- a/core/quota/holder_watch.cpp
+++ b/core/quota/holder_watch.cpp
@@ -11,9 +11,14 @@
 {
     const std::map<HostId, Known> before = std::exchange(m_sessions, {});
     m_everSeen = true;
+    m_seenAt = sessions.at;
     for (const SessionsSeen::Seen &seen : sessions.sessions) {
         m_sessions[seen.row.holder.host] = Known{seen.row.holder, seen.row.epoch, seen.row.ended};
     }
+    // A holder that was missed by an earlier look and is there now has not been over in between.
+    std::erase_if(m_overSince,
+                  [this](const auto &entry) { return !sessionOver(entry.first.first, entry.first.second); });
+    forgetPresent();
     // The waits begin now, so that rights are free by the time somebody wants them.
     for (const auto &known : {before, m_sessions}) {
         for (const auto &[host, session] : known) {
@@ -25,12 +30,19 @@
 void HolderWatch::listed(const std::set<HostId> &hosts, TimePoint now)
 {
     m_everListed = true;
+    m_listedAt = now;
     m_listed = hosts;
+    forgetPresent();
     for (const auto &[host, session] : m_sessions) {
         noteOver(session, now);
     }
 }
 
+void HolderWatch::forgetPresent()
+{
+    std::erase_if(m_goneSince, [this](const auto &entry) { return !processGone(entry.first); });
+}
+
 void HolderWatch::noteOver(const Known &session, TimePoint now)
 {
     leaseIsOver(session.holder, session.epoch, Duration(0), now);
@@ -44,8 +56,9 @@
         return false;
     }
     const TimePoint since = m_overSince.try_emplace({holder, epoch}, now).first->second;
-    // A process that was restarted leaves a session that nobody ended, so its lease has to pass as well.
-    return now - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
+    // A process that was restarted leaves a session that nobody ended, so its lease has to pass as well. A look that is
+    // older than the wait proves nothing: a holder that was missed may have come since.
+    return m_seenAt - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
 }
 
 bool HolderWatch::processIsOver(const HolderId &holder, Duration longestRun, TimePoint now)
@@ -55,7 +68,8 @@
         return false;
     }
     const TimePoint since = m_goneSince.try_emplace(holder, now).first->second;
-    return now - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
+    const TimePoint proved = isReplaced(holder) ? m_seenAt : m_listedAt;
+    return proved - since >= leaseTimes::lease + longestRun + leaseTimes::clockMargin;
 }
 
 bool HolderWatch::sessionOver(const HolderId &holder, std::uint64_t epoch) const
@@ -71,10 +85,14 @@
 
 bool HolderWatch::processGone(const HolderId &holder) const
 {
-    const auto found = m_sessions.find(holder.host);
-    const bool replaced = found != m_sessions.end() && found->second.holder.incarnation > holder.incarnation;
     const bool unlisted = m_everListed && !m_listed.contains(holder.host);
-    return replaced || unlisted;
+    return isReplaced(holder) || unlisted;
+}
+
+bool HolderWatch::isReplaced(const HolderId &holder) const
+{
+    const auto found = m_sessions.find(holder.host);
+    return found != m_sessions.end() && found->second.holder.incarnation > holder.incarnation;
 }
 
 } // namespace radishvane
--- a/core/quota/holder_watch.h
+++ b/core/quota/holder_watch.h
@@ -36,11 +36,16 @@
         bool ended = false;
     };
 
+    void forgetPresent();
     void noteOver(const Known &session, TimePoint now);
     bool sessionOver(const HolderId &holder, std::uint64_t epoch) const;
     bool processGone(const HolderId &holder) const;
+    bool isReplaced(const HolderId &holder) const;
 
     bool m_everSeen = false;
+    /// Begin of the latest look at the sessions; nothing is over that was not seen over since then.
+    TimePoint m_seenAt;
+    TimePoint m_listedAt;
     bool m_everListed = false;
     std::map<HostId, Known> m_sessions;
     std::set<HostId> m_listed;
--- a/core/quota/lease_times.h
+++ b/core/quota/lease_times.h
@@ -26,8 +26,6 @@
 inline constexpr Duration vouchFor{endAfter - mostIdlePerScan - clockMargin};
 /// Leased rights end at the latest this long after the last renewal, whoever vouches.
 inline constexpr Duration longestWithoutRenewal{endByAnyoneAfter - endAfter};
-/// Idle time told for sessions that have ended.
-inline constexpr Duration ended{24 * 3'600'000};
 }
 
 } // namespace radishvane
--- a/core/quota/rights_ledger.cpp
+++ b/core/quota/rights_ledger.cpp
@@ -377,12 +377,13 @@
                                                  std::uint32_t free) const
 {
     UseRights own{};
-    // What may be in use stays, whatever the ceiling says now.
+    // What may be in use stays, whatever the ceiling says now, but only as far as the row still holds it: work beyond
+    // that was started in an earlier session and has ended by the time at which others reclaim its rights.
     for (std::size_t index = 0; index < uses; ++index) {
         const Use &use = state.use[index];
         own[index] = use.allowed;
         if (use.running > own[index].total()) {
-            own[index].leased = use.running - own[index].standing;
+            own[index].leased = std::min(use.running - own[index].standing, std::max(use.rowLeased, own[index].leased));
         }
         free -= std::min(free, own[index].total());
     }
@@ -431,9 +432,11 @@
     for (const RightsUse kind : allUses) {
         Use &use = state.use[indexOf(kind)];
         use.held = Rights{};
+        use.rowLeased = 0;
         for (const RightsGrant &grant : state.row.grants) {
             if (grant.holder == m_self && grant.use == kind) {
                 use.held = Rights{grant.standing, grant.epoch == m_epoch ? grant.leased : 0};
+                use.rowLeased = grant.leased;
             }
         }
         const Rights bounded{std::min(use.allowed.standing, use.held.standing),
@@ -451,6 +454,7 @@
     state.nextLook = m_now + writeInterval;
     for (std::size_t index = 0; index < uses; ++index) {
         state.use[index].held = state.writingOwn[index];
+        state.use[index].rowLeased = state.writingOwn[index].leased;
     }
 }
 
--- a/core/quota/rights_ledger.h
+++ b/core/quota/rights_ledger.h
@@ -152,8 +152,11 @@
 
     struct Use
     {
-        /// What the row holds for this host, as far as it is known.
+        /// What the row holds for this host in the present session, as far as it is known.
         Rights held;
+        /// Leased rights that the row holds for this host in any session. Those of an earlier one may cover work that
+        /// still runs, as long as nobody has reclaimed them.
+        std::uint32_t rowLeased = 0;
         /// What the user of the rights may take; never more than is held.
         Rights allowed;
         std::uint32_t running = 0;
--- a/core/quota/session_keeper.cpp
+++ b/core/quota/session_keeper.cpp
@@ -1,5 +1,6 @@
 #include "core/quota/session_keeper.h"
 
+#include "core/messages/peer_messages.h"
 #include "core/quota/lease_times.h"
 
 #include <algorithm>
@@ -207,6 +208,7 @@
     const Duration gap = m_lastScanAnswered ? std::min(between, leaseTimes::mostIdlePerScan) : Duration(0);
     m_lastScanSentAt = m_scanSentAt;
     SessionsSeen seen;
+    seen.at = m_scanSentAt;
     std::set<HostId> present;
     for (const StoredRow &stored : found.rows) {
         const auto &row = std::get<SessionRow>(stored.value);
@@ -230,7 +232,7 @@
     } else {
         observed.idle += gap;
     }
-    seen.sessions.push_back({row, row.ended ? leaseTimes::ended : observed.idle});
+    seen.sessions.push_back({row, row.ended ? notVouched : observed.idle});
     if (row.ended || observed.endAsked || !mayEnd(row, observed.idle)) {
         return;
     }
--- a/core/quota/session_keeper.h
+++ b/core/quota/session_keeper.h
@@ -69,6 +69,8 @@
         Duration idle{};
     };
     std::vector<Seen> sessions;
+    /// When the look was begun; the rows stood so then or later.
+    TimePoint at;
 };
 
 /// A session of another host was ended by this one.
--- a/core/routing/fair_queue.cpp
+++ b/core/routing/fair_queue.cpp
@@ -123,7 +123,7 @@
 
 WaitingRequest FairQueue::take(const Place &place)
 {
-    const WaitingRequest request = *place.position;
+    WaitingRequest request = *place.position;
     Requests &requests = place.urgency == Urgency::Urgent ? place.queue->urgent : place.queue->normal;
     requests.erase(place.position);
     m_places.erase(request.exchange);
--- a/core/routing/request_plane.h
+++ b/core/routing/request_plane.h
@@ -120,11 +120,11 @@
     void recheckWaiting();
     void enqueue(ExchangeId id, Exchange &exchange);
     void wait(ExchangeId id, Exchange &exchange, ServiceState &state);
-    Duration predictedWait(const ServiceState &service, const TeamId &team) const;
-    bool makeRoom(ServiceState &service, const TeamId &team);
+    Duration predictedWait(const ServiceState &state, const TeamId &team) const;
+    bool makeRoom(ServiceState &state, const TeamId &team);
     void dispatchAll();
-    void dispatch(const ServiceId &id, ServiceState &service);
-    void start(const WaitingRequest &request, const ServiceId &id, ServiceState &service);
+    void dispatch(const ServiceId &id, ServiceState &state);
+    void start(const WaitingRequest &request, const ServiceId &id, ServiceState &state);
     void settleWork(const Attempt &attempt, AttemptOutcome outcome);
     void resolve(ExchangeId id, Exchange &exchange, const Attempt &attempt, AttemptId attemptId,
                  AttemptOutcome outcome);
--- a/core/routing/request_types.h
+++ b/core/routing/request_types.h
@@ -37,13 +37,15 @@
     DuplicateRequest,
     ClaimUnavailable,
     Stopping,
+    LargerThanAnyWorker,
 };
 
 /// Wire and log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 15> refusalReasonNames{
-    "no-configuration",  "unknown-service",   "key-missing",       "unknown-key",        "key-not-vouched",
-    "malformed",         "too-large",         "queue-full",        "deadline-too-close", "deadline-passed",
-    "team-ceiling-zero", "no-backend-server", "duplicate-request", "claim-unavailable",  "stopping",
+inline constexpr std::array<std::string_view, 16> refusalReasonNames{
+    "no-configuration",   "unknown-service",   "key-missing",       "unknown-key",
+    "key-not-vouched",    "malformed",         "too-large",         "queue-full",
+    "deadline-too-close", "deadline-passed",   "team-ceiling-zero", "no-backend-server",
+    "duplicate-request",  "claim-unavailable", "stopping",          "larger-than-any-worker",
 };
 
 /// Why the outcome of a request is unknown after it reached a backend server.
--- a/drivers/caller_http.cpp
+++ b/drivers/caller_http.cpp
@@ -129,6 +129,7 @@
     case RefusalReason::KeyMissing:
     case RefusalReason::UnknownKey:
         return httpStatus::unauthorized;
+    case RefusalReason::LargerThanAnyWorker:
     case RefusalReason::Malformed:
         return httpStatus::badRequest;
     case RefusalReason::TooLarge:
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -77,7 +77,7 @@
     HttpOutcome outcomeOf(const Exchange &exchange, evhttp_request *request) const;
     void keepOrClose(const Exchange &exchange, const HttpOutcome &outcome);
     void closeLater(evhttp_connection *connection);
-    static void done(evhttp_request *request, void *exchange);
+    static void done(evhttp_request *request, void *target);
     static void idleClosed(evhttp_connection *connection, void *self);
 
     EventLoop &m_loop;
--- a/drivers/peer_stream.h
+++ b/drivers/peer_stream.h
@@ -52,8 +52,8 @@
     void readFrom(Connection &connection);
     void onMessage(Connection &connection, std::string_view bytes);
     static void write(bufferevent *events, const PeerStreamMessage &message);
-    static void readable(bufferevent *events, void *connection);
-    static void ended(bufferevent *events, short what, void *connection);
+    static void readable(bufferevent *events, void *target);
+    static void ended(bufferevent *events, short what, void *target);
 
     EventLoop &m_loop;
     QuestionHandler m_onQuestion;
--- a/drivers/yaml_documents.cpp
+++ b/drivers/yaml_documents.cpp
@@ -36,7 +36,7 @@
     case YAML::NodeType::Map: {
         Mapping mapping;
         for (const auto &entry : yaml) {
-            mapping.fields.emplace_back(entry.first.Scalar(), convert(file, entry.second));
+            mapping.fields.push_back({entry.first.Scalar(), convert(file, entry.second)});
         }
         node.value = std::move(mapping);
         break;
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -37,12 +37,14 @@
     , m_rights(m_controlLoop, m_clock, settings.host, settings.zone, settings.peerListen, m_start.incarnation)
     , m_peers(m_controlLoop, m_clock, PeerAddress{m_start, settings.zone, settings.peerListen}, DetectorKind::Accrual)
     , m_hosts(m_controlLoop)
+    , m_jobs(m_controlLoop, m_clock, settings.host, m_start.incarnation.value)
     , m_operator(m_controlLoop, settings.host, settings.zone)
     , m_stop(m_controlLoop, m_clock, settings.leaveWait, settings.stopWait)
 {
     wireRequests();
     wireConfig();
     wireRights();
+    wireJobs();
     wirePeers();
     wirePlatform();
     wireStop();
@@ -115,7 +117,8 @@
                 TeamAllowance{allowance.team, allowance.standing, allowance.leased, allowance.generation}));
             return;
         case RightsUse::Jobs:
-            m_rights.post(LedgerDemand{allowance.team, RightsUse::Jobs, 0, 0, allowance.generation});
+            m_jobs.post(
+                JobEvent(JobAllowance{allowance.team, allowance.standing, allowance.leased, allowance.generation}));
             return;
         }
     });
@@ -130,6 +133,24 @@
     m_hosts.listed.connect([this](const std::set<HostId> &hosts) { m_rights.post(LedgerHostList{hosts}); });
 }
 
+void EntryHost::wireJobs()
+{
+    m_front.jobRequestCame.connect([this](const drivers::HttpRequest &request) { m_jobs.post(request); });
+    m_jobs.answered.connect([this](const servers::AnswerCaller &answer) { m_front.post(answer); });
+    m_jobs.demandChanged.connect([this](const JobDemand &demand) {
+        m_rights.post(LedgerDemand{demand.team, RightsUse::Jobs, demand.running, demand.waiting, demand.generation});
+        m_peers.post(PeerEvent(OwnDemand{PeerDemand{demand.team, RightsUse::Jobs, demand.running, demand.waiting}}));
+    });
+    m_jobs.handedBack.connect([this] { m_stop.post(servers::JobsHandedBack{}); });
+    m_config.adopted.connect(
+        [this](const ConfigAdopted &adopted) { m_jobs.post(JobEvent(JobConfig{adopted.config})); });
+    m_rights.leaseExtended.connect([this](TimePoint until) { m_jobs.post(JobEvent(JobLease{until})); });
+    m_rights.holderKnown.connect([this](const HolderId &holder) { m_jobs.post(JobEvent(JobHolder{holder})); });
+    m_rights.sessionsSeen.connect([this](const SessionsSeen &seen) { m_jobs.post(JobEvent(seen)); });
+    m_hosts.leavingChanged.connect(
+        [this](const std::set<HostId> &leaving) { m_jobs.post(JobEvent(JobLeavingHosts{leaving})); });
+}
+
 void EntryHost::wirePeers()
 {
     m_peers.peersChanged.connect(sigc::mem_fun(*this, &EntryHost::onPeersChanged));
@@ -158,6 +179,7 @@
     connect(m_rights, PlatformUser::Rights);
     connect(m_claims, PlatformUser::Claims);
     connect(m_hosts, PlatformUser::Hosts);
+    connect(m_jobs, PlatformUser::Jobs);
 }
 
 void EntryHost::wireStop()
@@ -173,6 +195,7 @@
     m_config.statusChanged.connect([this](const servers::ConfigStatus &status) { m_operator.post(status); });
     m_peers.statusChanged.connect([this](const servers::MembershipStatus &status) { m_operator.post(status); });
     m_rights.statusChanged.connect([this](const servers::RightsStatus &status) { m_operator.post(status); });
+    m_jobs.statusChanged.connect([this](const servers::JobStatus &status) { m_operator.post(status); });
     m_platform.statusChanged.connect([this](const servers::PlatformStatus &status) { m_operator.post(status); });
 }
 
@@ -188,6 +211,11 @@
         }
     }
     m_requests.post(RequestEvent(place));
+    JobPeers jobPeers;
+    for (const auto &[host, zone] : peers.live) {
+        jobPeers.live.push_back(host);
+    }
+    m_jobs.post(JobEvent(jobPeers));
     m_rights.post(peers);
 }
 
@@ -234,11 +262,11 @@
         return;
     case servers::StopStage::Finishing:
         m_front.post(servers::StopAccepting{});
+        m_jobs.post(JobEvent(JobStop{}));
         return;
     case servers::StopStage::Releasing:
         m_peers.post(PeerEvent(PeerStop{}));
         m_rights.post(servers::ReleaseRights{});
-        m_stop.post(servers::JobsHandedBack{});
         return;
     case servers::StopStage::Stopped:
         m_controlLoop.stop();
--- a/main/entry_host.h
+++ b/main/entry_host.h
@@ -7,6 +7,7 @@
 #include "servers/config_task.h"
 #include "servers/front_task.h"
 #include "servers/hosts_task.h"
+#include "servers/job_task.h"
 #include "servers/operator_task.h"
 #include "servers/peer_task.h"
 #include "servers/platform_task.h"
@@ -37,6 +38,7 @@
     void wireRequests();
     void wireConfig();
     void wireRights();
+    void wireJobs();
     void wirePeers();
     void wirePlatform();
     void wireStop();
@@ -60,6 +62,7 @@
     servers::RightsTask m_rights;
     servers::PeerTask m_peers;
     servers::HostsTask m_hosts;
+    servers::JobTask m_jobs;
     servers::OperatorTask m_operator;
     servers::StopTask m_stop;
 };
--- a/servers/operator_task.cpp
+++ b/servers/operator_task.cpp
@@ -58,6 +58,11 @@
     m_status.platform = message;
 }
 
+void OperatorTask::on(JobStatus &message)
+{
+    m_status.jobs = std::move(message);
+}
+
 void OperatorTask::on(StopStage &message)
 {
     m_status.stage = message;
--- a/servers/operator_task.h
+++ b/servers/operator_task.h
@@ -13,8 +13,8 @@
 class OperatorTask
 {
 public:
-    using Message
-        = std::variant<RequestStatus, ConfigStatus, MembershipStatus, RightsStatus, PlatformStatus, StopStage>;
+    using Message = std::variant<RequestStatus, ConfigStatus, MembershipStatus, RightsStatus, PlatformStatus, JobStatus,
+                                 StopStage>;
 
     OperatorTask(drivers::EventLoop &loop, HostId host, ZoneId zone);
 
@@ -27,6 +27,7 @@
     void on(MembershipStatus &message);
     void on(RightsStatus &message);
     void on(PlatformStatus &message);
+    void on(JobStatus &message);
     void on(StopStage &message);
     void receive(const drivers::HttpRequest &request);
     drivers::HttpAnswer answerTo(const drivers::HttpRequest &request) const;
--- a/servers/rights_task.h
+++ b/servers/rights_task.h
@@ -75,7 +75,7 @@
     void apply(const AllowanceSet &effect);
     void apply(const LedgerNoted &effect);
     void apply(const LedgerReleased &effect);
-    void call(Asker asker, const PlatformCall &call);
+    void call(Asker asker, const PlatformCall &asked);
     void onTick();
 
     const Clock &m_clock;
--- a/servers/status_json.cpp
+++ b/servers/status_json.cpp
@@ -81,6 +81,21 @@
     return services;
 }
 
+Json jobsJson(const JobStatus &jobs)
+{
+    Json list = Json::array();
+    for (const JobRow &row : jobs.owned) {
+        list.push_back({{"job", row.id.name()},
+                        {"team", row.team.name()},
+                        {"kind", row.kind},
+                        {"state", enumName(jobStateNames, row.state)},
+                        {"reason", enumName(jobReasonNames, row.reason)},
+                        {"worker", row.worker.name()},
+                        {"attempts", row.attempts}});
+    }
+    return list;
+}
+
 class MetricsWriter
 {
 public:
@@ -135,7 +150,8 @@
               {"entry_hosts", entryHostsJson(status)},
               {"pools", Json::array()},
               {"teams", Json::array()},
-              {"services", Json::array()}};
+              {"services", Json::array()},
+              {"jobs", jobsJson(status.jobs)}};
     if (status.config.config != nullptr) {
         json["pools"] = poolsJson(*status.config.config);
         json["teams"] = teamsJson(status);
@@ -166,6 +182,12 @@
     for (const auto &[team, running] : status.requests.runningByTeam) {
         metrics.sample(label("team", team.name()), running);
     }
+    metrics.family("job_steps_total", "Steps of jobs on this entry host.", "counter");
+    for (const auto &[step, count] : status.jobs.steps) {
+        metrics.sample(label("step", step), count);
+    }
+    metrics.family("jobs_owned", "Jobs that this entry host owns.", "gauge");
+    metrics.sample("", status.jobs.owned.size());
     metrics.family("config_version", "Version in force.", "gauge");
     metrics.sample("", versionOf(status.config));
     metrics.family("peers_live", "Other live entry hosts.", "gauge");
--- a/servers/status_json.h
+++ b/servers/status_json.h
@@ -19,6 +19,7 @@
     MembershipStatus membership;
     RightsStatus rights;
     PlatformStatus platform;
+    JobStatus jobs;
 };
 
 /// JSON for `radishvane status`.
--- a/servers/task_messages.h
+++ b/servers/task_messages.h
@@ -2,6 +2,7 @@
 
 #include "core/base/ids.h"
 #include "core/config/config.h"
+#include "core/messages/rows.h"
 #include "core/routing/request_types.h"
 #include "drivers/http_types.h"
 
@@ -76,6 +77,13 @@
     std::vector<TeamRightsStatus> teams;
 };
 
+/// Jobs of this entry host, for the operator port.
+struct JobStatus
+{
+    std::vector<JobRow> owned;
+    std::map<std::string, std::uint64_t> steps;
+};
+
 /// Stages of an entry host's stop.
 enum class StopStage {
     Serving,
