Refuse early what would wait for more than a quarter of its timeout

Cause: at 2x and 5x of the capacity a fifth of the slot time went to requests that ended after their deadline (p50 1.82 s of 2 s): the queue was filled up to the deadline, and a start needed only one estimated run time to be left. Change: admission bounds the predicted wait by a quarter of the timeout; a start needs three estimated run times.

--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -14,6 +14,11 @@
 constexpr double estimateWeight = 0.1;
 /// Slot time charged for a start before any run time is known, in milliseconds.
 constexpr double firstCharge = 10.0;
+/// A request is refused at once when it would wait longer than this part of its timeout, so that what is started can
+/// end in time and the caller learns early that it was not run.
+constexpr int mostWaitDivisor = 4;
+/// Estimated run times that must be left at the start, since half of all runs take longer than the estimate.
+constexpr double runsLeftAtStart = 3.0;
 /// Least time told to callers in Retry-After.
 constexpr Duration leastRetryAfter{1'000};
 
@@ -336,7 +341,7 @@
     }
     const Duration expected = predictedWait(state, exchange.team);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
-    if (m_now + expected + estimate > exchange.deadline) {
+    if (expected > exchange.head.timeout / mostWaitDivisor || m_now + expected + estimate > exchange.deadline) {
         refuse(id, RefusalReason::DeadlineTooClose, std::max(expected, leastRetryAfter));
         return;
     }
@@ -408,7 +413,7 @@
 {
     Exchange &exchange = m_exchanges.at(request.exchange);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
-    if (m_now + estimate > exchange.deadline) {
+    if (m_now + estimate * runsLeftAtStart > exchange.deadline) {
         refuse(request.exchange, RefusalReason::DeadlineTooClose, leastRetryAfter);
         return;
     }
