Maintain hosts in waves within each pool's budget, and bound control traffic

Change: core/fleet plans drains and reboots by conditional writes of the pool's row, which counts failed hosts; jobs that may run again move away from a leaving host; golden files of six whole sessions; heartbeats carry usage within a budget of bytes and go on where they stopped; scans use entity tags; the failure detector waits a fixed time. Maintenance: 12 of 12 hosts with three racing planners, at most 2 out, one zone at a time, one reboot each; the same after a crash in mid-wave.

--- a/core/config/config.h
+++ b/core/config/config.h
@@ -67,6 +67,8 @@
     /// Most hosts of the pool that may be out at one time, failed ones counted.
     std::uint32_t maxHostsOut = 1;
     bool spare = false;
+    /// Each host is maintained once in this time; zero for never.
+    std::chrono::hours maintenanceInterval{0};
 };
 
 /// A machine of the fleet.
--- a/core/config/config_reader.cpp
+++ b/core/config/config_reader.cpp
@@ -18,6 +18,7 @@
 constexpr Range hostsOutRange{1, 100'000};
 constexpr Range machineRange{0, 1'000'000};
 constexpr Range runMillisecondsRange{1, 3'600'000};
+constexpr Range intervalRange{0, 8'760};
 constexpr Range cutOffSecondsRange{0, 604'800};
 
 constexpr std::uint32_t defaultSlots = 8;
@@ -109,6 +110,7 @@
         pool.id = PoolId(fields.name("name"));
         pool.maxHostsOut = fields.number("max_hosts_out", hostsOutRange);
         pool.spare = fields.flag("spare", false);
+        pool.maintenanceInterval = std::chrono::hours(fields.number("maintenance_interval_hours", intervalRange, 0));
         fields.finish();
         insert(m_config.pools, fields, "name", std::move(pool));
     }
--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -184,6 +184,7 @@
 
 void JobKeeper::on(const JobLeavingHosts &event)
 {
+    m_leaving = event.hosts;
     m_board.setLeaving(event.hosts);
 }
 
@@ -424,6 +425,11 @@
             end(job, JobState::Failed, JobReason::DeadlinePassed);
             return;
         }
+        if (m_leaving.contains(job.row.worker) && job.row.idempotent && !job.moving) {
+            // A job that may run again is moved; others are left to end before the host does.
+            job.moving = true;
+            askStop(job.row);
+        }
         // After the session's end another owner may have the job, so its lease is not renewed any more.
         send(job, RenewTask{job.row.id, job.row.epoch, m_now.steady < m_leasedUntil ? taskLease : Duration(0)});
         return;
@@ -622,7 +628,7 @@
         }
         // Either the row says that a caller cancelled the job, or the lease lapsed.
         if (job.row.idempotent) {
-            requeue(job, true);
+            requeue(job, !job.moving);
             return;
         }
         end(job, JobState::Failed, JobReason::MayHaveRun);
@@ -678,6 +684,7 @@
 {
     giveBack(job);
     job.row.attempts -= countsAsAttempt || job.row.attempts == 0 ? 0 : 1;
+    job.moving = false;
     job.stage = Stage::Waiting;
     job.next = m_now.steady + (countsAsAttempt ? retryInterval : Duration(0));
     note(JobStep::Requeued, job.row);
--- a/core/jobs/job_keeper.h
+++ b/core/jobs/job_keeper.h
@@ -74,6 +74,8 @@
         /// When the renewal under way was sent.
         TimePoint renewalSent;
         bool holdsRight = false;
+        /// The worker was asked to stop the task, so that it moves away from a host that leaves.
+        bool moving = false;
         /// Room taken at the worker.
         std::optional<JobNeeds> room;
     };
@@ -155,6 +157,7 @@
     TeamRights m_rights;
     TimePoint m_leasedUntil;
     WorkerBoard m_board;
+    std::set<HostId> m_leaving;
     RunEstimates m_estimates;
     std::map<JobId, Job> m_jobs;
     std::map<OperationId, JobId> m_jobOperations;
--- a/core/membership/peer_table.cpp
+++ b/core/membership/peer_table.cpp
@@ -11,6 +11,11 @@
 
 /// Sent heartbeats that are remembered for echoes.
 constexpr std::size_t rememberedHeartbeats = 64;
+/// Sizes on the wire, for the budget of a heartbeat: its head with one named peer, one echo, and one number with the
+/// length of its name.
+constexpr std::size_t fixedBytes = 120;
+constexpr std::size_t echoBytes = 28;
+constexpr std::size_t numberBytes = 5;
 /// Time for which an address told by a peer is tried.
 constexpr Duration seedLife{30'000};
 /// Age told while nothing was ever confirmed.
@@ -91,8 +96,10 @@
 
 void PeerTable::on(const OwnUsage &event)
 {
-    m_usage.spent.insert(m_usage.spent.end(), event.spent.begin(), event.spent.end());
-    m_usage.spare = event.spare;
+    for (const PeerSpent &spent : event.spent) {
+        m_spent[{spent.service, spent.team}] += spent.slotMilliseconds;
+    }
+    m_spare = event.spare;
 }
 
 void PeerTable::on(const OwnDemand &event)
@@ -221,19 +228,61 @@
     heartbeat.configAge = confirmed ? std::chrono::ceil<Duration>(m_now - m_configConfirmed) : neverConfirmed;
     for (const auto &[host, peer] : m_peers) {
         heartbeat.echoes.push_back({peer.address.holder, peer.sequence, peer.sessionIdle});
+    }
+    nameOnePeer(heartbeat);
+    tellUsage(heartbeat);
+    return heartbeat;
+}
+
+void PeerTable::nameOnePeer(Heartbeat &heartbeat)
+{
+    std::vector<const Peer *> live;
+    for (const auto &[host, peer] : m_peers) {
         if (peer.live) {
-            heartbeat.known.push_back(peer.address);
+            live.push_back(&peer);
         }
     }
-    heartbeat.spent = std::exchange(m_usage.spent, {});
-    heartbeat.spare = m_usage.spare;
-    for (auto entry = m_demand.begin(); entry != m_demand.end();) {
-        heartbeat.demand.push_back(entry->second);
+    if (!live.empty()) {
+        heartbeat.known.push_back(live[m_nextKnown++ % live.size()]->address);
+    }
+}
+
+void PeerTable::tellUsage(Heartbeat &heartbeat)
+{
+    const std::size_t targets = std::max<std::size_t>(m_peers.size(), 1);
+    std::size_t left = bytesPerSecond * heartbeatInterval.count() / 1'000 / targets;
+    const std::size_t fixed = fixedBytes + heartbeat.echoes.size() * echoBytes;
+    left -= std::min(left, fixed);
+    const auto take = [&left](std::size_t bytes) {
+        const bool fits = bytes <= left;
+        left -= fits ? bytes : 0;
+        return fits;
+    };
+    for (const PeerSpare &spare : m_spare) {
+        if (spare.slots > 0 && take(spare.service.name().size() + numberBytes)) {
+            heartbeat.spare.push_back(spare);
+        }
+    }
+    // Demand goes round, so that each team's is told again before it counts as old.
+    auto demand = m_demand.lower_bound(m_nextDemand);
+    for (std::size_t told = m_demand.size(); told > 0; --told) {
+        demand = demand == m_demand.end() ? m_demand.begin() : demand;
+        if (!take(demand->second.team.name().size() + 2 * numberBytes)) {
+            break;
+        }
+        heartbeat.demand.push_back(demand->second);
         // An idle team is told once, then left out.
-        const bool idle = entry->second.running == 0 && entry->second.waiting == 0;
-        entry = idle ? m_demand.erase(entry) : std::next(entry);
+        const bool idle = demand->second.running == 0 && demand->second.waiting == 0;
+        demand = idle ? m_demand.erase(demand) : std::next(demand);
+    }
+    m_nextDemand = demand == m_demand.end() ? std::pair<TeamId, RightsUse>() : demand->first;
+    for (auto spent = m_spent.begin(); spent != m_spent.end();) {
+        if (!take(spent->first.first.name().size() + spent->first.second.name().size() + 2 * numberBytes)) {
+            break;
+        }
+        heartbeat.spent.push_back({spent->first.first, spent->first.second, spent->second});
+        spent = m_spent.erase(spent);
     }
-    return heartbeat;
 }
 
 void PeerTable::reportLive()
--- a/core/membership/peer_table.h
+++ b/core/membership/peer_table.h
@@ -142,6 +142,9 @@
     static constexpr Duration heartbeatInterval{1'000};
     /// Peers not heard of for this long are forgotten.
     static constexpr Duration forgetAfter{600'000};
+    /// Bytes of heartbeats that this host sends in a second to all others together. Usage that does not fit waits for
+    /// the next heartbeat.
+    static constexpr std::size_t bytesPerSecond = 5'000;
 
     /// @param self of this process; OwnHolder may raise its incarnation later.
     PeerTable(PeerAddress self, DetectorKind detector);
@@ -188,6 +191,8 @@
     void suspectSilent();
     void sendHeartbeats();
     Heartbeat ownHeartbeat();
+    void nameOnePeer(Heartbeat &heartbeat);
+    void tellUsage(Heartbeat &heartbeat);
     void reportLive();
     void note(const Peer &peer, PeerChange change);
 
@@ -203,8 +208,13 @@
     std::map<std::uint64_t, TimePoint> m_sentAt;
     ConfigVersion m_config;
     TimePoint m_configConfirmed;
-    OwnUsage m_usage;
+    /// Slot time that was not told yet.
+    std::map<std::pair<ServiceId, TeamId>, std::uint32_t> m_spent;
+    std::vector<PeerSpare> m_spare;
     std::map<std::pair<TeamId, RightsUse>, PeerDemand> m_demand;
+    /// Where the next heartbeat goes on telling demand, and which live peer it names.
+    std::pair<TeamId, RightsUse> m_nextDemand;
+    std::size_t m_nextKnown = 0;
     bool m_leaving = false;
 };
 
--- a/core/messages/platform_messages.h
+++ b/core/messages/platform_messages.h
@@ -66,7 +66,14 @@
 {
 };
 
-using PlatformRequest = std::variant<ReadRow, ScanRows, WriteRows, PutObject, ReadObject, ListHosts>;
+/// Reboots a host once for each token; asked again with the same token, tells how far that reboot is.
+struct RebootHost
+{
+    HostId host;
+    std::string token;
+};
+
+using PlatformRequest = std::variant<ReadRow, ScanRows, WriteRows, PutObject, ReadObject, ListHosts, RebootHost>;
 
 /// A request with the id that its answer repeats.
 struct PlatformCall
@@ -141,6 +148,12 @@
     std::vector<ListedHost> hosts;
 };
 
+/// How far a reboot is.
+struct RebootState
+{
+    bool done = false;
+};
+
 /// Why the platform gave no answer of use.
 enum class PlatformError {
     /// No connection, or the platform refused: nothing took effect.
@@ -161,7 +174,7 @@
 };
 
 using PlatformAnswer = std::variant<RowFound, RowAbsent, RowsFound, RowsWritten, WriteConflict, ObjectStored,
-                                    ObjectFound, ObjectAbsent, HostsListed, PlatformFailed>;
+                                    ObjectFound, ObjectAbsent, HostsListed, RebootState, PlatformFailed>;
 
 struct PlatformAnswered
 {
--- a/core/quota/rights_ledger.h
+++ b/core/quota/rights_ledger.h
@@ -124,7 +124,7 @@
     /// Interval between looks at a row in which no right was free.
     static constexpr Duration starvedInterval{500};
     /// Demand of another entry host counts for this long.
-    static constexpr Duration peerDemandFor{5'000};
+    static constexpr Duration peerDemandFor{10'000};
     /// Most row writes of this host in a second, all teams together.
     static constexpr double writesPerSecond = 20;
     /// Time for which a host keeps its last right while others have none, and rests after that.
--- a/drivers/http_types.h
+++ b/drivers/http_types.h
@@ -63,6 +63,7 @@
 inline constexpr int ok = 200;
 inline constexpr int created = 201;
 inline constexpr int accepted = 202;
+inline constexpr int notModified = 304;
 inline constexpr int badRequest = 400;
 inline constexpr int unauthorized = 401;
 inline constexpr int forbidden = 403;
--- a/drivers/peer_codec.cpp
+++ b/drivers/peer_codec.cpp
@@ -3,6 +3,8 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/variant.hpp>
 
+#include <algorithm>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 
@@ -16,6 +18,16 @@
 constexpr std::uint32_t mostItems = 4'096;
 constexpr std::uint32_t mostTextBytes = drivers::mostStreamBytes;
 
+/// Names and addresses are short, and a length of one byte keeps heartbeats small.
+template<typename Archive>
+void nameField(Archive &archive, std::string &text)
+{
+    auto size = static_cast<std::uint8_t>(text.size());
+    archive(size);
+    text.resize(size);
+    archive(cereal::binary_data(text.data(), text.size()));
+}
+
 template<typename Archive>
 void textField(Archive &archive, std::string &text)
 {
@@ -45,7 +57,8 @@
 template<typename Archive>
 void durationField(Archive &archive, Duration &duration)
 {
-    std::int64_t count = duration.count();
+    auto count = static_cast<std::uint32_t>(
+        std::clamp<Duration::rep>(duration.count(), 0, std::numeric_limits<std::uint32_t>::max()));
     archive(count);
     duration = Duration(count);
 }
@@ -56,7 +69,7 @@
 void serialize(Archive &archive, NameId<Tag> &id)
 {
     std::string name = id.name();
-    textField(archive, name);
+    nameField(archive, name);
     id = NameId<Tag>(std::move(name));
 }
 
@@ -69,7 +82,7 @@
 template<typename Archive>
 void serialize(Archive &archive, Endpoint &endpoint)
 {
-    textField(archive, endpoint.address);
+    nameField(archive, endpoint.address);
     archive(endpoint.port);
 }
 
@@ -88,7 +101,9 @@
 template<typename Archive>
 void serialize(Archive &archive, HeartbeatEcho &echo)
 {
-    archive(echo.holder, echo.sequence);
+    auto sequence = static_cast<std::uint32_t>(echo.sequence);
+    archive(echo.holder, sequence);
+    echo.sequence = sequence;
     durationField(archive, echo.sessionIdle);
 }
 
@@ -108,7 +123,13 @@
 void serialize(Archive &archive, PeerDemand &demand)
 {
     auto use = static_cast<std::uint8_t>(demand.use);
-    archive(demand.team, use, demand.running, demand.waiting);
+    auto running = static_cast<std::uint16_t>(
+        std::min<std::uint32_t>(demand.running, std::numeric_limits<std::uint16_t>::max()));
+    auto waiting = static_cast<std::uint16_t>(
+        std::min<std::uint32_t>(demand.waiting, std::numeric_limits<std::uint16_t>::max()));
+    archive(demand.team, use, running, waiting);
+    demand.running = running;
+    demand.waiting = waiting;
     if (use >= rightsUseNames.size()) {
         throw std::out_of_range("use of rights " + std::to_string(use));
     }
--- a/drivers/platform_client.cpp
+++ b/drivers/platform_client.cpp
@@ -110,6 +110,11 @@
     return listed;
 }
 
+PlatformAnswer readAnswer(const RebootHost &, const HttpAnswer &answer)
+{
+    return RebootState{Json::parse(answer.body).at("done").get<bool>()};
+}
+
 bool isExpected(int status)
 {
     return status == httpStatus::ok || status == httpStatus::created || status == httpStatus::notFound
@@ -125,7 +130,8 @@
 
 void PlatformClient::send(const PlatformCall &call)
 {
-    m_http.send(encode(call), [this, call](HttpOutcome &&outcome) { settle(call, outcome); });
+    const HttpCall http = encode(call);
+    m_http.send(http, [this, call, target = http.target](HttpOutcome &&outcome) { settle(call, target, outcome); });
 }
 
 HttpCall PlatformClient::encode(const PlatformCall &call)
@@ -148,12 +154,33 @@
                    },
                    [&](const ReadObject &request) { http.target = "/objects/" + escape(request.name); },
                    [&](const ListHosts &) { http.target = "/hosts"; },
+                   [&](const RebootHost &request) {
+                       http.method = HttpMethod::Put;
+                       http.target = "/hosts/" + escape(request.host.name()) + "/reboot?token=" + escape(request.token);
+                   },
                },
                call.request);
+    const auto cached = m_cache.find(http.target);
+    if (http.method == HttpMethod::Get && cached != m_cache.end()) {
+        http.headers.push_back({"If-None-Match", cached->second.tag});
+    }
     return http;
 }
 
-void PlatformClient::settle(const PlatformCall &call, const HttpOutcome &outcome)
+HttpAnswer PlatformClient::fromCache(const std::string &target, const HttpAnswer &answer)
+{
+    const auto cached = m_cache.find(target);
+    if (answer.status == httpStatus::notModified && cached != m_cache.end()) {
+        return cached->second.answer;
+    }
+    const std::string tag = headerValue(answer.headers, "ETag");
+    if (!tag.empty()) {
+        m_cache[target] = Cached{tag, answer};
+    }
+    return answer;
+}
+
+void PlatformClient::settle(const PlatformCall &call, const std::string &target, const HttpOutcome &outcome)
 {
     PlatformAnswered answered{call.id, {}};
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
@@ -163,7 +190,7 @@
         m_onAnswer(std::move(answered));
         return;
     }
-    const auto &answer = std::get<HttpAnswer>(outcome);
+    const HttpAnswer answer = fromCache(target, std::get<HttpAnswer>(outcome));
     if (answer.status == httpStatus::unavailable) {
         answered.answer = PlatformFailed{PlatformError::Unavailable, "status 503"};
     } else if (!isExpected(answer.status)) {
--- a/drivers/platform_client.h
+++ b/drivers/platform_client.h
@@ -4,6 +4,7 @@
 #include "drivers/http_client.h"
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace radishvane::drivers
@@ -22,12 +23,21 @@
     void send(const PlatformCall &call);
 
 private:
+    /// The latest answer to a read, which a platform that knows entity tags need not send again.
+    struct Cached
+    {
+        std::string tag;
+        HttpAnswer answer;
+    };
+
     HttpCall encode(const PlatformCall &call);
-    void settle(const PlatformCall &call, const HttpOutcome &outcome);
+    HttpAnswer fromCache(const std::string &target, const HttpAnswer &answer);
+    void settle(const PlatformCall &call, const std::string &target, const HttpOutcome &outcome);
 
     Endpoint m_platform;
     Duration m_timeout;
     AnswerHandler m_onAnswer;
+    std::map<std::string, Cached> m_cache;
     HttpClient m_http;
 };
 
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -35,9 +35,10 @@
     , m_config(m_controlLoop, m_clock)
     , m_claims(m_controlLoop, m_clock, m_start)
     , m_rights(m_controlLoop, m_clock, settings.host, settings.zone, settings.peerListen, m_start.incarnation)
-    , m_peers(m_controlLoop, m_clock, PeerAddress{m_start, settings.zone, settings.peerListen}, DetectorKind::Accrual)
+    , m_peers(m_controlLoop, m_clock, PeerAddress{m_start, settings.zone, settings.peerListen}, DetectorKind::FixedWait)
     , m_hosts(m_controlLoop)
     , m_jobs(m_controlLoop, m_clock, settings.host, m_start.incarnation.value)
+    , m_fleet(m_controlLoop, m_clock, settings.host)
     , m_operator(m_controlLoop, settings.host, settings.zone)
     , m_stop(m_controlLoop, m_clock, settings.leaveWait, settings.stopWait)
 {
@@ -45,6 +46,7 @@
     wireConfig();
     wireRights();
     wireJobs();
+    wireFleet();
     wirePeers();
     wirePlatform();
     wireStop();
@@ -150,6 +152,12 @@
         [this](const std::set<HostId> &leaving) { m_jobs.post(JobEvent(JobLeavingHosts{leaving})); });
 }
 
+void EntryHost::wireFleet()
+{
+    m_config.adopted.connect([this](const ConfigAdopted &adopted) { m_fleet.post(FleetConfig{adopted.config}); });
+    m_hosts.listedLive.connect([this](const std::set<HostId> &live) { m_fleet.post(FleetHostList{live}); });
+}
+
 void EntryHost::wirePeers()
 {
     m_peers.peersChanged.connect(sigc::mem_fun(*this, &EntryHost::onPeersChanged));
@@ -179,6 +187,7 @@
     connect(m_claims, PlatformUser::Claims);
     connect(m_hosts, PlatformUser::Hosts);
     connect(m_jobs, PlatformUser::Jobs);
+    connect(m_fleet, PlatformUser::Fleet);
 }
 
 void EntryHost::wireStop()
@@ -214,6 +223,7 @@
     for (const auto &[host, zone] : peers.live) {
         jobPeers.live.push_back(host);
     }
+    m_fleet.post(FleetPeers{jobPeers.live});
     m_jobs.post(JobEvent(jobPeers));
     m_rights.post(peers);
 }
--- a/main/entry_host.h
+++ b/main/entry_host.h
@@ -5,6 +5,7 @@
 #include "drivers/system_clock.h"
 #include "servers/claim_task.h"
 #include "servers/config_task.h"
+#include "servers/fleet_task.h"
 #include "servers/front_task.h"
 #include "servers/hosts_task.h"
 #include "servers/job_task.h"
@@ -40,6 +41,7 @@
     void wireConfig();
     void wireRights();
     void wireJobs();
+    void wireFleet();
     void wirePeers();
     void wirePlatform();
     void wireStop();
@@ -64,6 +66,7 @@
     servers::PeerTask m_peers;
     servers::HostsTask m_hosts;
     servers::JobTask m_jobs;
+    servers::FleetTask m_fleet;
     servers::OperatorTask m_operator;
     servers::StopTask m_stop;
 };
--- a/servers/hosts_task.cpp
+++ b/servers/hosts_task.cpp
@@ -35,21 +35,22 @@
         }
     }
     listed.emit(hosts);
+    for (const HostId &leaving : m_listedLeaving) {
+        hosts.erase(leaving);
+    }
+    listedLive.emit(hosts);
     reportLeaving();
 }
 
 void HostsTask::onPools(const RowsFound &found)
 {
-    std::vector<PoolRow> rows;
     m_drained.clear();
     for (const StoredRow &stored : found.rows) {
         const auto &row = std::get<PoolRow>(stored.value);
         for (const HostOut &out : row.out) {
             m_drained.insert(out.host);
         }
-        rows.push_back(row);
     }
-    poolsRead.emit(rows);
     reportLeaving();
 }
 
--- a/servers/hosts_task.h
+++ b/servers/hosts_task.h
@@ -25,7 +25,7 @@
     sigc::signal<void(const PlatformCall &)> platformCalled;
     sigc::signal<void(const std::set<HostId> &)> leavingChanged;
     sigc::signal<void(const std::set<HostId> &)> listed;
-    sigc::signal<void(const std::vector<PoolRow> &)> poolsRead;
+    sigc::signal<void(const std::set<HostId> &)> listedLive;
 
 private:
     void on(const PlatformAnswered &message);
--- /dev/null
+++ b/tests/core/fleet/maintenance_keeper_test.cpp
@@ -0,0 +1,213 @@
+#include "core/fleet/maintenance_keeper.h"
+
+#include "core/base/overloaded.h"
+#include "tests/support/fake_platform.h"
+#include "tests/support/story.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+constexpr std::uint32_t budget = 2;
+const PoolId pool("dye");
+
+/// Planners over one table, and the hosts of one pool in three racks of two zones.
+class MaintenanceWorld
+{
+public:
+    explicit MaintenanceWorld(int planners)
+    {
+        auto config = std::make_shared<Config>();
+        Pool declared{pool, budget, false};
+        declared.maintenanceInterval = std::chrono::hours(35 * 24);
+        config->pools[pool] = declared;
+        for (int index = 0; index < 12; ++index) {
+            const HostId host("host-" + std::to_string(index));
+            const int rack = index / 4;
+            config->hosts[host] = Host{
+                host,        ZoneId(rack == 2 ? "b" : "a"), RackId("rack-" + std::to_string(rack)), pool, 8, 16, 0,
+                std::nullopt};
+            listed.insert(host);
+        }
+        m_config = config;
+        for (int index = 0; index < planners; ++index) {
+            addPlanner("entry-" + std::to_string(index));
+        }
+    }
+
+    void addPlanner(const std::string &name)
+    {
+        m_planners.emplace_back(HostId(name));
+        // Each thinks that it is alone, so that all of them plan the pool at one time.
+        m_planners.back().handle(FleetPeers{{HostId(name)}}, m_now);
+        m_planners.back().handle(FleetConfig{m_config}, m_now);
+    }
+
+    void crashPlanners()
+    {
+        m_planners.clear();
+    }
+
+    void run(Duration length, PlatformFault fault = PlatformFault::None)
+    {
+        constexpr Duration step{1'000};
+        for (Duration passed{}; passed < length; passed += step) {
+            m_now.steady += step;
+            m_now.wall += step;
+            for (MaintenanceKeeper &planner : m_planners) {
+                if (listKnown) {
+                    planner.handle(FleetHostList{listed}, m_now);
+                }
+                perform(planner, planner.handle(FleetTick{}, m_now), fault);
+            }
+            check();
+        }
+    }
+
+    std::size_t maintained() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(platform.rows().begin(), platform.rows().end(),
+                          [](const auto &row) { return std::holds_alternative<HostRow>(row.second.value); }));
+    }
+
+    std::size_t out() const
+    {
+        const auto found = platform.rows().find(rowKey::pool(pool));
+        return found == platform.rows().end() ? 0 : std::get<PoolRow>(found->second.value).out.size();
+    }
+
+    FakePlatform platform;
+    std::set<HostId> listed;
+    bool listKnown = true;
+    std::size_t mostUnavailable = 0;
+    std::size_t mostZones = 0;
+
+private:
+    void perform(MaintenanceKeeper &planner, const FleetEffects &effects, PlatformFault fault)
+    {
+        for (const FleetEffect &effect : effects) {
+            if (const auto *call = std::get_if<PlatformCall>(&effect)) {
+                perform(planner, planner.handle(PlatformAnswered{call->id, platform.answer(*call, fault)}, m_now),
+                        fault);
+            }
+        }
+    }
+
+    void check()
+    {
+        const auto found = platform.rows().find(rowKey::pool(pool));
+        if (found == platform.rows().end()) {
+            return;
+        }
+        std::set<HostId> unavailable;
+        std::set<ZoneId> zones;
+        for (const HostOut &out : std::get<PoolRow>(found->second.value).out) {
+            unavailable.insert(out.host);
+            zones.insert(m_config->hosts.at(out.host).zone);
+        }
+        for (const auto &[host, settings] : m_config->hosts) {
+            if (!listed.contains(host)) {
+                unavailable.insert(host);
+            }
+        }
+        mostUnavailable = std::max(mostUnavailable, unavailable.size());
+        mostZones = std::max(mostZones, zones.size());
+    }
+
+    Instant m_now{TimePoint(std::chrono::hours(1)), WallTime(std::chrono::hours(24 * 20'000))};
+    std::shared_ptr<const Config> m_config;
+    std::deque<MaintenanceKeeper> m_planners;
+};
+
+} // namespace
+
+TEST(Maintenance, ReachesEveryHostWithinTheBudget)
+{
+    story("twelve hosts that are due, and three planners that race", [] {
+        MaintenanceWorld world(3);
+        world.run(std::chrono::minutes(10));
+        section("every host was maintained once", [&] {
+            EXPECT_EQ(world.maintained(), 12U);
+            EXPECT_EQ(world.platform.reboots().size(), 12U);
+        });
+        section("the budget held, in one zone at a time", [&] {
+            EXPECT_EQ(world.mostUnavailable, budget);
+            EXPECT_EQ(world.mostZones, 1U);
+        });
+        section("and then nothing is drained until the next interval", [&] {
+            world.run(std::chrono::minutes(10));
+            EXPECT_EQ(world.platform.reboots().size(), 12U);
+        });
+    });
+}
+
+TEST(Maintenance, CountsFailedHosts)
+{
+    story("one of twelve hosts has failed under a budget of two", [] {
+        MaintenanceWorld world(1);
+        world.listed.erase(HostId("host-11"));
+        world.run(std::chrono::minutes(20));
+        EXPECT_EQ(world.mostUnavailable, budget);
+        EXPECT_EQ(world.maintained(), 11U);
+    });
+    story("two have failed", [] {
+        MaintenanceWorld world(1);
+        world.listed.erase(HostId("host-11"));
+        world.listed.erase(HostId("host-3"));
+        world.run(std::chrono::minutes(5));
+        section("nothing is drained", [&] { EXPECT_EQ(world.maintained() + world.out(), 0U); });
+    });
+}
+
+TEST(Maintenance, GoesOnAfterACrashAndDrainsNothingTwice)
+{
+    story("the planner crashes in mid-wave", [] {
+        MaintenanceWorld world(1);
+        world.run(std::chrono::seconds(25));
+        ASSERT_GT(world.out(), 0U);
+        world.crashPlanners();
+        world.run(std::chrono::minutes(5));
+        section("another one finishes the wave", [&] {
+            world.addPlanner("entry-9");
+            world.run(std::chrono::minutes(10));
+            EXPECT_EQ(world.maintained(), 12U);
+            EXPECT_EQ(world.platform.reboots().size(), 12U);
+            EXPECT_EQ(world.mostUnavailable, budget);
+        });
+    });
+    story("answers of the platform are lost", [] {
+        MaintenanceWorld world(2);
+        world.run(std::chrono::minutes(2), PlatformFault::AnswerLost);
+        world.run(std::chrono::minutes(10));
+        EXPECT_EQ(world.maintained(), 12U);
+        EXPECT_EQ(world.mostUnavailable, budget);
+    });
+}
+
+TEST(Maintenance, StartsNoDrainWhileCutOff)
+{
+    story("an entry host that reads no host list", [] {
+        MaintenanceWorld world(1);
+        world.listKnown = false;
+        world.run(std::chrono::minutes(2));
+        EXPECT_EQ(world.out(), 0U);
+    });
+    story("a host that never comes back from its reboot", [] {
+        MaintenanceWorld world(1);
+        world.platform.neverBack.insert(HostId("host-0"));
+        world.run(std::chrono::minutes(30));
+        section("holds its place in the budget, and the others go on one at a time", [&] {
+            EXPECT_EQ(world.maintained(), 7U) << "the hosts of its zone";
+            EXPECT_EQ(world.out(), 1U);
+            EXPECT_EQ(world.mostUnavailable, budget);
+        });
+    });
+}
+
+} // namespace radishvane::tests
--- /dev/null
+++ b/tests/core/sessions/golden_test.cpp
@@ -0,0 +1,237 @@
+#include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
+#include "core/config/config_apply.h"
+#include "core/routing/request_plane.h"
+#include "tests/support/fleet_model.h"
+#include "tests/support/golden.h"
+
+#include <map>
+#include <sstream>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+/// Plays requests against one entry host and writes down every decision.
+class RequestSession
+{
+public:
+    RequestSession()
+    {
+        send(EntryHostPlace{0, 1});
+        send(ConfigInForce{ExampleConfig{}.make()});
+        send(LeaseExtended{m_now + std::chrono::hours(1)});
+        for (const char *name : {"office", "workshop"}) {
+            send(TeamAllowance{TeamId(name), 2, 0, 1});
+        }
+    }
+
+    void request(const std::string &key, bool idempotent)
+    {
+        RequestHead head;
+        head.service = ServiceId("quotes");
+        head.key = key;
+        head.idempotent = idempotent;
+        head.timeout = Duration(8'000);
+        send(RequestArrived{ExchangeId{++m_lastRequest}, head});
+    }
+
+    void endOldest(AttemptOutcome outcome)
+    {
+        if (!m_running.empty()) {
+            const AttemptId attempt = m_running.begin()->first;
+            m_running.erase(m_running.begin());
+            send(AttemptEnded{attempt, outcome});
+        }
+    }
+
+    void pass(Duration time)
+    {
+        m_now += time;
+        send(ConfigConfirmed{m_now});
+        send(TimePassed{});
+    }
+
+    void send(const RequestEvent &event)
+    {
+        for (const RequestEffect &effect : m_plane.handle(event, m_now)) {
+            if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+                m_running.emplace(start->attempt, start->exchange);
+            }
+            if (const auto *decision = std::get_if<Decision>(&effect)) {
+                write(*decision);
+            }
+        }
+    }
+
+    void say(const std::string &text)
+    {
+        m_text << "-- " << text << '\n';
+    }
+
+    std::string text() const
+    {
+        return m_text.str();
+    }
+
+private:
+    void write(const Decision &decision)
+    {
+        m_text << std::chrono::duration_cast<Duration>(m_now - TimePoint(std::chrono::hours(1))).count()
+               << " ms: " << enumName(decisionKindNames, decision.kind) << " request " << decision.exchange.value
+               << " of " << decision.team.name() << " backend " << decision.backend.name() << ' ' << decision.reason
+               << '\n';
+    }
+
+    TimePoint m_now = TimePoint(std::chrono::hours(1));
+    RequestPlane m_plane{1};
+    std::uint64_t m_lastRequest = 0;
+    std::map<AttemptId, ExchangeId> m_running;
+    std::ostringstream m_text;
+};
+
+/// Applies one set of files step by step, so that two may race.
+class Operator
+{
+public:
+    Operator(std::string name, FakePlatform &platform, std::ostringstream &text)
+        : m_name(std::move(name))
+        , m_apply("files of " + m_name, m_name, std::nullopt)
+        , m_platform(platform)
+        , m_text(text)
+    {
+        take(m_apply.begin());
+    }
+
+    void step(PlatformFault fault = PlatformFault::None)
+    {
+        if (m_call) {
+            const PlatformCall call = *m_call;
+            m_call.reset();
+            take(m_apply.answered({call.id, m_platform.answer(call, fault)}));
+        }
+    }
+
+private:
+    void take(const ApplyEffects &effects)
+    {
+        constexpr std::array<const char *, 7> requestNames{"reads a row",      "scans rows",      "writes a row",
+                                                           "stores an object", "reads an object", "lists hosts",
+                                                           "reboots a host"};
+        for (const ApplyEffect &effect : effects) {
+            std::visit(Overloaded{
+                           [&](const PlatformCall &call) {
+                               m_call = call;
+                               m_text << m_name << ' ' << requestNames[call.request.index()] << '\n';
+                           },
+                           [&](const ApplyEnded &ended) {
+                               m_text << m_name << " ends: " << enumName(applyOutcomeNames, ended.outcome)
+                                      << ", version " << ended.version.value << ' ' << ended.detail << '\n';
+                           },
+                       },
+                       effect);
+        }
+    }
+
+    std::string m_name;
+    ConfigApply m_apply;
+    FakePlatform &m_platform;
+    std::ostringstream &m_text;
+    std::optional<PlatformCall> m_call;
+};
+
+} // namespace
+
+TEST(GoldenSession, AnOrdinaryMinute)
+{
+    RequestSession session;
+    for (int second = 0; second < 60; second += 5) {
+        session.request("office-key", false);
+        session.request("workshop-key", true);
+        session.request("office-key", true);
+        session.pass(Duration(2'000));
+        session.endOldest(second == 20 ? AttemptOutcome::NotSent : AttemptOutcome::Answered);
+        session.endOldest(second == 30 ? AttemptOutcome::ConnectionLost : AttemptOutcome::Answered);
+        session.pass(Duration(3'000));
+        session.endOldest(second == 40 ? AttemptOutcome::ConnectionLost : AttemptOutcome::Answered);
+        session.endOldest(AttemptOutcome::Answered);
+    }
+    expectGolden("ordinary_minute", session.text());
+}
+
+TEST(GoldenSession, AWithdrawnKey)
+{
+    RequestSession session;
+    for (int request = 0; request < 4; ++request) {
+        session.request("office-key", false);
+    }
+    session.say("version 2 withdraws the key: what runs ends, what waits and what comes is refused");
+    ExampleConfig withdrawn;
+    withdrawn.version = 2;
+    withdrawn.officeKey = false;
+    session.send(ConfigInForce{withdrawn.make()});
+    session.request("office-key", false);
+    session.request("workshop-key", false);
+    session.endOldest(AttemptOutcome::Answered);
+    session.endOldest(AttemptOutcome::Answered);
+    session.say("version 1 is heard of again and changes nothing");
+    session.send(ConfigInForce{ExampleConfig{}.make()});
+    session.request("office-key", false);
+    expectGolden("withdrawn_key", session.text());
+}
+
+TEST(GoldenSession, AnOperatorRace)
+{
+    std::ostringstream text;
+    FakePlatform platform;
+    Operator first("first", platform, text);
+    Operator second("second", platform, text);
+    for (int step = 0; step < 2; ++step) {
+        first.step();
+        second.step();
+    }
+    text << "-- the answer to the second operator's write is lost after it took effect\n";
+    second.step(PlatformFault::AnswerLost);
+    first.step();
+    second.step();
+    expectGolden("operator_race", text.str());
+}
+
+TEST(GoldenSession, AZoneCutAndHealed)
+{
+    FleetModel fleet(3);
+    fleet.calm();
+    fleet.run(std::chrono::seconds(20));
+    fleet.cutOff(1, std::chrono::seconds(60));
+    EXPECT_LE(fleet.run(std::chrono::seconds(90)), ceiling);
+    expectGolden("zone_cut_and_healed", fleet.journal());
+}
+
+TEST(GoldenSession, AStoreOutageWithLostAnswers)
+{
+    FleetModel fleet(5);
+    fleet.calm();
+    fleet.run(std::chrono::seconds(20));
+    fleet.loseAnswers(true);
+    EXPECT_LE(fleet.run(std::chrono::seconds(10)), ceiling);
+    fleet.loseAnswers(false);
+    fleet.platformDown(std::chrono::seconds(40));
+    EXPECT_LE(fleet.run(std::chrono::seconds(60)), ceiling);
+    expectGolden("store_outage_with_lost_answers", fleet.journal());
+}
+
+TEST(GoldenSession, ARollingReplacement)
+{
+    FleetModel fleet(9);
+    fleet.calm();
+    fleet.run(std::chrono::seconds(10));
+    for (int host = 0; host < FleetModel::hostCount; ++host) {
+        fleet.replace(host);
+        EXPECT_LE(fleet.run(std::chrono::seconds(5)), ceiling);
+    }
+    expectGolden("rolling_replacement", fleet.journal());
+}
+
+} // namespace radishvane::tests
--- a/tests/stand_ins/platform_stand_in.cpp
+++ b/tests/stand_ins/platform_stand_in.cpp
@@ -62,13 +62,16 @@
             return readRow(query.at("key"));
         }
         if (request.path == "/table/rows") {
-            return readRows(query.at("prefix"));
+            return tagged(request, readRows(query.at("prefix")));
         }
         if (request.path == "/table/write") {
             return write(Json::parse(request.body));
         }
         if (request.path == "/hosts") {
-            return hosts();
+            return tagged(request, hosts());
+        }
+        if (request.path.starts_with("/hosts/")) {
+            return reboot(request.path, query.at("token"));
         }
         if (request.path.starts_with("/objects/")) {
             return object(request);
@@ -78,7 +81,9 @@
 
     HttpAnswer counts() const
     {
-        return jsonAnswer(httpStatus::ok, {{"reads", m_reads}, {"writes", m_writes}, {"conflicts", m_conflicts}});
+        return jsonAnswer(
+            httpStatus::ok,
+            {{"reads", m_reads}, {"writes", m_writes}, {"conflicts", m_conflicts}, {"reboots", m_reboots.size()}});
     }
 
     void changeHosts(const Json &json)
@@ -107,6 +112,17 @@
         return jsonAnswer(httpStatus::ok, rowJson(key, found->second));
     }
 
+    /// Answers with an entity tag, and without the body when the caller has it already.
+    static HttpAnswer tagged(const HttpRequest &request, HttpAnswer answer)
+    {
+        const std::string tag = '"' + std::to_string(std::hash<std::string>{}(answer.body)) + '"';
+        if (headerValue(request.headers, "If-None-Match") == tag) {
+            return {httpStatus::notModified, {{"ETag", tag}}, ""};
+        }
+        answer.headers.push_back({"ETag", tag});
+        return answer;
+    }
+
     HttpAnswer readRows(const std::string &prefix)
     {
         ++m_reads;
@@ -163,6 +179,18 @@
         return textAnswer(httpStatus::ok, found->second);
     }
 
+    /// Reboots a host once for each token; the reboot takes a while.
+    HttpAnswer reboot(const std::string &path, const std::string &token)
+    {
+        constexpr Duration rebootTime{1'500};
+        const std::string name = path + token;
+        if (!m_reboots.contains(name)) {
+            m_reboots[name] = false;
+            runOnce(m_loop, rebootTime, [this, name] { m_reboots[name] = true; });
+        }
+        return jsonAnswer(httpStatus::ok, {{"done", m_reboots[name]}});
+    }
+
     HttpAnswer hosts()
     {
         ++m_reads;
@@ -182,6 +210,7 @@
     std::map<std::string, Row> m_rows;
     std::map<std::string, std::string> m_objects;
     std::map<std::string, std::string> m_listed;
+    std::map<std::string, bool> m_reboots;
 };
 
 /// One way to the platform, with its own faults.
--- a/tests/support/fake_platform.cpp
+++ b/tests/support/fake_platform.cpp
@@ -26,6 +26,11 @@
     return m_rows;
 }
 
+const std::map<std::string, int> &FakePlatform::reboots() const
+{
+    return m_reboots;
+}
+
 std::size_t FakePlatform::writes() const
 {
     return m_writes;
@@ -62,6 +67,10 @@
                               return ObjectFound{found->second};
                           },
                           [&](const ListHosts &) -> PlatformAnswer { return HostsListed{}; },
+                          [&](const RebootHost &request) -> PlatformAnswer {
+                              const int asked = ++m_reboots[request.host.name() + '/' + request.token];
+                              return RebootState{asked >= rebootAsks && !neverBack.contains(request.host)};
+                          },
                       },
                       call.request);
 }
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -3,6 +3,7 @@
 #include "core/messages/platform_messages.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace radishvane::tests
@@ -25,6 +26,13 @@
 public:
     PlatformAnswer answer(const PlatformCall &call, PlatformFault fault = PlatformFault::None);
 
+    /// Questions about a reboot until it is done.
+    static constexpr int rebootAsks = 3;
+    /// Hosts that never come back from a reboot.
+    std::set<HostId> neverBack;
+    /// Reboots by host and token.
+    const std::map<std::string, int> &reboots() const;
+
     const std::map<std::string, StoredRow> &rows() const;
     std::size_t writes() const;
 
@@ -34,6 +42,7 @@
 
     std::map<std::string, StoredRow> m_rows;
     std::map<std::string, std::string> m_objects;
+    std::map<std::string, int> m_reboots;
     std::uint64_t m_lastVersion = 0;
     std::size_t m_writes = 0;
 };
