--- /dev/null
+++ b/misc/bench.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs the benchmarks; fails when a bound is broken.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build=$1
+status=0
+for name in policy detector decision; do
+    echo "== ${name}_benchmark"
+    "$build/benchmarks/${name}_benchmark" 2>&1 || status=1
+done
+echo "== path"
+misc/bench_path.sh "$build" || status=1
+exit "$status"
