--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -753,7 +753,9 @@
     for (const StoredRow &stored : found.rows) {
         const auto &row = std::get<JobRow>(stored.value);
         const bool mine = m_jobs.contains(row.id) || isBeingWritten(row.id);
-        if (mine || isTerminal(row.state) || ownerIsLive(row.owner) || !isOwnToAdopt(row.id)) {
+        // A row that names this very process is its own to take: others count its owner as live.
+        const bool named = row.owner == *m_self;
+        if (mine || isTerminal(row.state) || ownerIsLive(row.owner) || !(named || isOwnToAdopt(row.id))) {
             continue;
         }
         JobRow adopted = row;
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -203,6 +203,8 @@
     m_config.statusChanged.connect([this](const servers::ConfigStatus &status) { m_operator.post(status); });
     m_peers.statusChanged.connect([this](const servers::MembershipStatus &status) { m_operator.post(status); });
     m_rights.statusChanged.connect([this](const servers::RightsStatus &status) { m_operator.post(status); });
+    m_hosts.leavingChanged.connect(
+        [this](const std::set<HostId> &leaving) { m_operator.post(servers::LeavingStatus{leaving}); });
     m_jobs.statusChanged.connect([this](const servers::JobStatus &status) { m_operator.post(status); });
     m_platform.statusChanged.connect([this](const servers::PlatformStatus &status) { m_operator.post(status); });
 }
--- a/misc/bench.sh
+++ b/misc/bench.sh
@@ -11,4 +11,6 @@
 done
 echo "== path"
 misc/bench_path.sh "$build" || status=1
+echo "== control at the target size"
+misc/bench_control.sh "$build" || status=1
 exit "$status"
--- a/misc/run_example.sh
+++ b/misc/run_example.sh
@@ -110,7 +110,7 @@
     fi
 done
 echo "jobs: ${#jobs[@]} submitted, $((${#jobs[@]} - failed)) done, $failed not done"
-"$build/main/radishvane" status --operator 127.0.0.1:17301
+"$build/main/radishvane" status --operator 127.0.0.1:17301 --platform 127.0.0.1:17000
 
 echo "== checking that no request and no job ran twice"
 doubled=$(for port in $(seq 17100 17139) $(seq 17900 17907); do curl -fs "http://127.0.0.1:$port/executions"; echo; done \
--- a/servers/operator_task.cpp
+++ b/servers/operator_task.cpp
@@ -63,6 +63,11 @@
     m_status.jobs = std::move(message);
 }
 
+void OperatorTask::on(LeavingStatus &message)
+{
+    m_status.leaving = std::move(message);
+}
+
 void OperatorTask::on(StopStage &message)
 {
     m_status.stage = message;
--- a/servers/operator_task.h
+++ b/servers/operator_task.h
@@ -14,7 +14,7 @@
 {
 public:
     using Message = std::variant<RequestStatus, ConfigStatus, MembershipStatus, RightsStatus, PlatformStatus, JobStatus,
-                                 StopStage>;
+                                 LeavingStatus, StopStage>;
 
     OperatorTask(drivers::EventLoop &loop, HostId host, ZoneId zone);
 
@@ -28,6 +28,7 @@
     void on(RightsStatus &message);
     void on(PlatformStatus &message);
     void on(JobStatus &message);
+    void on(LeavingStatus &message);
     void on(StopStage &message);
     void receive(const drivers::HttpRequest &request);
     drivers::HttpAnswer answerTo(const drivers::HttpRequest &request) const;
--- a/servers/status_json.cpp
+++ b/servers/status_json.cpp
@@ -49,6 +49,20 @@
     return pools;
 }
 
+Json hostsJson(const HostStatus &status)
+{
+    Json hosts = Json::array();
+    for (const auto &[id, host] : status.config.config->hosts) {
+        const bool leaving = status.leaving.hosts.contains(id);
+        hosts.push_back({{"host", id.name()},
+                         {"zone", host.zone.name()},
+                         {"rack", host.rack.name()},
+                         {"pool", host.pool.name()},
+                         {"state", leaving ? "leaving" : "in-service"}});
+    }
+    return hosts;
+}
+
 Json teamsJson(const HostStatus &status)
 {
     Json teams = Json::array();
@@ -154,6 +168,7 @@
               {"jobs", jobsJson(status.jobs)}};
     if (status.config.config != nullptr) {
         json["pools"] = poolsJson(*status.config.config);
+        json["hosts"] = hostsJson(status);
         json["teams"] = teamsJson(status);
         json["services"] = servicesJson(*status.config.config);
     }
--- a/servers/status_json.h
+++ b/servers/status_json.h
@@ -20,6 +20,7 @@
     RightsStatus rights;
     PlatformStatus platform;
     JobStatus jobs;
+    LeavingStatus leaving;
 };
 
 /// JSON for `radishvane status`.
--- a/servers/task_messages.h
+++ b/servers/task_messages.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,12 @@
     std::map<std::string, std::uint64_t> steps;
 };
 
+/// Hosts that get no new work, for the operator port.
+struct LeavingStatus
+{
+    std::set<HostId> hosts;
+};
+
 /// Stages of an entry host's stop.
 enum class StopStage {
     Serving,
