Split taking jobs in from owning them

Cause: the job keeper had grown to 850 lines with two jobs: answering submitters, and bringing owned jobs to their end. Change: JobDesk takes in, tells and cancels; JobKeeper owns; JobOutbox holds the effects and ids of both. Behaviour is as it was.

--- a/core/fleet/maintenance_keeper.cpp
+++ b/core/fleet/maintenance_keeper.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-bool isTerminal(JobState state)
-{
-    return state == JobState::Done || state == JobState::Failed || state == JobState::Cancelled;
-}
-
 std::string rebootToken(const HostOut &out)
 {
     // One token for each drain, so that a planner that takes over does not reboot the host again.
--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -15,33 +15,17 @@
 /// Bytes of a result that the row keeps.
 constexpr std::size_t mostResultBytes = 4'096;
 
-bool isTerminal(JobState state)
-{
-    switch (state) {
-    case JobState::Queued:
-    case JobState::Starting:
-    case JobState::Running:
-        return false;
-    case JobState::Done:
-    case JobState::Failed:
-    case JobState::Cancelled:
-        return true;
-    }
-    return true;
-}
-
 } // namespace
 
-JobKeeper::JobKeeper(HostId host, std::uint64_t seed) : m_host(std::move(host)), m_board(seed)
+JobKeeper::JobKeeper(HostId host, std::uint64_t seed) : m_host(host), m_board(seed), m_desk(std::move(host))
 {
 }
 
 JobEffects JobKeeper::handle(const JobEvent &event, Instant now)
 {
     m_now = now;
-    m_effects.clear();
     std::visit([this](const auto &alternative) { on(alternative); }, event);
-    return std::exchange(m_effects, {});
+    return m_outbox.take();
 }
 
 std::vector<JobRow> JobKeeper::owned() const
@@ -55,60 +39,40 @@
 
 void JobKeeper::on(const JobSubmitted &event)
 {
-    const auto team = teamOf(event.exchange, event.key);
-    if (!team) {
-        return;
-    }
-    if (m_stopping || !m_self) {
-        refuse(event.exchange, m_stopping ? RefusalReason::Stopping : RefusalReason::ClaimUnavailable);
-        return;
-    }
-    if (!m_board.canEverHold(event.spec.needs)) {
-        refuse(event.exchange, RefusalReason::LargerThanAnyWorker);
-        return;
-    }
-    const JobRow row = newRow(event, *team);
-    m_payloads.emplace(call(PutObject{row.payload, event.spec.payload}), Submission{event.exchange, row});
+    m_desk.submit(event, deskContext(), m_outbox);
 }
 
 void JobKeeper::on(const JobAsked &event)
 {
-    const auto team = teamOf(event.exchange, event.key);
-    if (team) {
-        m_asked.emplace(call(ReadRow{rowKey::job(event.job)}), std::pair(event.exchange, *team));
-    }
+    m_desk.ask(event, deskContext(), m_outbox);
 }
 
 void JobKeeper::on(const JobCancelAsked &event)
 {
-    const auto team = teamOf(event.exchange, event.key);
-    if (team) {
-        m_cancelReads.emplace(call(ReadRow{rowKey::job(event.job)}), std::pair(event.exchange, *team));
-    }
+    m_desk.cancel(event, deskContext(), m_outbox);
 }
 
 void JobKeeper::on(const PlatformAnswered &event)
 {
+    const JobDesk::Outcome outcome = m_desk.answered(event, deskContext(), m_outbox);
+    if (outcome.own) {
+        if (outcome.accepted) {
+            manage(outcome.accepted->first, outcome.accepted->second, Stage::Waiting);
+        }
+        m_nextScan = outcome.mayBeOrphaned ? m_now.steady : m_nextScan;
+        reportDemand();
+        return;
+    }
     if (event.id == m_scan) {
         m_scan = {};
         if (const auto *found = std::get_if<RowsFound>(&event.answer)) {
             onScanned(*found);
         }
-    } else if (auto node = m_payloads.extract(event.id)) {
-        onPayloadStored(node.mapped(), event.answer);
-    } else if (auto submission = m_submissions.extract(event.id)) {
-        onSubmissionWritten(submission.mapped(), event.answer);
-    } else if (auto asked = m_asked.extract(event.id)) {
-        onRowAsked(asked.mapped().first, asked.mapped().second, event.answer);
-    } else if (auto read = m_cancelReads.extract(event.id)) {
-        onCancelRead(read.mapped().first, read.mapped().second, event.answer);
-    } else if (auto cancelled = m_cancelWrites.extract(event.id)) {
-        onCancelled(cancelled.mapped(), event.answer);
     } else if (auto adoption = m_adoptions.extract(event.id)) {
         if (const auto *written = std::get_if<RowsWritten>(&event.answer)) {
             const auto &[row, stage] = adoption.mapped();
             manage(row, written->versions.front(), stage);
-            note(JobStep::Adopted, row);
+            m_outbox.note(JobStep::Adopted, row);
         }
     } else if (auto handed = m_handBacks.extract(event.id)) {
         for (const JobId &id : handed.mapped()) {
@@ -211,7 +175,7 @@
 
 void JobKeeper::on(const JobTick &)
 {
-    flushCancellations();
+    m_desk.flush(m_outbox);
     scanForOrphans();
     std::vector<std::pair<double, JobId>> order;
     for (const auto &[id, job] : m_jobs) {
@@ -241,138 +205,6 @@
     handBack();
 }
 
-std::optional<TeamId> JobKeeper::teamOf(ExchangeId exchange, const std::string &key)
-{
-    if (m_config == nullptr) {
-        refuse(exchange, RefusalReason::NoConfiguration);
-        return std::nullopt;
-    }
-    const auto found = m_config->keys.find(key);
-    if (key.empty() || found == m_config->keys.end()) {
-        refuse(exchange, key.empty() ? RefusalReason::KeyMissing : RefusalReason::UnknownKey);
-        return std::nullopt;
-    }
-    return found->second.team;
-}
-
-JobRow JobKeeper::newRow(const JobSubmitted &event, const TeamId &team)
-{
-    JobRow row;
-    const std::string unique
-        = m_host.name() + '-' + std::to_string(m_self->incarnation.value) + '-' + std::to_string(++m_lastJob);
-    row.id = JobId(team.name() + '.' + (event.idempotencyKey.empty() ? unique : event.idempotencyKey));
-    row.team = team;
-    row.kind = event.spec.kind;
-    row.idempotent = event.spec.idempotent;
-    row.needs = event.spec.needs;
-    row.declaredRun = event.spec.declaredRun;
-    row.payload = "job-" + row.id.name() + '-' + unique;
-    row.submittedAt = m_now.wall;
-    row.endBy = m_now.wall + event.spec.endWithin;
-    row.owner = *m_self;
-    return row;
-}
-
-void JobKeeper::onPayloadStored(const Submission &submission, const PlatformAnswer &answer)
-{
-    if (!std::holds_alternative<ObjectStored>(answer)) {
-        // Without a row the payload is no job.
-        refuse(submission.exchange, RefusalReason::ClaimUnavailable);
-        return;
-    }
-    const RowWrite row{rowKey::job(submission.row.id), 0, RowValue(submission.row)};
-    m_submissions.emplace(call(WriteRows{{row}}), submission);
-}
-
-void JobKeeper::onSubmissionWritten(const Submission &submission, const PlatformAnswer &answer)
-{
-    if (const auto *written = std::get_if<RowsWritten>(&answer)) {
-        m_effects.push_back(AnswerJob{submission.exchange, JobAccepted{submission.row.id}});
-        note(JobStep::Accepted, submission.row);
-        manage(submission.row, written->versions.front(), Stage::Waiting);
-        return;
-    }
-    if (std::holds_alternative<WriteConflict>(answer)) {
-        // The name was used before: the same submission, repeated. An owner has the job already.
-        m_effects.push_back(AnswerJob{submission.exchange, JobAccepted{submission.row.id}});
-        m_nextScan = m_now.steady;
-        return;
-    }
-    const auto *failed = std::get_if<PlatformFailed>(&answer);
-    if (failed != nullptr && failed->error == PlatformError::Unavailable) {
-        refuse(submission.exchange, RefusalReason::ClaimUnavailable);
-        return;
-    }
-    m_effects.push_back(AnswerJob{submission.exchange, JobInDoubt{submission.row.id}});
-    m_nextScan = m_now.steady;
-}
-
-void JobKeeper::onRowAsked(ExchangeId exchange, const TeamId &team, const PlatformAnswer &answer)
-{
-    if (const auto *found = std::get_if<RowFound>(&answer)) {
-        const auto &row = std::get<JobRow>(found->row.value);
-        if (row.team == team) {
-            m_effects.push_back(AnswerJob{exchange, JobFound{row}});
-            return;
-        }
-    } else if (!std::holds_alternative<RowAbsent>(answer)) {
-        refuse(exchange, RefusalReason::ClaimUnavailable);
-        return;
-    }
-    m_effects.push_back(AnswerJob{exchange, JobNotFound{}});
-}
-
-void JobKeeper::onCancelRead(ExchangeId exchange, const TeamId &team, const PlatformAnswer &answer)
-{
-    const auto *found = std::get_if<RowFound>(&answer);
-    const JobRow *row = found == nullptr ? nullptr : &std::get<JobRow>(found->row.value);
-    if (row == nullptr || row->team != team || isTerminal(row->state)) {
-        onRowAsked(exchange, team, answer);
-        return;
-    }
-    m_cancellations.push_back({exchange, *row, found->row.version});
-    if (m_cancellations.size() >= batchSize) {
-        flushCancellations();
-    }
-}
-
-void JobKeeper::flushCancellations()
-{
-    if (m_cancellations.empty()) {
-        return;
-    }
-    std::vector<Cancellation> batch = std::exchange(m_cancellations, {});
-    WriteRows request;
-    for (Cancellation &cancellation : batch) {
-        JobRow &row = cancellation.row;
-        row.cancelAsked = true;
-        if (row.state == JobState::Queued) {
-            row.state = JobState::Cancelled;
-            row.reason = JobReason::CancelledByCaller;
-        }
-        request.writes.push_back({rowKey::job(row.id), cancellation.version, RowValue(row)});
-    }
-    m_cancelWrites.emplace(call(std::move(request)), std::move(batch));
-}
-
-void JobKeeper::onCancelled(const std::vector<Cancellation> &batch, const PlatformAnswer &answer)
-{
-    const bool written = std::holds_alternative<RowsWritten>(answer);
-    const bool conflict = std::holds_alternative<WriteConflict>(answer);
-    for (const Cancellation &cancellation : batch) {
-        if (written) {
-            m_effects.push_back(AnswerJob{cancellation.exchange, JobFound{cancellation.row}});
-            askStop(cancellation.row);
-        } else if (conflict) {
-            // One row of the batch has moved on; each is read and tried again.
-            m_cancelReads.emplace(call(ReadRow{rowKey::job(cancellation.row.id)}),
-                                  std::pair(cancellation.exchange, cancellation.row.team));
-        } else {
-            refuse(cancellation.exchange, RefusalReason::ClaimUnavailable);
-        }
-    }
-}
-
 void JobKeeper::manage(const JobRow &row, std::uint64_t version, Stage stage)
 {
     Job &job = m_jobs[row.id];
@@ -421,14 +253,14 @@
             return;
         }
         if (m_now.wall >= job.row.endBy) {
-            askStop(job.row);
+            askWorkerToStop(job.row, m_board, m_outbox);
             end(job, JobState::Failed, JobReason::DeadlinePassed);
             return;
         }
         if (m_leaving.contains(job.row.worker) && job.row.idempotent && !job.moving) {
             // A job that may run again is moved; others are left to end before the host does.
             job.moving = true;
-            askStop(job.row);
+            askWorkerToStop(job.row, m_board, m_outbox);
         }
         // After the session's end another owner may have the job, so its lease is not renewed any more.
         send(job, RenewTask{job.row.id, job.row.epoch, m_now.steady < m_leasedUntil ? taskLease : Duration(0)});
@@ -437,7 +269,7 @@
         write(job, job.row);
         return;
     case Stage::Rereading:
-        job.operation = call(ReadRow{rowKey::job(job.row.id)});
+        job.operation = m_outbox.call(ReadRow{rowKey::job(job.row.id)});
         m_jobOperations.emplace(job.operation, job.row.id);
         return;
     }
@@ -495,7 +327,7 @@
 {
     job.stage = isTerminal(row.state) ? Stage::Ending : Stage::Writing;
     job.writing = std::move(row);
-    job.operation = call(WriteRows{{RowWrite{rowKey::job(job.row.id), job.version, RowValue(job.writing)}}});
+    job.operation = m_outbox.call(WriteRows{{RowWrite{rowKey::job(job.row.id), job.version, RowValue(job.writing)}}});
     m_jobOperations.emplace(job.operation, job.row.id);
 }
 
@@ -508,7 +340,7 @@
             drop(job, JobStep::Ended);
             return;
         }
-        note(JobStep::Placed, job.row);
+        m_outbox.note(JobStep::Placed, job.row);
         job.stage = Stage::Starting;
         job.lapses = m_now.steady + taskLease + clockMargin;
         send(job, StartTask{job.row.id, job.row.epoch, taskLease, *job.room, job.row.kind, job.row.payload});
@@ -586,10 +418,9 @@
         }
         return;
     }
-    job.call = WorkerCallId{++m_lastCall};
+    job.call = m_outbox.call(*endpoint, std::move(request));
     job.renewalSent = m_now.steady;
     m_jobCalls.emplace(job.call, job.row.id);
-    m_effects.push_back(WorkerCall{job.call, *endpoint, std::move(request)});
 }
 
 void JobKeeper::onReport(Job &job, const TaskReport &report)
@@ -613,7 +444,7 @@
         return;
     case TaskState::Failed:
         if (m_board.noteFailure(job.row.worker, m_now.steady)) {
-            note(JobStep::WorkerEjected, job.row);
+            m_outbox.note(JobStep::WorkerEjected, job.row);
         }
         if (!job.row.idempotent) {
             end(job, JobState::Failed, JobReason::WorkFailed, report.result);
@@ -642,7 +473,7 @@
         return;
     case TaskState::Unknown:
         if (m_board.noteFailure(job.row.worker, m_now.steady)) {
-            note(JobStep::WorkerEjected, job.row);
+            m_outbox.note(JobStep::WorkerEjected, job.row);
         }
         if (job.stage == Stage::Adopted || job.stage == Stage::InDoubt) {
             // Ask to fence: only that tells whether the start can still come.
@@ -658,7 +489,7 @@
 void JobKeeper::onWorkerSilent(Job &job, WorkerFailure failure)
 {
     if (m_board.noteFailure(job.row.worker, m_now.steady)) {
-        note(JobStep::WorkerEjected, job.row);
+        m_outbox.note(JobStep::WorkerEjected, job.row);
     }
     if (job.stage == Stage::Starting) {
         if (failure == WorkerFailure::NotSent) {
@@ -687,7 +518,7 @@
     job.moving = false;
     job.stage = Stage::Waiting;
     job.next = m_now.steady + (countsAsAttempt ? retryInterval : Duration(0));
-    note(JobStep::Requeued, job.row);
+    m_outbox.note(JobStep::Requeued, job.row);
 }
 
 void JobKeeper::end(Job &job, JobState state, JobReason reason, const std::string &result)
@@ -703,7 +534,7 @@
 void JobKeeper::drop(Job &job, JobStep step)
 {
     giveBack(job);
-    note(step, job.row);
+    m_outbox.note(step, job.row);
     m_jobOperations.erase(job.operation);
     m_jobCalls.erase(job.call);
     const JobId id = job.row.id;
@@ -731,21 +562,13 @@
     return job.holdsRight && m_now.steady < m_leasedUntil;
 }
 
-void JobKeeper::askStop(const JobRow &row)
-{
-    const auto endpoint = m_board.endpoint(row.worker);
-    if (endpoint && !row.worker.empty() && row.state != JobState::Queued) {
-        m_effects.push_back(WorkerCall{WorkerCallId{++m_lastCall}, *endpoint, StopTaskRun{row.id, row.epoch}});
-    }
-}
-
 void JobKeeper::scanForOrphans()
 {
     if (m_stopping || !m_self || m_scan != OperationId{} || m_now.steady < m_nextScan) {
         return;
     }
     m_nextScan = m_now.steady + orphanInterval;
-    m_scan = call(ScanRows{std::string(rowKey::jobs)});
+    m_scan = m_outbox.call(ScanRows{std::string(rowKey::jobs)});
 }
 
 void JobKeeper::onScanned(const RowsFound &found)
@@ -762,7 +585,7 @@
         adopted.owner = *m_self;
         const Stage stage = row.state == JobState::Queued ? Stage::Waiting : Stage::Adopted;
         const RowWrite write{stored.key, stored.version, RowValue(adopted)};
-        m_adoptions.emplace(call(WriteRows{{write}}), std::pair(adopted, stage));
+        m_adoptions.emplace(m_outbox.call(WriteRows{{write}}), std::pair(adopted, stage));
     }
 }
 
@@ -787,9 +610,7 @@
 
 bool JobKeeper::isBeingWritten(const JobId &job) const
 {
-    const bool submitted = std::any_of(m_submissions.begin(), m_submissions.end(),
-                                       [&](const auto &entry) { return entry.second.row.id == job; });
-    return submitted || std::any_of(m_adoptions.begin(), m_adoptions.end(), [&](const auto &entry) {
+    return m_desk.isSubmitting(job) || std::any_of(m_adoptions.begin(), m_adoptions.end(), [&](const auto &entry) {
                return entry.second.first.id == job;
            });
 }
@@ -806,7 +627,7 @@
         const JobDemand demand{team, m_rights.running(team), m_stopping ? 0 : waiting[team], m_rights.generation(team)};
         if (demand != reported) {
             reported = demand;
-            m_effects.push_back(demand);
+            m_outbox.push(demand);
         }
     }
 }
@@ -826,34 +647,22 @@
         handed.push_back(id);
     }
     if (!handed.empty()) {
-        const OperationId id = call(std::move(request));
+        const OperationId id = m_outbox.call(std::move(request));
         for (const JobId &job : handed) {
             m_jobs.at(job).operation = id;
         }
         m_handBacks.emplace(id, std::move(handed));
     }
-    const bool open = !m_jobs.empty() || !m_submissions.empty() || !m_payloads.empty() || !m_adoptions.empty();
+    const bool open = !m_jobs.empty() || m_desk.hasSubmissions() || !m_adoptions.empty();
     if (!open && !m_returned) {
         m_returned = true;
-        m_effects.push_back(JobsReturned{});
+        m_outbox.push(JobsReturned{});
     }
 }
 
-OperationId JobKeeper::call(PlatformRequest request)
-{
-    const OperationId id{++m_lastOperation};
-    m_effects.push_back(PlatformCall{id, std::move(request)});
-    return id;
-}
-
-void JobKeeper::refuse(ExchangeId exchange, RefusalReason reason)
-{
-    m_effects.push_back(AnswerJob{exchange, JobRefused{reason}});
-}
-
-void JobKeeper::note(JobStep step, const JobRow &row)
+DeskContext JobKeeper::deskContext() const
 {
-    m_effects.push_back(JobNoted{step, row.id, row.team, row.worker, row.state, row.reason, row.attempts});
+    return {m_config.get(), m_self, m_board, m_now, m_stopping};
 }
 
 } // namespace radishvane
--- a/core/jobs/job_keeper.h
+++ b/core/jobs/job_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/jobs/job_desk.h"
 #include "core/jobs/job_messages.h"
 #include "core/jobs/run_estimates.h"
 #include "core/jobs/worker_board.h"
@@ -12,7 +13,7 @@
 namespace radishvane
 {
 
-/// The jobs that one entry host owns: submission, placement, leases on workers, takeover of orphans, and the end.
+/// The jobs that one entry host owns: placement, leases on workers, takeover of orphans, and the end.
 ///
 /// Each job is one row of the table, and every step is a conditional write of that row. A job that is not idempotent
 /// starts again only when its worker has said that the earlier start never took place.
@@ -80,19 +81,6 @@
         std::optional<JobNeeds> room;
     };
 
-    struct Submission
-    {
-        ExchangeId exchange;
-        JobRow row;
-    };
-
-    struct Cancellation
-    {
-        ExchangeId exchange;
-        JobRow row;
-        std::uint64_t version = 0;
-    };
-
     void on(const JobSubmitted &event);
     void on(const JobAsked &event);
     void on(const JobCancelAsked &event);
@@ -108,15 +96,6 @@
     void on(const JobTick &event);
     void on(const JobStop &event);
 
-    std::optional<TeamId> teamOf(ExchangeId exchange, const std::string &key);
-    JobRow newRow(const JobSubmitted &event, const TeamId &team);
-    void onPayloadStored(const Submission &submission, const PlatformAnswer &answer);
-    void onSubmissionWritten(const Submission &submission, const PlatformAnswer &answer);
-    void onRowAsked(ExchangeId exchange, const TeamId &team, const PlatformAnswer &answer);
-    void onCancelRead(ExchangeId exchange, const TeamId &team, const PlatformAnswer &answer);
-    void flushCancellations();
-    void onCancelled(const std::vector<Cancellation> &batch, const PlatformAnswer &answer);
-
     void manage(const JobRow &row, std::uint64_t version, Stage stage);
     void consider(Job &job);
     std::optional<JobReason> impossible(const JobRow &row) const;
@@ -133,7 +112,6 @@
     void drop(Job &job, JobStep step);
     void giveBack(Job &job);
     bool takeRight(Job &job);
-    void askStop(const JobRow &row);
 
     void scanForOrphans();
     void onScanned(const RowsFound &found);
@@ -142,32 +120,22 @@
     bool isBeingWritten(const JobId &job) const;
     void reportDemand();
     void handBack();
-    OperationId call(PlatformRequest request);
-    void refuse(ExchangeId exchange, RefusalReason reason);
-    void note(JobStep step, const JobRow &row);
+    DeskContext deskContext() const;
 
     HostId m_host;
     Instant m_now;
-    JobEffects m_effects;
-    std::uint64_t m_lastOperation = 0;
-    std::uint64_t m_lastCall = 0;
-    std::uint64_t m_lastJob = 0;
+    JobOutbox m_outbox;
     std::shared_ptr<const Config> m_config;
     std::optional<HolderId> m_self;
     TeamRights m_rights;
     TimePoint m_leasedUntil;
     WorkerBoard m_board;
+    JobDesk m_desk;
     std::set<HostId> m_leaving;
     RunEstimates m_estimates;
     std::map<JobId, Job> m_jobs;
     std::map<OperationId, JobId> m_jobOperations;
     std::map<WorkerCallId, JobId> m_jobCalls;
-    std::map<OperationId, Submission> m_payloads;
-    std::map<OperationId, Submission> m_submissions;
-    std::map<OperationId, std::pair<ExchangeId, TeamId>> m_asked;
-    std::map<OperationId, std::pair<ExchangeId, TeamId>> m_cancelReads;
-    std::map<OperationId, std::vector<Cancellation>> m_cancelWrites;
-    std::vector<Cancellation> m_cancellations;
     std::map<OperationId, std::vector<JobId>> m_handBacks;
     /// Jobs without a live owner that this host is taking over, with the stage that they begin in.
     std::map<OperationId, std::pair<JobRow, Stage>> m_adoptions;
--- a/core/messages/rows.cpp
+++ b/core/messages/rows.cpp
@@ -1,5 +1,25 @@
 #include "core/messages/rows.h"
 
+namespace radishvane
+{
+
+bool isTerminal(JobState state)
+{
+    switch (state) {
+    case JobState::Queued:
+    case JobState::Starting:
+    case JobState::Running:
+        return false;
+    case JobState::Done:
+    case JobState::Failed:
+    case JobState::Cancelled:
+        return true;
+    }
+    return true;
+}
+
+} // namespace radishvane
+
 namespace radishvane::rowKey
 {
 
--- a/core/messages/rows.h
+++ b/core/messages/rows.h
@@ -120,6 +120,9 @@
 inline constexpr std::array<std::string_view, 6> jobStateNames{"queued", "starting", "running",
                                                                "done",   "failed",   "cancelled"};
 
+/// True for states that a job never leaves.
+bool isTerminal(JobState state);
+
 /// Why a job failed or waits.
 enum class JobReason {
     None,
