Let the test of stale host lists see a planner that ignores their age

Change: the test gives a list, lets it grow old, and only then lets the table answer; afterwards a fresh list must start the wave.

--- a/tests/core/fleet/maintenance_keeper_test.cpp
+++ b/tests/core/fleet/maintenance_keeper_test.cpp
@@ -192,11 +192,18 @@
 
 TEST(Maintenance, StartsNoDrainWhileCutOff)
 {
-    story("an entry host that reads no host list", [] {
+    story("an entry host whose latest host list is older than a few seconds", [] {
         MaintenanceWorld world(1);
+        world.run(std::chrono::seconds(20), PlatformFault::Down);
         world.listKnown = false;
+        world.run(std::chrono::minutes(2), PlatformFault::Down);
         world.run(std::chrono::minutes(2));
-        EXPECT_EQ(world.out(), 0U);
+        EXPECT_EQ(world.out() + world.maintained(), 0U);
+        section("and drains again once it reads one", [&] {
+            world.listKnown = true;
+            world.run(std::chrono::minutes(10));
+            EXPECT_EQ(world.maintained(), 12U);
+        });
     });
     story("a host that never comes back from its reboot", [] {
         MaintenanceWorld world(1);
