--- a/tests/core/routing/request_plane_test.cpp
+++ b/tests/core/routing/request_plane_test.cpp
@@ -166,6 +166,16 @@
             EXPECT_TRUE(only<ReportUnknown>(effects));
         });
     });
+    story("an idempotent request that waits for its second try until its deadline", [] {
+        PlaneWorld world({}, 1);
+        const auto first = only<StartAttempt>(world.request(1, true));
+        EXPECT_FALSE(only<StartAttempt>(world.end(first->attempt, AttemptOutcome::ConnectionLost)));
+        const auto late = world.pass(Duration(5'000));
+        section("is not refused as not run either", [&] {
+            EXPECT_FALSE(only<Refuse>(late));
+            EXPECT_TRUE(only<ReportUnknown>(late));
+        });
+    });
 }
 
 TEST(RequestPlane, KeepsTheCeilingOfATeam)
