Let callers in once the version was confirmed, and show what a set would change

Cause: under load a restarted entry host answered 2 of 839 requests with key-not-vouched: it had the files from a peer, but no confirmation yet, and a peer's heartbeat without an echo counted as one from the clock's origin. Ruled out: the balancer (no request was lost or refused by the stopping host). Change: callers are let in with the first fresh confirmation, or 5 s after the first version where none can be had; heartbeats without an echo confirm nothing. The test of a start while the platform is down waits until the host is ready.

--- a/core/config/config_keeper.cpp
+++ b/core/config/config_keeper.cpp
@@ -48,7 +48,9 @@
         m_source = event.peer;
     }
     hear(event.version);
-    confirm(event.version, event.confirmedAt);
+    if (event.confirmedAt != TimePoint{}) {
+        confirm(event.version, event.confirmedAt);
+    }
     fetch();
 }
 
--- a/core/config/config_keeper.h
+++ b/core/config/config_keeper.h
@@ -20,7 +20,7 @@
 {
     ConfigVersion version;
     HostId peer;
-    /// When the peer confirmed it to be the newest, at the earliest.
+    /// When the peer confirmed it to be the newest, at the earliest; the clock's origin when that is not known.
     TimePoint confirmedAt;
 };
 
--- a/main/commands/command.h
+++ b/main/commands/command.h
@@ -33,6 +33,7 @@
 
 /// Each adds one command, whose end it leaves in @p exitCode.
 void addValidate(CLI::App &app, ExitCode &exitCode);
+void addPlan(CLI::App &app, ExitCode &exitCode);
 void addApply(CLI::App &app, ExitCode &exitCode);
 void addStatus(CLI::App &app, ExitCode &exitCode);
 void addCall(CLI::App &app, ExitCode &exitCode);
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -92,8 +92,6 @@
 void EntryHost::wireConfig()
 {
     m_config.adopted.connect([this](const ConfigAdopted &adopted) {
-        // Callers come in only once there is something to serve them by; until then the balancer goes elsewhere.
-        m_front.post(servers::StartAccepting{m_settings.listen});
         m_requests.post(RequestEvent(ConfigInForce{adopted.config}));
         m_rights.post(LedgerConfig{adopted.config});
         m_peers.post(servers::OfferConfig{adopted.config->version, adopted.files});
@@ -103,6 +101,8 @@
         m_requests.post(RequestEvent(ConfigConfirmed{at}));
         m_peers.post(PeerEvent(OwnConfigConfirmed{at}));
     });
+    // Callers come in only once there is something to serve them by; until then the balancer goes elsewhere.
+    m_config.servable.connect([this] { m_front.post(servers::StartAccepting{m_settings.listen}); });
     m_config.outdated.connect([this] { m_requests.post(RequestEvent(ConfigSuspended{})); });
     m_config.peerAsked.connect([this](const AskPeerForConfig &ask) {
         m_peers.post(servers::FetchConfig{ask.peer, ask.version});
--- a/main/radishvane.cpp
+++ b/main/radishvane.cpp
@@ -15,6 +15,7 @@
     app.require_subcommand(1);
     commands::ExitCode exitCode = commands::ExitCode::Done;
     commands::addValidate(app, exitCode);
+    commands::addPlan(app, exitCode);
     commands::addApply(app, exitCode);
     commands::addStatus(app, exitCode);
     commands::addCall(app, exitCode);
--- a/misc/run_example.sh
+++ b/misc/run_example.sh
@@ -73,6 +73,7 @@
 
 echo "== applying examples/harrowgate"
 "$build/main/radishvane" validate examples/harrowgate
+"$build/main/radishvane" plan examples/harrowgate --platform 127.0.0.1:17000 | head -n 1
 "$build/main/radishvane" apply examples/harrowgate --platform 127.0.0.1:17000 --operator 127.0.0.1:17301
 
 echo "== submitting 24 jobs"
--- a/servers/config_task.cpp
+++ b/servers/config_task.cpp
@@ -55,6 +55,9 @@
 {
     drivers::logLine(drivers::LogLevel::Info, "config-in-force",
                      {{"version", std::to_string(effect.config->version.value)}});
+    if (m_status.config == nullptr) {
+        m_adoptedAt = m_clock.now();
+    }
     m_status.config = effect.config;
     m_nextStatus = TimePoint{};
     adopted.emit(effect);
@@ -64,6 +67,9 @@
 {
     m_confirmedAt = std::max(m_confirmedAt, effect.at);
     confirmed.emit(effect.at);
+    if (m_clock.now() - effect.at <= configFreshFor) {
+        letCallersIn();
+    }
 }
 
 void ConfigTask::apply(const ConfigOutdated &effect)
@@ -72,10 +78,23 @@
     outdated.emit();
 }
 
+void ConfigTask::letCallersIn()
+{
+    if (m_status.servable || m_status.config == nullptr) {
+        return;
+    }
+    m_status.servable = true;
+    m_nextStatus = TimePoint{};
+    servable.emit();
+}
+
 void ConfigTask::onTick()
 {
     handle(KeeperTick{});
     const TimePoint now = m_clock.now();
+    if (m_status.config != nullptr && now >= m_adoptedAt + confirmationWait) {
+        letCallersIn();
+    }
     if (now >= m_nextStatus) {
         m_nextStatus = now + statusInterval;
         m_status.newestHeardOf = m_keeper.newestHeardOf();
--- a/servers/config_task.h
+++ b/servers/config_task.h
@@ -16,6 +16,8 @@
 public:
     static constexpr Duration tickInterval{200};
     static constexpr Duration statusInterval{1'000};
+    /// Wait for the first confirmation after which callers are let in all the same.
+    static constexpr Duration confirmationWait{5'000};
 
     ConfigTask(drivers::EventLoop &loop, const Clock &clock);
 
@@ -26,6 +28,8 @@
     sigc::signal<void(const ConfigAdopted &)> adopted;
     sigc::signal<void(TimePoint)> confirmed;
     sigc::signal<void()> outdated;
+    /// Callers may come in: a version is in force and was confirmed, or could not be for a while.
+    sigc::signal<void()> servable;
     sigc::signal<void(const ConfigStatus &)> statusChanged;
 
 private:
@@ -36,12 +40,14 @@
     void apply(const ConfigAdopted &effect);
     void apply(const ConfigConfirmedAt &effect);
     void apply(const ConfigOutdated &effect);
+    void letCallersIn();
     void onTick();
 
     const Clock &m_clock;
     ConfigKeeper m_keeper;
     ConfigStatus m_status;
     TimePoint m_confirmedAt;
+    TimePoint m_adoptedAt;
     TimePoint m_nextStatus;
     drivers::Mailbox<ConfigEvent> m_mailbox;
     drivers::Timer m_timer;
--- a/servers/operator_task.cpp
+++ b/servers/operator_task.cpp
@@ -98,7 +98,7 @@
 
 bool OperatorTask::ready() const
 {
-    return m_status.stage == StopStage::Serving && m_status.config.config != nullptr;
+    return m_status.stage == StopStage::Serving && m_status.config.servable;
 }
 
 } // namespace radishvane::servers
--- a/servers/task_messages.h
+++ b/servers/task_messages.h
@@ -43,6 +43,8 @@
     std::shared_ptr<const Config> config;
     ConfigVersion newestHeardOf;
     bool confirmed = false;
+    /// Callers are let in.
+    bool servable = false;
 };
 
 /// One entry host as this one sees it.
--- a/tests/servers/whole_path_test.cpp
+++ b/tests/servers/whole_path_test.cpp
@@ -119,6 +119,7 @@
             fleet.entry(2).kill();
             fleet.startEntry(2);
             EXPECT_TRUE(Fleet::eventually([&] { return fleet.status(2).value("version", 0) == 2; }));
+            EXPECT_TRUE(Fleet::eventually([&] { return fleet.get(fleet.operatorPort(2), "/readyz").status == 200; }));
             EXPECT_EQ(fleet.request(2).status, 401);
         });
         section("a lost answer of the platform is found out", [&] {
