Read and check a folder in one place, and append in place of adding strings

Cause: three commands read and checked a folder each by itself; the linter found temporary strings in the comparison of configurations.

--- a/core/config/config_diff.cpp
+++ b/core/config/config_diff.cpp
@@ -121,7 +121,8 @@
     for (const auto &[field, value] : after) {
         const std::string &old = before.at(field);
         if (old != value) {
-            detail += (detail.empty() ? "" : ", ") + field + ' ' + old + " -> " + value;
+            detail += detail.empty() ? "" : ", ";
+            detail.append(field).append(" ").append(old).append(" -> ").append(value);
         }
     }
     return detail;
--- a/main/commands/apply.cpp
+++ b/main/commands/apply.cpp
@@ -182,17 +182,11 @@
 
 ExitCode run(const Options &options)
 {
-    const auto files = drivers::readFolder(options.folder);
-    if (!files) {
-        printProblems({files.error()}, options.format);
+    const auto checked = readAndCheck(options.folder, options.format);
+    if (!checked) {
         return ExitCode::BadInput;
     }
-    const auto config = drivers::checkFiles(files.value());
-    if (!config) {
-        printProblems(config.error(), options.format);
-        return ExitCode::BadInput;
-    }
-    const ApplyEnded ended = applyFiles(options, drivers::packFiles(files.value()));
+    const ApplyEnded ended = applyFiles(options, drivers::packFiles(checked->files));
     if (ended.outcome != ApplyOutcome::Applied) {
         return reportFailure(ended);
     }
--- a/main/commands/command_line.cpp
+++ b/main/commands/command_line.cpp
@@ -3,6 +3,7 @@
 #include "core/base/enum_names.h"
 #include "core/config/field_reader.h"
 #include "drivers/blocking_http.h"
+#include "drivers/config_files.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,6 +53,21 @@
     std::cout << nlohmann::json{{"problems", list}}.dump() << '\n';
 }
 
+std::optional<CheckedFolder> readAndCheck(const std::string &folder, OutputFormat format)
+{
+    auto files = drivers::readFolder(folder);
+    if (!files) {
+        printProblems({files.error()}, format);
+        return std::nullopt;
+    }
+    auto config = drivers::checkFiles(files.value());
+    if (!config) {
+        printProblems(config.error(), format);
+        return std::nullopt;
+    }
+    return CheckedFolder{std::move(files).value(), std::move(config).value()};
+}
+
 ExitCode printFailure(const std::string &what, const Endpoint &endpoint, drivers::HttpFailure failure)
 {
     std::cerr << what << ": " << endpoint.address << ':' << endpoint.port << ": "
--- a/main/commands/command_line.h
+++ b/main/commands/command_line.h
@@ -3,10 +3,12 @@
 #include "core/config/config.h"
 #include "core/config/config_problem.h"
 #include "drivers/http_client.h"
+#include "drivers/yaml_documents.h"
 #include "main/commands/command.h"
 
 #include <CLI/CLI.hpp>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,16 @@
 /// Prints problems of files, one a line or as JSON, to standard error.
 void printProblems(const std::vector<ConfigProblem> &problems, OutputFormat format);
 
+/// A folder of declarative files that was read and checked.
+struct CheckedFolder
+{
+    std::vector<drivers::FileText> files;
+    Config config;
+};
+
+/// Reads and checks a folder; prints every problem and gives nothing when there is one.
+std::optional<CheckedFolder> readAndCheck(const std::string &folder, OutputFormat format);
+
 /// Prints why a call brought no answer. @return the exit code for it.
 ExitCode printFailure(const std::string &what, const Endpoint &endpoint, drivers::HttpFailure failure);
 
--- a/main/commands/plan.cpp
+++ b/main/commands/plan.cpp
@@ -74,14 +74,8 @@
 
 ExitCode run(const Options &options)
 {
-    const auto files = drivers::readFolder(options.folder);
-    if (!files) {
-        printProblems({files.error()}, options.format);
-        return ExitCode::BadInput;
-    }
-    const auto config = drivers::checkFiles(files.value());
-    if (!config) {
-        printProblems(config.error(), options.format);
+    const auto checked = readAndCheck(options.folder, options.format);
+    if (!checked) {
         return ExitCode::BadInput;
     }
     const auto current = readCurrent(options.platform);
@@ -89,7 +83,7 @@
         std::cerr << "plan: the version in force cannot be read\n";
         return ExitCode::Unavailable;
     }
-    print(*current, diffConfigs(*current, config.value()), options.format);
+    print(*current, diffConfigs(*current, checked->config), options.format);
     return ExitCode::Done;
 }
 
--- a/main/commands/validate.cpp
+++ b/main/commands/validate.cpp
@@ -1,4 +1,3 @@
-#include "drivers/config_files.h"
 #include "main/commands/command_line.h"
 
 #include <iostream>
@@ -18,23 +17,17 @@
 
 ExitCode run(const Options &options)
 {
-    const auto files = drivers::readFolder(options.folder);
-    if (!files) {
-        printProblems({files.error()}, options.format);
-        return ExitCode::BadInput;
-    }
-    const auto config = drivers::checkFiles(files.value());
-    if (!config) {
-        printProblems(config.error(), options.format);
+    const auto checked = readAndCheck(options.folder, options.format);
+    if (!checked) {
         return ExitCode::BadInput;
     }
     if (options.format == OutputFormat::Json) {
         std::cout << "{\"problems\":[]}\n";
         return ExitCode::Done;
     }
-    std::cout << "valid: " << config.value().pools.size() << " pools, " << config.value().hosts.size() << " hosts, "
-              << config.value().teams.size() << " teams, " << config.value().keys.size() << " keys, "
-              << config.value().services.size() << " services\n";
+    std::cout << "valid: " << checked->config.pools.size() << " pools, " << checked->config.hosts.size() << " hosts, "
+              << checked->config.teams.size() << " teams, " << checked->config.keys.size() << " keys, "
+              << checked->config.services.size() << " services\n";
     return ExitCode::Done;
 }
 
