Keep the team of a request that its own dispatch may forget

Cause: the address sanitizer saw enqueue read an exchange after dispatch had refused and erased it, in GoldenSession.AnOrdinaryMinute; the release build passed. Change: the team is copied before the dispatch.

--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -350,8 +350,10 @@
         return;
     }
     wait(id, exchange, state);
+    // A dispatch may refuse this request and forget it.
+    const TeamId team = exchange.team;
     dispatch(exchange.service, state);
-    if (exchange.team.empty() || m_rights.mayTake(exchange.team, m_now)) {
+    if (team.empty() || m_rights.mayTake(team, m_now)) {
         return;
     }
     // A team without a free right cannot wait for the next report of its demand.
