Earn retries by first tries, as the retry budget says

Cause: reading the change again: nothing called RetryBudget::noteFirstTry, so each service had ten retries for the life of an entry host and none after them. Ruled out: a limit elsewhere; the test counts ten and then gets no more. Change: a request's first start earns its part. The test was seen failing first. Before: no retry after ten first tries.

--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -419,6 +419,9 @@
         refuse(request.exchange, RefusalReason::DeadlineTooClose, leastRetryAfter);
         return;
     }
+    if (exchange.lastBackend.empty()) {
+        state.retries.noteFirstTry();
+    }
     const BackendServer *backend = state.backends.take(exchange.lastBackend, m_now);
     if (!request.team.empty()) {
         m_rights.take(request.team, m_now);
--- a/tests/core/routing/request_plane_test.cpp
+++ b/tests/core/routing/request_plane_test.cpp
@@ -178,6 +178,34 @@
     });
 }
 
+TEST(RequestPlane, EarnsRetriesByFirstTries)
+{
+    story("a service whose retries have been used up", [] {
+        PlaneWorld world({}, 100);
+        std::uint64_t id = 0;
+        const auto retried = [&](AttemptOutcome outcome) {
+            const auto first = only<StartAttempt>(world.request(++id));
+            const auto second = only<StartAttempt>(world.end(first->attempt, outcome));
+            if (second) {
+                world.end(second->attempt, AttemptOutcome::Answered);
+            }
+            return second.has_value();
+        };
+        int saved = 0;
+        while (retried(AttemptOutcome::NotRun)) {
+            ++saved;
+        }
+        EXPECT_GE(saved, static_cast<int>(RetryBudget::mostSaved));
+        section("has another after ten first tries", [&] {
+            for (int request = 0; request < 10; ++request) {
+                const auto attempt = only<StartAttempt>(world.request(++id));
+                world.end(attempt->attempt, AttemptOutcome::Answered);
+            }
+            EXPECT_TRUE(retried(AttemptOutcome::NotRun));
+        });
+    });
+}
+
 TEST(RequestPlane, KeepsTheCeilingOfATeam)
 {
     story("a team with two rights on this host and slots for four", [] {
