Give the rendezvous, the services' ids and the scripts' clean-up one place each

Cause: reading the whole change again. The use after free was mended one level too high: dispatch still took the service's id by a reference into an exchange that it may erase. Rendezvous ownership, the time in milliseconds and the scripts' starting and ending of processes stood twice or three times; two accessors of the request plane, one of the session keeper and a sum in the simulation had no reader. Change: dispatch takes the service's state, which knows its id; isRendezvousOwner, toMilliseconds and misc/process_group.sh; what had no reader is gone.

--- a/benchmarks/detector_benchmark.cpp
+++ b/benchmarks/detector_benchmark.cpp
@@ -62,7 +62,7 @@
     while (!isSuspected(detector, now)) {
         now += look;
     }
-    result.detectionMilliseconds = std::chrono::duration<double, std::milli>(now - gone).count();
+    result.detectionMilliseconds = toMilliseconds(now - gone);
     return result;
 }
 
--- a/benchmarks/request_simulation.cpp
+++ b/benchmarks/request_simulation.cpp
@@ -352,7 +352,6 @@
         , m_backends(plan.backends)
         , m_gotInWindow(plan.teams.size(), 0)
         , m_wantedInWindow(plan.teams.size(), 0)
-        , m_backlog(plan.teams.size(), 0)
     {
     }
 
@@ -445,7 +444,6 @@
         m_requests[id] = request;
         ++m_result.offered;
         m_wantedInWindow[team] += request.runMilliseconds;
-        m_backlog[team] += request.runMilliseconds;
         drawArrival(team);
         apply(std::visit([&](auto &hosts) { return hosts.arrive(id, request, m_now); }, m_hosts));
     }
@@ -454,7 +452,6 @@
     {
         for (const std::uint64_t id : decisions.refused) {
             ++m_result.refused;
-            m_backlog[m_requests.at(id).team] -= m_requests.at(id).runMilliseconds;
             m_requests.erase(id);
         }
         for (const Placed &placed : decisions.placed) {
@@ -473,7 +470,7 @@
             ++backend.running;
             Request &request = m_requests.at(id);
             request.started = m_now;
-            const double waited = std::chrono::duration<double, std::milli>(m_now - request.arrived).count();
+            const double waited = toMilliseconds(m_now - request.arrived);
             double &worst
                 = request.urgent ? m_result.urgentWorstStartMilliseconds : m_result.normalWorstStartMilliseconds;
             worst = std::max(worst, waited);
@@ -490,7 +487,7 @@
         const Placed placed = m_placed.at(id);
         m_requests.erase(id);
         m_placed.erase(id);
-        const double took = std::chrono::duration<double, std::milli>(m_now - request.arrived).count();
+        const double took = toMilliseconds(m_now - request.arrived);
         if (took <= static_cast<double>(m_plan.timeout.count())) {
             ++m_result.inTime;
             m_servedMilliseconds += request.runMilliseconds;
@@ -561,7 +558,6 @@
     std::vector<Backend> m_backends;
     std::vector<double> m_gotInWindow;
     std::vector<double> m_wantedInWindow;
-    std::vector<double> m_backlog;
     std::vector<double> m_backlogAtStart;
     std::vector<double> m_distances;
     std::vector<double> m_times;
--- a/core/base/clock.h
+++ b/core/base/clock.h
@@ -12,6 +12,12 @@
 /// A point of the wall clock, for what outlives a process; it may step and differs between hosts.
 using WallTime = std::chrono::sys_time<Duration>;
 
+/// A time in milliseconds with its fraction, for averages and estimates.
+inline double toMilliseconds(TimePoint::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 /// One moment on both clocks.
 struct Instant
 {
--- a/core/fleet/maintenance_keeper.cpp
+++ b/core/fleet/maintenance_keeper.cpp
@@ -1,7 +1,8 @@
 #include "core/fleet/maintenance_keeper.h"
 
+#include "core/membership/rendezvous.h"
+
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -271,11 +272,7 @@
 
 bool MaintenanceKeeper::isOwn(const PoolId &pool) const
 {
-    const auto weight = [&](const HostId &host) {
-        return std::hash<std::string>{}(host.name() + '/' + pool.name());
-    };
-    return std::all_of(m_live.begin(), m_live.end(),
-                       [&](const HostId &other) { return weight(other) <= weight(m_host); });
+    return isRendezvousOwner(m_host, m_live, pool.name());
 }
 
 PoolRow MaintenanceKeeper::rowOf(const PoolId &pool) const
--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -1,6 +1,7 @@
 #include "core/jobs/job_keeper.h"
 
 #include "core/base/overloaded.h"
+#include "core/membership/rendezvous.h"
 #include "core/routing/admission.h"
 
 #include <algorithm>
@@ -601,11 +602,7 @@
 
 bool JobKeeper::isOwnToAdopt(const JobId &job) const
 {
-    const auto weight = [&](const HostId &host) {
-        return std::hash<std::string>{}(host.name() + '/' + job.name());
-    };
-    return std::all_of(m_live.begin(), m_live.end(),
-                       [&](const HostId &other) { return weight(other) <= weight(m_host); });
+    return isRendezvousOwner(m_host, m_live, job.name());
 }
 
 bool JobKeeper::isBeingWritten(const JobId &job) const
--- a/core/membership/failure_detector.cpp
+++ b/core/membership/failure_detector.cpp
@@ -12,11 +12,6 @@
 /// Heartbeats that may be missed before the fixed wait ends.
 constexpr int missedHeartbeats = 5;
 
-double milliseconds(TimePoint::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
 } // namespace
 
 FixedWaitDetector::FixedWaitDetector(Duration wait) : m_wait(wait)
@@ -34,14 +29,14 @@
     return !m_everHeard || now - m_lastHeard > m_wait;
 }
 
-AccrualDetector::AccrualDetector(Duration expected) : m_expected(milliseconds(expected))
+AccrualDetector::AccrualDetector(Duration expected) : m_expected(toMilliseconds(expected))
 {
 }
 
 void AccrualDetector::heard(TimePoint now)
 {
     if (m_everHeard) {
-        m_intervals[m_count % windowSize] = milliseconds(now - m_lastHeard);
+        m_intervals[m_count % windowSize] = toMilliseconds(now - m_lastHeard);
         ++m_count;
     }
     m_lastHeard = now;
@@ -70,7 +65,7 @@
         variance /= static_cast<double>(known);
     }
     const double deviation = std::max(std::sqrt(variance), mean * leastDeviationPart);
-    const double late = (milliseconds(now - m_lastHeard) - mean) / deviation;
+    const double late = (toMilliseconds(now - m_lastHeard) - mean) / deviation;
     const double probability = 0.5 * std::erfc(late / std::sqrt(2.0));
     constexpr double leastProbability = 1e-300;
     return -std::log10(std::max(probability, leastProbability));
--- a/core/quota/session_keeper.cpp
+++ b/core/quota/session_keeper.cpp
@@ -22,11 +22,6 @@
     return std::exchange(m_effects, {});
 }
 
-TimePoint SessionKeeper::validUntil() const
-{
-    return m_validUntil;
-}
-
 void SessionKeeper::on(const PlatformAnswered &event)
 {
     if (event.id == m_readOperation) {
--- a/core/quota/session_keeper.h
+++ b/core/quota/session_keeper.h
@@ -98,9 +98,6 @@
 
     SessionEffects handle(const SessionEvent &event, TimePoint now);
 
-    /// Time until which leased rights allow starts; the past when there is no session.
-    TimePoint validUntil() const;
-
 private:
     enum class Stage {
         Unknown,
--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -22,11 +22,6 @@
 /// Least time told to callers in Retry-After.
 constexpr Duration leastRetryAfter{1'000};
 
-double milliseconds(TimePoint::duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
 Duration toDuration(TimePoint::duration time)
 {
     return std::chrono::duration_cast<Duration>(time);
@@ -89,16 +84,6 @@
     return m_attempts.size();
 }
 
-bool RequestPlane::idle() const
-{
-    return m_exchanges.empty() && m_attempts.empty();
-}
-
-std::shared_ptr<const Config> RequestPlane::config() const
-{
-    return m_config;
-}
-
 void RequestPlane::on(const ConfigInForce &event)
 {
     if (m_config && event.config->version <= m_config->version) {
@@ -231,7 +216,7 @@
     }
     found->second.spareOfPeers[event.peer] = {event.slots, m_now};
     updateBorrowable(found->second);
-    dispatch(event.service, found->second);
+    dispatch(found->second);
 }
 
 void RequestPlane::updateBorrowable(ServiceState &state)
@@ -350,9 +335,9 @@
         return;
     }
     wait(id, exchange, state);
-    // A dispatch may refuse this request and forget it.
+    // A dispatch may refuse this request and forget its exchange.
     const TeamId team = exchange.team;
-    dispatch(exchange.service, state);
+    dispatch(state);
     if (team.empty() || m_rights.mayTake(team, m_now)) {
         return;
     }
@@ -393,11 +378,11 @@
 void RequestPlane::dispatchAll()
 {
     for (auto &[id, state] : m_services) {
-        dispatch(id, state);
+        dispatch(state);
     }
 }
 
-void RequestPlane::dispatch(const ServiceId &id, ServiceState &state)
+void RequestPlane::dispatch(ServiceState &state)
 {
     const auto eligible = [this](const TeamId &team) {
         return team.empty() || m_rights.mayTake(team, m_now);
@@ -407,11 +392,11 @@
         if (!request) {
             return;
         }
-        start(*request, id, state);
+        start(*request, state);
     }
 }
 
-void RequestPlane::start(const WaitingRequest &request, const ServiceId &id, ServiceState &state)
+void RequestPlane::start(const WaitingRequest &request, ServiceState &state)
 {
     Exchange &exchange = m_exchanges.at(request.exchange);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
@@ -430,7 +415,8 @@
     const double charge = state.runEstimate > 0 ? state.runEstimate : firstCharge;
     state.queue.charge(request.team, charge);
     m_attempts.emplace(
-        attemptId, Attempt{request.exchange, request.team, id, backend->id, m_now, m_now + state.longestRun, charge});
+        attemptId,
+        Attempt{request.exchange, request.team, state.id, backend->id, m_now, m_now + state.longestRun, charge});
     exchange.stage = Stage::Running;
     --m_waiting[exchange.team];
     exchange.lastBackend = backend->id;
@@ -442,7 +428,7 @@
 void RequestPlane::settleWork(const Attempt &attempt, AttemptOutcome outcome)
 {
     ServiceState &state = service(attempt.service);
-    const double spent = milliseconds(m_now - attempt.started);
+    const double spent = toMilliseconds(m_now - attempt.started);
     const bool ran = outcome != AttemptOutcome::NotRun && outcome != AttemptOutcome::NotSent;
     state.queue.charge(attempt.team, (ran ? spent : 0) - attempt.charged);
     state.spent[attempt.team] += ran ? spent : 0;
@@ -606,7 +592,7 @@
         return found->second;
     }
     const std::uint64_t seed = m_seed + m_services.size();
-    return m_services.emplace(id, ServiceState(seed)).first->second;
+    return m_services.emplace(id, ServiceState(id, seed)).first->second;
 }
 
 } // namespace radishvane
--- a/core/routing/request_plane.h
+++ b/core/routing/request_plane.h
@@ -37,9 +37,6 @@
 
     std::size_t waiting() const;
     std::size_t running() const;
-    /// True when no request waits or runs.
-    bool idle() const;
-    std::shared_ptr<const Config> config() const;
 
 private:
     enum class Stage {
@@ -82,10 +79,11 @@
 
     struct ServiceState
     {
-        explicit ServiceState(std::uint64_t seed) : backends(seed)
+        ServiceState(ServiceId name, std::uint64_t seed) : id(std::move(name)), backends(seed)
         {
         }
 
+        ServiceId id;
         FairQueue queue;
         BackendSet backends;
         RetryBudget retries;
@@ -123,8 +121,8 @@
     Duration predictedWait(const ServiceState &state, const TeamId &team) const;
     bool makeRoom(ServiceState &state, const TeamId &team);
     void dispatchAll();
-    void dispatch(const ServiceId &id, ServiceState &state);
-    void start(const WaitingRequest &request, const ServiceId &id, ServiceState &state);
+    void dispatch(ServiceState &state);
+    void start(const WaitingRequest &request, ServiceState &state);
     void settleWork(const Attempt &attempt, AttemptOutcome outcome);
     void resolve(ExchangeId id, Exchange &exchange, const Attempt &attempt, AttemptId attemptId,
                  AttemptOutcome outcome);
--- a/misc/bench_control.sh
+++ b/misc/bench_control.sh
@@ -6,16 +6,7 @@
 
 build=$1
 seconds=20
-work=$(mktemp -d)
-pids=()
-finish() {
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2> /dev/null || true
-    done
-    wait 2> /dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
+. misc/process_group.sh
 
 mkdir "$work/config"
 {
@@ -32,9 +23,7 @@
         echo "  - {name: team-$team, share: 1, ceiling: 100}"
     done
 } > "$work/config/set.yaml"
-"$build/tests/stand_ins/platform_stand_in" --port 19000 > "$work/platform.log" 2>&1 &
-pids+=($!)
-hosts=()
+start platform "$build/tests/stand_ins/platform_stand_in" --port 19000
 for index in 1 2 3 4 5 6 7 8; do
     cat > "$work/$index.yaml" << SETTINGS
 host: entry-$index
@@ -45,9 +34,7 @@
 platform: 127.0.0.1:19000
 peers: [127.0.0.1:19401, 127.0.0.1:19402]
 SETTINGS
-    "$build/main/radishvaned" "$work/$index.yaml" > "$work/$index.log" 2>&1 &
-    hosts+=($!)
-    pids+=($!)
+    start "entry-$index" "$build/main/radishvaned" "$work/$index.yaml"
 done
 sleep 1
 {
@@ -72,14 +59,14 @@
 }
 declare -A from
 for index in 1 2 3 4 5 6 7 8; do
-    from[$index]=$(ticks "${hosts[$((index - 1))]}")
+    from[$index]=$(ticks "${started[entry-$index]}")
 done
 bytes=$(metric 1 peer_bytes_sent_total)
 calls=$(metric 1 platform_calls_total)
 echo "platform before: $(counts)"
 sleep "$seconds"
 for index in 1 2 3 4 5 6 7 8; do
-    pid=${hosts[$((index - 1))]}
+    pid=${started[entry-$index]}
     used=$(($(ticks "$pid") - ${from[$index]}))
     echo "entry host $index: $(awk -v used="$used" -v hz="$(getconf CLK_TCK)" -v s="$seconds" 'BEGIN {printf "%.2f", used * 100 / hz / s}') % of a core," \
         "$(awk '/VmRSS/ {print $2}' "/proc/$pid/status") KB resident"
--- a/misc/bench_path.sh
+++ b/misc/bench_path.sh
@@ -4,16 +4,7 @@
 cd "$(dirname "$0")/.."
 
 build=$1
-work=$(mktemp -d)
-pids=()
-finish() {
-    for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2> /dev/null || true
-    done
-    wait 2> /dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
+. misc/process_group.sh
 
 mkdir "$work/config"
 cat > "$work/config/set.yaml" << SET
@@ -40,13 +31,10 @@
 platform: 127.0.0.1:19000
 log_level: info
 SETTINGS
-"$build/tests/stand_ins/platform_stand_in" --port 19000 > "$work/platform.log" 2>&1 &
-pids+=($!)
-"$build/tests/stand_ins/backend_stand_in" --port 19100 --slots 64 --connections 512 > "$work/backend.log" 2>&1 &
-pids+=($!)
-"$build/main/radishvaned" "$work/entry.yaml" > "$work/entry.log" 2>&1 &
-entry=$!
-pids+=("$entry")
+start platform "$build/tests/stand_ins/platform_stand_in" --port 19000
+start backend "$build/tests/stand_ins/backend_stand_in" --port 19100 --slots 64 --connections 512
+start entry "$build/main/radishvaned" "$work/entry.yaml"
+entry=${started[entry]}
 sleep 1
 "$build/main/radishvane" apply "$work/config" --platform 127.0.0.1:19000 --operator 127.0.0.1:19300 > /dev/null
 sleep 2
--- a/misc/run_example.sh
+++ b/misc/run_example.sh
@@ -6,24 +6,7 @@
 
 build=$1
 stand_ins=$build/tests/stand_ins
-work=$(mktemp -d)
-declare -A started
-
-start() {
-    local name=$1
-    shift
-    "$@" > "$work/$name.log" 2>&1 &
-    started[$name]=$!
-}
-
-finish() {
-    for name in "${!started[@]}"; do
-        kill -KILL "${started[$name]}" 2> /dev/null || true
-    done
-    wait 2> /dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
+. misc/process_group.sh
 
 wait_for() {
     local what=$1 url=$2
