Take the callers in the accept queue before the listening socket closes

Cause: at the end of a graceful stop the listening socket was closed with connections in its accept queue. The kernel resets such a connection although its caller has seen it open and has sent a request, so the caller has no answer. Ruled out: contention alone. Change: the socket closes only when no caller waits in the queue. The callers' stand-in now names why a request has no answer, so that the next such failure names its own cause.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/enum_names.h"
 #include "drivers/evhttp_text.h"
+#include "drivers/time_value.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -9,12 +10,23 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <poll.h>
+
 namespace radishvane::drivers
 {
 
 namespace
 {
 
+/// Time between two looks at the listening socket that is about to close.
+constexpr Duration drainInterval{10};
+
+bool hasWaitingCaller(evhttp_bound_socket *socket)
+{
+    pollfd listener{evhttp_bound_socket_get_fd(socket), POLLIN, 0};
+    return poll(&listener, 1, 0) > 0;
+}
+
 constexpr ev_uint16_t allowedMethods
     = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
 
@@ -35,7 +47,10 @@
 } // namespace
 
 HttpServer::HttpServer(EventLoop &loop, HttpLimits limits, RequestHandler onRequest, LeftHandler onLeft)
-    : m_onRequest(std::move(onRequest)), m_onLeft(std::move(onLeft)), m_http(evhttp_new(loop.base()))
+    : m_onRequest(std::move(onRequest))
+    , m_onLeft(std::move(onLeft))
+    , m_http(evhttp_new(loop.base()))
+    , m_drainEvent(event_new(loop.base(), -1, 0, &HttpServer::closeWhenDrained, this))
 {
     evhttp_set_allowed_methods(m_http, allowedMethods);
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.bodyBytes));
@@ -49,6 +64,7 @@
     for (const auto &[connection, id] : m_connections) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
+    event_free(m_drainEvent);
     evhttp_free(m_http);
 }
 
@@ -67,9 +83,22 @@
 {
     m_closing = true;
     if (m_socket != nullptr) {
-        evhttp_del_accept_socket(m_http, m_socket);
-        m_socket = nullptr;
+        const timeval wait = toTimeval(drainInterval);
+        event_add(m_drainEvent, &wait);
+    }
+}
+
+void HttpServer::closeWhenDrained(int, short, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    if (hasWaitingCaller(server->m_socket)) {
+        // Closing now would reset a caller whose request may already be on its way.
+        const timeval wait = toTimeval(drainInterval);
+        event_add(server->m_drainEvent, &wait);
+        return;
     }
+    evhttp_del_accept_socket(server->m_http, server->m_socket);
+    server->m_socket = nullptr;
 }
 
 void HttpServer::answer(ExchangeId id, const HttpAnswer &answer)
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -12,6 +12,7 @@
 struct evhttp_request;
 struct evhttp_connection;
 struct evhttp_bound_socket;
+struct event;
 
 namespace radishvane::drivers
 {
@@ -41,7 +42,8 @@
     bool listen(const Endpoint &endpoint);
     /// From now on each connection closes after its next answer; new ones are still accepted.
     void closeAfterAnswers();
-    /// Accepts no more connections; open exchanges go on and their connections close after the answer.
+    /// Takes the callers whom the kernel has already accepted, and then no more. Open exchanges go on, and their
+    /// connections close after the answer.
     void stopAccepting();
     /// Answers an exchange once; ignored when the caller has left.
     void answer(ExchangeId id, const HttpAnswer &answer);
@@ -50,12 +52,14 @@
 private:
     static void receive(evhttp_request *request, void *self);
     static void closed(evhttp_connection *connection, void *self);
+    static void closeWhenDrained(int, short, void *self);
     void take(evhttp_request *request);
 
     RequestHandler m_onRequest;
     LeftHandler m_onLeft;
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
+    event *m_drainEvent;
     std::uint64_t m_lastId = 0;
     bool m_closing = false;
     std::unordered_map<ExchangeId, evhttp_request *> m_requests;
--- a/tests/stand_ins/callers.cpp
+++ b/tests/stand_ins/callers.cpp
@@ -1,5 +1,7 @@
 #include "tests/stand_ins/callers.h"
 
+#include "core/base/enum_names.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -107,6 +109,7 @@
     const auto *answer = std::get_if<HttpAnswer>(&outcome);
     if (answer == nullptr) {
         ++tally.noAnswer;
+        ++tally.reasons[std::string(enumName(httpFailureNames, std::get<HttpFailure>(outcome)))];
         return;
     }
     const std::string kind = headerValue(answer->headers, "X-Radishvane-Outcome");
