Move hosts between pools as work comes and goes

Cause: hosts stayed in the pool that the files name, and every pool needed a buffer of its own. Change: a planner grows pools at once, from idle hosts of the spare pool first, and lets them shrink late, by a hold time that the site's weights in the files set. A move is a drain in the row of the pool that gives the host, within its budget, and ends in one transaction with the host's row. Entry hosts route to a service's backend servers only on hosts of its pool. Rows of hosts are read after those of pools, so that no old pool drains a host that has just left it. Conclusion: the hold time trades buffer against moves; no one setting wins both, so the site's weights decide.

--- a/core/config/config.h
+++ b/core/config/config.h
@@ -67,6 +67,8 @@
     /// Most hosts of the pool that may be out at one time, failed ones counted.
     std::uint32_t maxHostsOut = 1;
     bool spare = false;
+    /// Hosts that the pool keeps however little work it has.
+    std::uint32_t minHosts = 1;
     /// Each host is maintained once in this time; zero for never.
     std::chrono::hours maintenanceInterval{0};
 };
@@ -110,6 +112,14 @@
     std::vector<BackendServer> backends;
 };
 
+/// What a site weighs when hosts are planned; a larger number weighs more.
+struct PlanningWeights
+{
+    std::uint32_t bufferCost = 1;
+    std::uint32_t share = 1;
+    std::uint32_t moves = 1;
+};
+
 /// One accepted set of declarative files.
 struct Config
 {
@@ -119,6 +129,9 @@
     std::map<TeamId, Team> teams;
     std::map<ServiceId, Service> services;
     std::unordered_map<std::string, Key> keys;
+    PlanningWeights planning;
+    /// Hosts may be moved between pools as work comes and goes; needs a spare pool.
+    bool movesHosts = false;
 };
 
 } // namespace radishvane
--- a/core/config/config_diff.cpp
+++ b/core/config/config_diff.cpp
@@ -37,6 +37,7 @@
     for (const auto &[id, pool] : config.pools) {
         things[id.name()] = {{"max_hosts_out", text(pool.maxHostsOut)},
                              {"spare", text(pool.spare)},
+                             {"min_hosts", text(pool.minHosts)},
                              {"maintenance_interval_hours", std::to_string(pool.maintenanceInterval.count())}};
     }
     return things;
@@ -102,6 +103,15 @@
     return things;
 }
 
+Things planning(const Config &config)
+{
+    return {{"of hosts",
+             {{"move_hosts", text(config.movesHosts)},
+              {"buffer_cost", text(config.planning.bufferCost)},
+              {"share", text(config.planning.share)},
+              {"moves", text(config.planning.moves)}}}};
+}
+
 /// Keys that are withdrawn or granted, as numbers by team, since a changed secret is one of each.
 Things keys(const Config &config, const Config &other)
 {
@@ -154,6 +164,7 @@
 {
     std::vector<ConfigChange> changes;
     compare("pool", pools(before), pools(after), changes);
+    compare("planning", planning(before), planning(after), changes);
     compare("host", hosts(before), hosts(after), changes);
     compare("team", teams(before), teams(after), changes);
     for (const auto &[name, fields] : keys(before, after)) {
--- a/core/config/config_reader.cpp
+++ b/core/config/config_reader.cpp
@@ -3,6 +3,9 @@
 #include "core/base/enum_names.h"
 #include "core/config/field_reader.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace radishvane
 {
 
@@ -16,11 +19,15 @@
 constexpr Range connectionRange{1, 65'536};
 constexpr Range queueRange{0, 1'000'000};
 constexpr Range hostsOutRange{1, 100'000};
+constexpr Range minHostsRange{0, 100'000};
+constexpr Range weightRange{1, 1'000};
 constexpr Range machineRange{0, 1'000'000};
 constexpr Range runMillisecondsRange{1, 3'600'000};
 constexpr Range intervalRange{0, 8'760};
 constexpr Range cutOffSecondsRange{0, 604'800};
 
+constexpr std::uint32_t defaultMinHosts = 1;
+constexpr std::uint32_t defaultWeight = 1;
 constexpr std::uint32_t defaultSlots = 8;
 constexpr std::uint32_t defaultConnections = 64;
 constexpr std::uint32_t defaultQueueLimit = 1'000;
@@ -54,11 +61,20 @@
         for (const Node &node : file.items("services")) {
             readService(node);
         }
+        if (const Node *node = file.section("planning")) {
+            readPlanning(*node);
+        }
         file.finish();
     }
 
     void checkReferences()
     {
+        const bool hasSpare = std::any_of(m_config.pools.begin(), m_config.pools.end(),
+                                          [](const auto &entry) { return entry.second.spare; });
+        if (m_config.movesHosts && !hasSpare) {
+            m_problems.push_back({ConfigProblemKind::UnknownName, *m_planningAt, "move_hosts", "true",
+                                  "needs a pool with spare: true for hosts to rest in"});
+        }
         for (const auto &reference : m_poolReferences) {
             checkKnown(reference, m_config.pools.contains(PoolId(reference.value)), "no pool has this name");
         }
@@ -110,11 +126,26 @@
         pool.id = PoolId(fields.name("name"));
         pool.maxHostsOut = fields.number("max_hosts_out", hostsOutRange);
         pool.spare = fields.flag("spare", false);
+        pool.minHosts = fields.number("min_hosts", minHostsRange, defaultMinHosts);
         pool.maintenanceInterval = std::chrono::hours(fields.number("maintenance_interval_hours", intervalRange, 0));
         fields.finish();
         insert(m_config.pools, fields, "name", std::move(pool));
     }
 
+    void readPlanning(const Node &node)
+    {
+        FieldReader fields(node, "the planning", m_problems);
+        if (m_planningAt) {
+            fields.report(ConfigProblemKind::DuplicateName, "planning", "", "stands in more than one file");
+        }
+        m_planningAt = fields.at();
+        m_config.movesHosts = fields.flag("move_hosts", false);
+        m_config.planning.bufferCost = fields.number("buffer_cost", weightRange, defaultWeight);
+        m_config.planning.share = fields.number("share", weightRange, defaultWeight);
+        m_config.planning.moves = fields.number("moves", weightRange, defaultWeight);
+        fields.finish();
+    }
+
     void readHost(const Node &node)
     {
         FieldReader fields(node, "a host", m_problems);
@@ -222,6 +253,8 @@
     std::vector<ConfigProblem> &m_problems;
     Config m_config;
     std::set<std::string> m_backendNames;
+    /// Where the planning stands in the files.
+    std::optional<Position> m_planningAt;
     std::vector<Reference> m_poolReferences;
     std::vector<Reference> m_teamReferences;
     std::vector<Reference> m_hostReferences;
--- a/core/config/field_reader.cpp
+++ b/core/config/field_reader.cpp
@@ -216,6 +216,12 @@
     return sequence->items;
 }
 
+const Node *FieldReader::section(const std::string &field)
+{
+    m_read.insert(field);
+    return has(field) ? find(field) : nullptr;
+}
+
 void FieldReader::finish()
 {
     if (m_mapping == nullptr) {
--- a/core/config/field_reader.h
+++ b/core/config/field_reader.h
@@ -37,6 +37,8 @@
     std::optional<Endpoint> optionalEndpoint(const std::string &field);
     /// The items of a sequence; empty when the field is absent.
     const std::vector<Node> &items(const std::string &field);
+    /// A field that is a mapping of its own; nothing when the field is absent.
+    const Node *section(const std::string &field);
     bool has(const std::string &field) const;
     /// Reports every field that nothing has read.
     void finish();
--- a/core/fleet/maintenance_keeper.cpp
+++ b/core/fleet/maintenance_keeper.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/maintenance_keeper.h"
 
+#include "core/fleet/host_moves.h"
 #include "core/membership/rendezvous.h"
 
 #include <algorithm>
@@ -48,9 +49,14 @@
     } else {
         m_view.failed = true;
     }
-    if (m_reads.empty() && !m_view.failed) {
-        plan();
+    if (!m_reads.empty() || m_view.failed) {
+        return;
+    }
+    if (!std::exchange(m_hostsRead, true)) {
+        readHosts();
+        return;
     }
+    plan();
 }
 
 void MaintenanceKeeper::on(const FleetConfig &event)
@@ -69,6 +75,11 @@
     m_listedAt = m_now.steady;
 }
 
+void MaintenanceKeeper::on(const FleetSpent &event)
+{
+    m_moves.spent(event.service, event.slotMilliseconds, m_now.steady);
+}
+
 void MaintenanceKeeper::on(const FleetTick &)
 {
     if (m_config == nullptr || m_now.steady < m_nextPlan || !m_reads.empty()) {
@@ -76,9 +87,9 @@
     }
     m_nextPlan = m_now.steady + planInterval;
     const bool ownsAny = std::any_of(m_config->pools.begin(), m_config->pools.end(), [this](const auto &entry) {
-        return entry.second.maintenanceInterval.count() > 0 && isOwn(entry.first);
+        return (m_config->movesHosts || entry.second.maintenanceInterval.count() > 0) && isOwn(entry.first);
     });
-    if (ownsAny) {
+    if (ownsAny || ownsMoves()) {
         beginReading();
     }
 }
@@ -86,11 +97,19 @@
 void MaintenanceKeeper::beginReading()
 {
     m_view = View{};
-    for (const std::string_view prefix : {rowKey::pools, rowKey::hosts, rowKey::jobs}) {
+    m_hostsRead = false;
+    for (const std::string_view prefix : {rowKey::pools, rowKey::jobs}) {
         m_reads.insert(call(ScanRows{std::string(prefix)}));
     }
 }
 
+void MaintenanceKeeper::readHosts()
+{
+    // A host leaves its pool's row and changes its own in one transaction. Read in this order, a host that its pool's
+    // row does not show any more is seen in its new pool, so that its old one cannot drain it again.
+    m_reads.insert(call(ScanRows{std::string(rowKey::hosts)}));
+}
+
 void MaintenanceKeeper::read(const RowsFound &found)
 {
     for (const StoredRow &stored : found.rows) {
@@ -99,7 +118,11 @@
         } else if (const auto *host = std::get_if<HostRow>(&stored.value)) {
             m_view.hosts[host->host] = stored;
         } else if (const auto *job = std::get_if<JobRow>(&stored.value)) {
-            if (!isTerminal(job->state) && !job->worker.empty()) {
+            if (isTerminal(job->state)) {
+                continue;
+            }
+            m_view.jobCores += job->needs.cores;
+            if (!job->worker.empty()) {
                 m_view.withJobs.insert(job->worker);
             }
         }
@@ -108,14 +131,36 @@
 
 void MaintenanceKeeper::plan()
 {
+    HostRows rows;
+    for (const auto &[id, stored] : m_view.hosts) {
+        rows.emplace(id, std::get<HostRow>(stored.value));
+    }
+    m_view.config = placeHosts(m_config, rows);
+    const auto moves = planMoves();
     for (const auto &[id, pool] : m_config->pools) {
-        if (pool.maintenanceInterval.count() > 0 && isOwn(id)) {
-            planPool(pool);
+        const auto found = moves.find(id);
+        const bool plans = m_config->movesHosts || pool.maintenanceInterval.count() > 0;
+        if (found != moves.end()) {
+            planPool(pool, found->second);
+        } else if (plans && isOwn(id)) {
+            planPool(pool, {});
         }
     }
 }
 
-void MaintenanceKeeper::planPool(const Pool &pool)
+std::map<PoolId, std::vector<PlannedMove>> MaintenanceKeeper::planMoves()
+{
+    if (!ownsMoves() || !knowsHosts()) {
+        return {};
+    }
+    std::map<PoolId, PoolRow> pools;
+    for (const auto &[id, stored] : m_view.pools) {
+        pools.emplace(id, std::get<PoolRow>(stored.value));
+    }
+    return m_moves.plan({*m_view.config, pools, m_listed, m_view.jobCores}, m_now.steady);
+}
+
+void MaintenanceKeeper::planPool(const Pool &pool, const std::vector<PlannedMove> &moves)
 {
     PoolRow row = rowOf(pool.id);
     bool changed = false;
@@ -123,6 +168,7 @@
         changed = advance(row, out) || changed;
     }
     const std::size_t before = row.out.size();
+    startMoves(pool, row, moves);
     startDrains(pool, row);
     changed = changed || row.out.size() != before;
     if (changed) {
@@ -162,18 +208,17 @@
         return;
     }
     PoolRow row = rowOf(reboot.pool);
-    const auto removed = std::erase_if(row.out, [&](const HostOut &out) { return out.host == reboot.host; });
-    if (removed == 0) {
+    const auto out
+        = std::find_if(row.out.begin(), row.out.end(), [&](const HostOut &entry) { return entry.host == reboot.host; });
+    if (out == row.out.end()) {
         return;
     }
-    HostRow host{reboot.host, {}, {}};
-    std::uint64_t hostVersion = 0;
-    if (const auto found = m_view.hosts.find(reboot.host); found != m_view.hosts.end()) {
-        host = std::get<HostRow>(found->second.value);
-        hostVersion = found->second.version;
-    }
-    host.maintainedAt = m_now.wall;
-    note(FleetStep::Returned, row, reboot.host);
+    const HostRow host = returned(*out);
+    const auto stored = m_view.hosts.find(reboot.host);
+    const std::uint64_t hostVersion = stored == m_view.hosts.end() ? 0 : stored->second.version;
+    const bool moved = out->cause == DrainCause::Move;
+    row.out.erase(out);
+    note(moved ? FleetStep::Moved : FleetStep::Returned, row, reboot.host, host.pool);
     // Both rows in one transaction: the host is back and its maintenance is done, or neither.
     call(WriteRows{{RowWrite{rowKey::pool(reboot.pool), versionOf(reboot.pool), RowValue(row)},
                     RowWrite{rowKey::host(reboot.host), hostVersion, RowValue(host)}}});
@@ -181,9 +226,50 @@
     m_view.pools.erase(reboot.pool);
 }
 
+HostRow MaintenanceKeeper::returned(const HostOut &out) const
+{
+    HostRow row{out.host, {}, {}, {}};
+    if (const auto found = m_view.hosts.find(out.host); found != m_view.hosts.end()) {
+        row = std::get<HostRow>(found->second.value);
+    }
+    switch (out.cause) {
+    case DrainCause::Maintenance:
+        row.maintainedAt = m_now.wall;
+        break;
+    case DrainCause::Move:
+        row.pool = out.target;
+        if (const auto declared = m_config->hosts.find(out.host); declared != m_config->hosts.end()) {
+            row.declared = declared->second.pool;
+        }
+        break;
+    }
+    return row;
+}
+
+bool MaintenanceKeeper::knowsHosts() const
+{
+    return m_now.steady - m_listedAt <= listFreshFor && !m_listed.empty();
+}
+
+void MaintenanceKeeper::startMoves(const Pool &pool, PoolRow &row, const std::vector<PlannedMove> &moves)
+{
+    if (moves.empty()) {
+        return;
+    }
+    row.failed = failedHosts(pool, row);
+    for (const PlannedMove &move : moves) {
+        if (row.out.size() + row.failed.size() >= pool.maxHostsOut) {
+            note(FleetStep::BudgetUsedUp, row, move.host, move.to);
+            return;
+        }
+        row.out.push_back({move.host, HostPhase::Draining, DrainCause::Move, move.to, m_now.wall});
+        note(FleetStep::MoveStarted, row, move.host, move.to);
+    }
+}
+
 void MaintenanceKeeper::startDrains(const Pool &pool, PoolRow &row)
 {
-    if (m_now.steady - m_listedAt > listFreshFor || m_listed.empty()) {
+    if (!knowsHosts() || pool.maintenanceInterval.count() == 0) {
         return;
     }
     row.failed = failedHosts(pool, row);
@@ -206,14 +292,14 @@
     std::set<ZoneId> zonesOut;
     std::set<RackId> racksOut;
     for (const HostOut &out : row.out) {
-        if (const auto found = m_config->hosts.find(out.host); found != m_config->hosts.end()) {
+        if (const auto found = m_view.config->hosts.find(out.host); found != m_view.config->hosts.end()) {
             zonesOut.insert(found->second.zone);
             racksOut.insert(found->second.rack);
         }
     }
     const auto begins = pool.maintenanceInterval - pool.maintenanceInterval / leadDivisor;
     std::vector<std::tuple<bool, WallTime, RackId, HostId>> order;
-    for (const auto &[id, host] : m_config->hosts) {
+    for (const auto &[id, host] : m_view.config->hosts) {
         const bool otherZone = !zonesOut.empty() && !zonesOut.contains(host.zone);
         const WallTime last = maintainedAt(id);
         // A pool loses hosts in one availability zone at a time, so that a zone's loss never adds to a wave elsewhere.
@@ -227,7 +313,7 @@
     std::vector<HostId> hosts;
     std::optional<ZoneId> zone = zonesOut.empty() ? std::nullopt : std::optional(*zonesOut.begin());
     for (const auto &[closed, last, rack, id] : order) {
-        const ZoneId &own = m_config->hosts.at(id).zone;
+        const ZoneId &own = m_view.config->hosts.at(id).zone;
         zone = zone.value_or(own);
         if (own == *zone) {
             hosts.push_back(id);
@@ -239,7 +325,7 @@
 std::vector<HostId> MaintenanceKeeper::failedHosts(const Pool &pool, const PoolRow &row) const
 {
     std::vector<HostId> failed;
-    for (const auto &[id, host] : m_config->hosts) {
+    for (const auto &[id, host] : m_view.config->hosts) {
         const bool out = std::any_of(row.out.begin(), row.out.end(),
                                      [&id = id](const HostOut &entry) { return entry.host == id; });
         if (host.pool == pool.id && !out && !m_listed.contains(id)) {
@@ -259,7 +345,7 @@
 {
     const Duration since = m_now.wall - out.since;
     Duration requests{};
-    for (const auto &[id, service] : m_config->services) {
+    for (const auto &[id, service] : m_view.config->services) {
         for (const BackendServer &backend : service.backends) {
             requests = std::max(requests, backend.host == out.host ? service.longestRun : Duration(0));
         }
@@ -275,6 +361,11 @@
     return isRendezvousOwner(m_host, m_live, pool.name());
 }
 
+bool MaintenanceKeeper::ownsMoves() const
+{
+    return m_config->movesHosts && isRendezvousOwner(m_host, m_live, "moves");
+}
+
 PoolRow MaintenanceKeeper::rowOf(const PoolId &pool) const
 {
     const auto found = m_view.pools.find(pool);
@@ -294,9 +385,9 @@
     return id;
 }
 
-void MaintenanceKeeper::note(FleetStep step, const PoolRow &row, const HostId &host)
+void MaintenanceKeeper::note(FleetStep step, const PoolRow &row, const HostId &host, const PoolId &target)
 {
-    m_effects.push_back(FleetNoted{step, row.pool, host, row.out.size(), row.failed.size()});
+    m_effects.push_back(FleetNoted{step, row.pool, host, target, row.out.size(), row.failed.size()});
 }
 
 } // namespace radishvane
--- a/core/fleet/maintenance_keeper.h
+++ b/core/fleet/maintenance_keeper.h
@@ -2,6 +2,7 @@
 
 #include "core/base/clock.h"
 #include "core/config/config.h"
+#include "core/fleet/move_keeper.h"
 #include "core/messages/platform_messages.h"
 
 #include <array>
@@ -35,11 +36,18 @@
     std::set<HostId> live;
 };
 
+/// Slot time that one entry host spent on a service since it last told.
+struct FleetSpent
+{
+    ServiceId service;
+    double slotMilliseconds = 0;
+};
+
 struct FleetTick
 {
 };
 
-using FleetEvent = std::variant<PlatformAnswered, FleetConfig, FleetPeers, FleetHostList, FleetTick>;
+using FleetEvent = std::variant<PlatformAnswered, FleetConfig, FleetPeers, FleetHostList, FleetSpent, FleetTick>;
 
 // Effects.
 
@@ -49,11 +57,13 @@
     Returned,
     NotReturned,
     BudgetUsedUp,
+    MoveStarted,
+    Moved,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 5> fleetStepNames{"drain", "reboot", "returned", "not-returned",
-                                                                "budget-used-up"};
+inline constexpr std::array<std::string_view, 7> fleetStepNames{"drain",          "reboot", "returned", "not-returned",
+                                                                "budget-used-up", "move",   "moved"};
 
 /// For the log.
 struct FleetNoted
@@ -61,6 +71,8 @@
     FleetStep step{};
     PoolId pool;
     HostId host;
+    /// Pool that a moved host goes to.
+    PoolId target;
     /// Hosts of the pool that are out on purpose, and that have failed.
     std::size_t out = 0;
     std::size_t failed = 0;
@@ -69,7 +81,8 @@
 using FleetEffect = std::variant<PlatformCall, FleetNoted>;
 using FleetEffects = std::vector<FleetEffect>;
 
-/// Maintains every host once in its pool's interval, in waves that follow racks, within each pool's budget.
+/// Maintains every host once in its pool's interval, in waves that follow racks, and moves hosts between pools, within
+/// each pool's budget.
 ///
 /// Any entry host may plan any pool; rendezvous hashing only saves work. A drain begins by a conditional write of the
 /// pool's row, which counts the hosts that are out and those that have failed, so that two planners cannot exceed the
@@ -97,6 +110,9 @@
     /// What one reading of the table brought.
     struct View
     {
+        /// The files' hosts in the pools that they belong to now.
+        std::shared_ptr<const Config> config;
+        double jobCores = 0;
         std::map<PoolId, StoredRow> pools;
         std::map<HostId, StoredRow> hosts;
         std::set<HostId> withJobs;
@@ -114,12 +130,17 @@
     void on(const FleetConfig &event);
     void on(const FleetPeers &event);
     void on(const FleetHostList &event);
+    void on(const FleetSpent &event);
     void on(const FleetTick &event);
 
     void beginReading();
+    void readHosts();
     void read(const RowsFound &found);
     void plan();
-    void planPool(const Pool &pool);
+    void planPool(const Pool &pool, const std::vector<PlannedMove> &moves);
+    std::map<PoolId, std::vector<PlannedMove>> planMoves();
+    void startMoves(const Pool &pool, PoolRow &row, const std::vector<PlannedMove> &moves);
+    HostRow returned(const HostOut &out) const;
     bool advance(PoolRow &row, HostOut &out);
     void onRebootState(const Reboot &reboot, bool done);
     void startDrains(const Pool &pool, PoolRow &row);
@@ -128,10 +149,12 @@
     WallTime maintainedAt(const HostId &host) const;
     bool drained(const HostOut &out) const;
     bool isOwn(const PoolId &pool) const;
+    bool ownsMoves() const;
+    bool knowsHosts() const;
     PoolRow rowOf(const PoolId &pool) const;
     std::uint64_t versionOf(const PoolId &pool) const;
     OperationId call(PlatformRequest request);
-    void note(FleetStep step, const PoolRow &row, const HostId &host);
+    void note(FleetStep step, const PoolRow &row, const HostId &host, const PoolId &target = {});
 
     HostId m_host;
     Instant m_now;
@@ -142,7 +165,9 @@
     std::set<HostId> m_listed;
     TimePoint m_listedAt;
     TimePoint m_nextPlan;
+    MoveKeeper m_moves;
     View m_view;
+    bool m_hostsRead = false;
     std::set<OperationId> m_reads;
     std::map<OperationId, Reboot> m_reboots;
 };
--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -122,12 +122,20 @@
 void JobKeeper::on(const JobConfig &event)
 {
     m_config = event.config;
-    m_board.setConfig(*m_config);
+    m_board.setConfig(*placeHosts(m_config, m_hostRows));
     for (const auto &[team, settings] : m_config->teams) {
         m_rights.setCeiling(team, settings.ceiling);
     }
 }
 
+void JobKeeper::on(const HostsPlaced &event)
+{
+    m_hostRows = event.rows;
+    if (m_config != nullptr) {
+        m_board.setConfig(*placeHosts(m_config, m_hostRows));
+    }
+}
+
 void JobKeeper::on(const JobAllowance &event)
 {
     m_rights.setAllowance(event.team, event.standing, event.leased, event.generation);
--- a/core/jobs/job_keeper.h
+++ b/core/jobs/job_keeper.h
@@ -90,6 +90,7 @@
     void on(const JobAllowance &event);
     void on(const JobLease &event);
     void on(const JobHolder &event);
+    void on(const HostsPlaced &event);
     void on(const JobLeavingHosts &event);
     void on(const JobPeers &event);
     void on(const SessionsSeen &event);
@@ -126,6 +127,7 @@
     Instant m_now;
     JobOutbox m_outbox;
     std::shared_ptr<const Config> m_config;
+    HostRows m_hostRows;
     std::optional<HolderId> m_self;
     TeamRights m_rights;
     TimePoint m_leasedUntil;
--- a/core/jobs/job_messages.h
+++ b/core/jobs/job_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/config/config.h"
+#include "core/fleet/host_moves.h"
 #include "core/messages/platform_messages.h"
 #include "core/quota/session_keeper.h"
 #include "core/routing/request_types.h"
@@ -139,8 +140,8 @@
 };
 
 using JobEvent
-    = std::variant<JobSubmitted, JobAsked, JobCancelAsked, PlatformAnswered, WorkerAnswered, JobConfig, JobAllowance,
-                   JobLease, JobHolder, JobLeavingHosts, JobPeers, SessionsSeen, JobTick, JobStop>;
+    = std::variant<JobSubmitted, JobAsked, JobCancelAsked, PlatformAnswered, WorkerAnswered, JobConfig, HostsPlaced,
+                   JobAllowance, JobLease, JobHolder, JobLeavingHosts, JobPeers, SessionsSeen, JobTick, JobStop>;
 
 // Effects.
 
--- a/core/messages/rows.h
+++ b/core/messages/rows.h
@@ -238,6 +238,8 @@
     PoolId pool;
     /// End of the last maintenance; the epoch before the first.
     WallTime maintainedAt;
+    /// The pool that the files named when the host was moved; another one makes the move void.
+    PoolId declared{};
 };
 
 using RowValue = std::variant<ConfigRow, SessionRow, RightsRow, ClaimRow, JobRow, PoolRow, HostRow>;
--- a/core/routing/request_messages.h
+++ b/core/routing/request_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/config/config.h"
+#include "core/fleet/host_moves.h"
 #include "core/routing/request_types.h"
 
 #include <memory>
@@ -119,9 +120,9 @@
 {
 };
 
-using RequestEvent = std::variant<ConfigInForce, LeavingHosts, EntryHostPlace, ConfigConfirmed, ConfigSuspended,
-                                  RequestArrived, CallerLeft, AttemptEnded, TeamAllowance, LeaseExtended, PeerUsage,
-                                  PeerSpareSlots, ClaimDecided, StopRequested, TimePassed>;
+using RequestEvent = std::variant<ConfigInForce, HostsPlaced, LeavingHosts, EntryHostPlace, ConfigConfirmed,
+                                  ConfigSuspended, RequestArrived, CallerLeft, AttemptEnded, TeamAllowance,
+                                  LeaseExtended, PeerUsage, PeerSpareSlots, ClaimDecided, StopRequested, TimePassed>;
 
 // Effects: what the request plane asks for.
 
--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -97,6 +97,15 @@
     dispatchAll();
 }
 
+void RequestPlane::on(const HostsPlaced &event)
+{
+    m_hostRows = event.rows;
+    if (m_config != nullptr) {
+        applyServices();
+        dispatchAll();
+    }
+}
+
 void RequestPlane::on(const LeavingHosts &event)
 {
     m_leaving = event.hosts;
@@ -272,7 +281,8 @@
     for (auto &[id, state] : m_services) {
         state.removed = true;
     }
-    for (const auto &[id, declared] : m_config->services) {
+    const auto placed = placeHosts(m_config, m_hostRows);
+    for (const auto &[id, declared] : placed->services) {
         ServiceState &state = service(id);
         state.removed = false;
         state.longestRun = declared.longestRun;
--- a/core/routing/request_plane.h
+++ b/core/routing/request_plane.h
@@ -97,6 +97,7 @@
     };
 
     void on(const ConfigInForce &event);
+    void on(const HostsPlaced &event);
     void on(const LeavingHosts &event);
     void on(const EntryHostPlace &event);
     void on(const ConfigConfirmed &event);
@@ -141,6 +142,7 @@
     TimePoint m_now;
     RequestEffects m_effects;
     std::shared_ptr<const Config> m_config;
+    HostRows m_hostRows;
     TimePoint m_configConfirmed;
     bool m_stopping = false;
     bool m_suspended = false;
--- a/drivers/row_codec.cpp
+++ b/drivers/row_codec.cpp
@@ -145,7 +145,10 @@
 
 Json toJson(const HostRow &row)
 {
-    return {{"host", row.host.name()}, {"pool", row.pool.name()}, {"maintained_at", toNumber(row.maintainedAt)}};
+    return {{"host", row.host.name()},
+            {"pool", row.pool.name()},
+            {"maintained_at", toNumber(row.maintainedAt)},
+            {"declared", row.declared.name()}};
 }
 
 ConfigRow configRow(const Json &json)
@@ -230,7 +233,8 @@
 
 HostRow hostRow(const Json &json)
 {
-    return {nameField<HostId>(json, "host"), nameField<PoolId>(json, "pool"), timeField(json, "maintained_at")};
+    return {nameField<HostId>(json, "host"), nameField<PoolId>(json, "pool"), timeField(json, "maintained_at"),
+            nameField<PoolId>(json, "declared")};
 }
 
 bool startsWith(const std::string &key, std::string_view prefix)
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -35,7 +35,8 @@
     , m_config(m_controlLoop, m_clock)
     , m_claims(m_controlLoop, m_clock, m_start)
     , m_rights(m_controlLoop, m_clock, settings.host, settings.zone, settings.peerAddress, m_start.incarnation)
-    , m_peers(m_controlLoop, m_clock, PeerAddress{m_start, settings.zone, settings.peerAddress}, DetectorKind::FixedWait)
+    , m_peers(m_controlLoop, m_clock, PeerAddress{m_start, settings.zone, settings.peerAddress},
+              DetectorKind::FixedWait)
     , m_hosts(m_controlLoop)
     , m_jobs(m_controlLoop, m_clock, settings.host, m_start.incarnation.value)
     , m_fleet(m_controlLoop, m_clock, settings.host)
@@ -85,6 +86,10 @@
     m_requests.demandChanged.connect(sigc::mem_fun(*this, &EntryHost::onDemand));
     m_requests.usageReported.connect(sigc::mem_fun(*this, &EntryHost::onUsageReport));
     m_claims.decided.connect([this](const ClaimDecided &decided) { m_requests.post(RequestEvent(decided)); });
+    m_hosts.placed.connect([this](const HostsPlaced &placed) {
+        m_requests.post(RequestEvent(placed));
+        m_jobs.post(JobEvent(placed));
+    });
     m_hosts.leavingChanged.connect(
         [this](const std::set<HostId> &leaving) { m_requests.post(RequestEvent(LeavingHosts{leaving})); });
 }
@@ -232,10 +237,15 @@
 
 void EntryHost::onPeerUsage(const PeerUsageSeen &usage)
 {
+    std::map<ServiceId, double> services;
     for (const PeerSpent &spent : usage.spent) {
+        services[spent.service] += spent.slotMilliseconds;
         m_requests.post(
             RequestEvent(PeerUsage{spent.service, spent.team, static_cast<double>(spent.slotMilliseconds)}));
     }
+    for (const auto &[service, milliseconds] : services) {
+        m_fleet.post(FleetSpent{service, milliseconds});
+    }
     for (const PeerSpare &spare : usage.spare) {
         m_requests.post(RequestEvent(PeerSpareSlots{usage.peer, spare.service, spare.slots}));
     }
@@ -247,13 +257,18 @@
 void EntryHost::onUsageReport(const UsageReport &report)
 {
     OwnUsage usage;
+    std::map<ServiceId, double> services;
     for (const SpentSlotTime &spent : report.spent) {
+        services[spent.service] += spent.slotMilliseconds;
         usage.spent.push_back({spent.service, spent.team, static_cast<std::uint32_t>(spent.slotMilliseconds)});
     }
     for (const SpareSlots &spare : report.spare) {
         usage.spare.push_back({spare.service, spare.slots});
     }
     m_peers.post(PeerEvent(usage));
+    for (const auto &[service, milliseconds] : services) {
+        m_fleet.post(FleetSpent{service, milliseconds});
+    }
 }
 
 void EntryHost::onDemand(const TeamDemand &demand)
--- a/servers/fleet_task.cpp
+++ b/servers/fleet_task.cpp
@@ -37,6 +37,7 @@
                      {{"step", std::string(enumName(fleetStepNames, effect.step))},
                       {"pool", effect.pool.name()},
                       {"host", effect.host.name()},
+                      {"target", effect.target.name()},
                       {"out", std::to_string(effect.out)},
                       {"failed", std::to_string(effect.failed)}});
 }
--- a/servers/hosts_task.cpp
+++ b/servers/hosts_task.cpp
@@ -19,7 +19,7 @@
     if (const auto *list = std::get_if<HostsListed>(&message.answer)) {
         onHosts(*list);
     } else if (const auto *found = std::get_if<RowsFound>(&message.answer)) {
-        onPools(*found);
+        onRows(*found);
     }
     m_unanswered -= m_unanswered > 0 ? 1 : 0;
 }
@@ -42,16 +42,47 @@
     reportLeaving();
 }
 
-void HostsTask::onPools(const RowsFound &found)
+void HostsTask::onRows(const RowsFound &found)
 {
-    m_drained.clear();
+    HostRows hosts;
+    std::set<HostId> drained;
     for (const StoredRow &stored : found.rows) {
-        const auto &row = std::get<PoolRow>(stored.value);
-        for (const HostOut &out : row.out) {
-            m_drained.insert(out.host);
+        if (const auto *host = std::get_if<HostRow>(&stored.value)) {
+            hosts.emplace(host->host, *host);
+        } else if (const auto *pool = std::get_if<PoolRow>(&stored.value)) {
+            for (const HostOut &out : pool->out) {
+                drained.insert(out.host);
+            }
         }
     }
-    reportLeaving();
+    if (m_readingHosts) {
+        m_readingHosts = false;
+        onPlaced(std::move(hosts));
+        // Only now is it known where the hosts belong that are drained no more.
+        m_drained = std::move(m_nextDrained);
+        reportLeaving();
+        return;
+    }
+    m_nextDrained = std::move(drained);
+    m_readingHosts = true;
+    ++m_unanswered;
+    call(ScanRows{std::string(rowKey::hosts)});
+}
+
+void HostsTask::onPlaced(HostRows rows)
+{
+    const auto pools = [](const HostRows &from) {
+        std::map<HostId, std::pair<PoolId, PoolId>> result;
+        for (const auto &[id, row] : from) {
+            result.emplace(id, std::pair(row.pool, row.declared));
+        }
+        return result;
+    };
+    const bool moved = pools(rows) != pools(m_rows);
+    m_rows = std::move(rows);
+    if (moved) {
+        placed.emit(HostsPlaced{m_rows});
+    }
 }
 
 void HostsTask::reportLeaving()
@@ -72,8 +103,14 @@
         return;
     }
     m_unanswered = 2;
-    platformCalled.emit(PlatformCall{OperationId{++m_lastOperation}, ListHosts{}});
-    platformCalled.emit(PlatformCall{OperationId{++m_lastOperation}, ScanRows{std::string(rowKey::pools)}});
+    m_readingHosts = false;
+    call(ListHosts{});
+    call(ScanRows{std::string(rowKey::pools)});
+}
+
+void HostsTask::call(PlatformRequest request)
+{
+    platformCalled.emit(PlatformCall{OperationId{++m_lastOperation}, std::move(request)});
 }
 
 } // namespace radishvane::servers
--- a/servers/hosts_task.h
+++ b/servers/hosts_task.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/fleet/host_moves.h"
 #include "core/messages/platform_messages.h"
 #include "drivers/mailbox.h"
 #include "drivers/timer.h"
@@ -12,7 +13,8 @@
 namespace radishvane::servers
 {
 
-/// Reads the platform's host list and the rows of the pools, which tell the hosts that must get no new work.
+/// Reads the platform's host list, the rows of the pools, which tell the hosts that must get no new work, and those of
+/// the hosts, which tell where each one belongs.
 class HostsTask
 {
 public:
@@ -23,6 +25,7 @@
     void post(PlatformAnswered message);
 
     sigc::signal<void(const PlatformCall &)> platformCalled;
+    sigc::signal<void(const HostsPlaced &)> placed;
     sigc::signal<void(const std::set<HostId> &)> leavingChanged;
     sigc::signal<void(const std::set<HostId> &)> listed;
     sigc::signal<void(const std::set<HostId> &)> listedLive;
@@ -30,16 +33,22 @@
 private:
     void on(const PlatformAnswered &message);
     void onHosts(const HostsListed &list);
-    void onPools(const RowsFound &found);
+    void onRows(const RowsFound &found);
+    void onPlaced(HostRows rows);
     void reportLeaving();
     void poll();
+    void call(PlatformRequest request);
 
     std::uint64_t m_lastOperation = 0;
     std::set<HostId> m_listedLeaving;
     std::set<HostId> m_drained;
+    /// Hosts that the pools' rows show as drained, until the rows of the hosts are read too.
+    std::set<HostId> m_nextDrained;
+    bool m_readingHosts = false;
     std::set<HostId> m_reported;
     bool m_everReported = false;
     int m_unanswered = 0;
+    HostRows m_rows;
     drivers::Mailbox<PlatformAnswered> m_mailbox;
     drivers::Timer m_timer;
 };
--- /dev/null
+++ b/tests/core/fleet/pool_planner_test.cpp
@@ -0,0 +1,123 @@
+#include "core/fleet/pool_planner.h"
+
+#include "tests/support/story.h"
+
+#include <algorithm>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+const PoolId spare("spare");
+const PoolId cutPlans("cut-plans");
+const PoolId dye("dye");
+
+Config site(PlanningWeights weights)
+{
+    Config config;
+    config.planning = weights;
+    for (const PoolId &id : {spare, cutPlans, dye}) {
+        Pool pool;
+        pool.id = id;
+        pool.spare = id == spare;
+        config.pools.emplace(id, pool);
+    }
+    return config;
+}
+
+std::vector<PlannedHost> hostsOf(const PoolId &pool, int count)
+{
+    std::vector<PlannedHost> hosts;
+    for (int index = 0; index < count; ++index) {
+        const std::string name = pool.name() + '-' + std::to_string(index);
+        hosts.push_back({HostId(name), pool, ZoneId("a"), RackId("rack-" + std::to_string(index / 2)), true, false});
+    }
+    return hosts;
+}
+
+std::vector<PlannedHost> fleet(int inSpare, int inCutPlans, int inDye)
+{
+    std::vector<PlannedHost> hosts = hostsOf(spare, inSpare);
+    for (const auto &more : {hostsOf(cutPlans, inCutPlans), hostsOf(dye, inDye)}) {
+        hosts.insert(hosts.end(), more.begin(), more.end());
+    }
+    return hosts;
+}
+
+std::size_t movesFromTo(const std::vector<PlannedMove> &moves, const PoolId &from, const PoolId &to)
+{
+    return static_cast<std::size_t>(std::count_if(
+        moves.begin(), moves.end(), [&](const PlannedMove &move) { return move.from == from && move.to == to; }));
+}
+
+constexpr PlanningWeights even{1, 1, 1};
+
+} // namespace
+
+TEST(PoolPlanner, GrowsAtOnceAndShrinksLate)
+{
+    story("two pools and a spare one", [] {
+        const Config config = site(even);
+        PoolPlanner planner;
+        TimePoint now{std::chrono::hours(1)};
+        section("work that fits moves nothing", [&] {
+            EXPECT_TRUE(planner.plan(config, fleet(4, 3, 3), {{cutPlans, 2.5}, {dye, 2.5}}, now).empty());
+        });
+        section("a pool that has too few hosts gets idle ones first", [&] {
+            const auto moves = planner.plan(config, fleet(4, 3, 3), {{cutPlans, 4.4}, {dye, 2.5}}, now);
+            EXPECT_EQ(movesFromTo(moves, spare, cutPlans), 2U);
+            EXPECT_EQ(moves.size(), 2U);
+        });
+        section("hosts on their way count, so that none is sent twice", [&] {
+            auto hosts = fleet(2, 5, 3);
+            hosts[2].usable = false;
+            hosts[2].arriving = true;
+            EXPECT_TRUE(planner.plan(config, hosts, {{cutPlans, 4.4}, {dye, 2.5}}, now).empty());
+        });
+        section("after the peak the hosts stay for the hold time", [&] {
+            now += PoolPlanner::evenHold;
+            EXPECT_TRUE(planner.plan(config, fleet(2, 5, 3), {{cutPlans, 1}, {dye, 2.5}}, now).empty());
+        });
+        section("and then rest in the spare pool", [&] {
+            now += std::chrono::minutes(1);
+            const auto moves = planner.plan(config, fleet(2, 5, 3), {{cutPlans, 1}, {dye, 2.5}}, now);
+            EXPECT_EQ(movesFromTo(moves, cutPlans, spare), 3U);
+        });
+    });
+}
+
+TEST(PoolPlanner, TakesHostsFromAnotherPoolWhenNoneRests)
+{
+    story("an empty spare pool, and a pool with hosts to give", [] {
+        const Config config = site(even);
+        PoolPlanner planner;
+        const TimePoint now{std::chrono::hours(1)};
+        const auto moves = planner.plan(config, fleet(0, 6, 3), {{cutPlans, 1}, {dye, 4.4}}, now);
+        EXPECT_EQ(movesFromTo(moves, cutPlans, dye), 2U);
+        section("a pool keeps the fewest hosts that the files give it", [&] {
+            Config least = config;
+            least.pools.at(cutPlans).minHosts = 6;
+            EXPECT_TRUE(PoolPlanner().plan(least, fleet(0, 6, 3), {{cutPlans, 1}, {dye, 4.4}}, now).empty());
+        });
+    });
+}
+
+TEST(PoolPlanner, HoldsHostsAsLongAsTheSiteWeighsMoves)
+{
+    EXPECT_EQ(PoolPlanner::holdTime(even), PoolPlanner::evenHold);
+    EXPECT_LT(PoolPlanner::holdTime({3, 3, 1}), PoolPlanner::evenHold);
+    EXPECT_GT(PoolPlanner::holdTime({1, 1, 3}), PoolPlanner::evenHold);
+    EXPECT_EQ(PoolPlanner::holdTime({1'000, 1'000, 1}), PoolPlanner::shortestHold);
+    EXPECT_EQ(PoolPlanner::holdTime({1, 1, 1'000}), PoolPlanner::longestHold);
+}
+
+TEST(PoolPlanner, NeedsASparePool)
+{
+    Config config = site(even);
+    config.pools.erase(spare);
+    EXPECT_TRUE(PoolPlanner().plan(config, fleet(0, 6, 3), {{dye, 9}}, TimePoint()).empty());
+}
+
+} // namespace radishvane::tests
