Keep the rights of work that runs under standing rights when a host gives them up

Cause: while a host gives rights back, its row keeps what its running work needs, but only up to the leased rights in the row. Work that was started under standing rights was not covered: a host with two standing and two leased rights and four requests gave two rights up, others took them, and 7 requests of a team ran under a ceiling of 6. The new test of processes (ProcessCeiling.HoldsWhileEveryEntryHostIsReplaced) saw it once, on a busy machine; when hosts come and go the standing parts move between them. Ruled out: requests whose callers had left (none in the run), and work of a stopped process (it ends only without any). Change: the bound is all that the row holds for the host. Work goes on under leased rights in place of standing ones. Before: the ledger's test, with four running, sees the row left with 2. After: with 4, and with 2 once two have ended. The model of the fleet now also stops hosts gracefully at random.

--- a/core/quota/rights_ledger.cpp
+++ b/core/quota/rights_ledger.cpp
@@ -404,7 +404,9 @@
         const Use &use = state.use[index];
         own[index] = use.allowed;
         if (use.running > own[index].total()) {
-            own[index].leased = std::min(use.running - own[index].standing, std::max(use.rowLeased, own[index].leased));
+            // Work that was started under a standing right goes on under a leased one.
+            const std::uint32_t inRow = use.rowTotal > own[index].standing ? use.rowTotal - own[index].standing : 0;
+            own[index].leased = std::min(use.running - own[index].standing, std::max(inRow, own[index].leased));
         }
         free -= std::min(free, own[index].total());
     }
@@ -454,11 +456,11 @@
     for (const RightsUse kind : allUses) {
         Use &use = state.use[indexOf(kind)];
         use.held = Rights{};
-        use.rowLeased = 0;
+        use.rowTotal = 0;
         for (const RightsGrant &grant : state.row.grants) {
             if (grant.holder == m_self && grant.use == kind) {
                 use.held = boundByDoubt(state, kind, Rights{grant.standing, grant.epoch == m_epoch ? grant.leased : 0});
-                use.rowLeased = grant.leased;
+                use.rowTotal = grant.total();
             }
         }
         const Rights bounded{std::min(use.allowed.standing, use.held.standing),
@@ -487,7 +489,7 @@
     state.nextLook = m_now + writeInterval;
     for (std::size_t index = 0; index < uses; ++index) {
         state.use[index].held = state.writingOwn[index];
-        state.use[index].rowLeased = state.writingOwn[index].leased;
+        state.use[index].rowTotal = state.writingOwn[index].total();
     }
 }
 
--- a/core/quota/rights_ledger.h
+++ b/core/quota/rights_ledger.h
@@ -154,9 +154,9 @@
     {
         /// What the row holds for this host in the present session, as far as it is known.
         Rights held;
-        /// Leased rights that the row holds for this host in any session. Those of an earlier one may cover work that
-        /// still runs, as long as nobody has reclaimed them.
-        std::uint32_t rowLeased = 0;
+        /// Rights that the row holds for this host in any session, standing ones too. Those of an earlier session may
+        /// cover work that still runs, as long as nobody has reclaimed them.
+        std::uint32_t rowTotal = 0;
         /// What the user of the rights may take; never more than is held.
         Rights allowed;
         std::uint32_t running = 0;
--- a/tests/core/quota/rights_ledger_test.cpp
+++ b/tests/core/quota/rights_ledger_test.cpp
@@ -15,12 +15,13 @@
 constexpr std::uint64_t epoch = 1;
 constexpr std::uint32_t ceiling = 4;
 
-std::shared_ptr<const Config> config()
+std::shared_ptr<const Config> config(std::uint32_t standingPercent)
 {
     auto result = std::make_shared<Config>();
     Team team;
     team.id = office;
     team.ceiling = ceiling;
+    team.standingPercent = standingPercent;
     result->teams.emplace(office, team);
     return result;
 }
@@ -36,9 +37,9 @@
 class Ledger
 {
 public:
-    Ledger()
+    explicit Ledger(std::uint32_t standingPercent = 0)
     {
-        handle(LedgerConfig{config()});
+        handle(LedgerConfig{config(standingPercent)});
         handle(LedgerPeers{{{self, ZoneId("a")}}});
         handle(SessionHeld{holder, epoch});
     }
@@ -46,9 +47,14 @@
     void handle(const LedgerEvent &event)
     {
         effects = m_ledger.handle(event, m_now);
+        for (const PlatformCall &call : all<PlatformCall>(effects)) {
+            if (const auto *request = std::get_if<WriteRows>(&call.request)) {
+                granted = std::get<RightsRow>(*request->writes.front().value).granted();
+            }
+        }
         for (const AllowanceSet &set : all<AllowanceSet>(effects)) {
             m_generation = set.generation;
-            allowed = set.use == RightsUse::Requests ? set.leased : allowed;
+            allowed = set.use == RightsUse::Requests ? set.standing + set.leased : allowed;
         }
     }
 
@@ -60,11 +66,13 @@
 
     void want(std::uint32_t slots)
     {
-        const std::uint64_t seen = m_generation;
-        handle(LedgerDemand{office, RightsUse::Jobs, 0, 0, seen});
-        const LedgerEffects before = effects;
-        handle(LedgerDemand{office, RightsUse::Requests, 0, slots, seen});
-        effects.insert(effects.begin(), before.begin(), before.end());
+        tell(0, slots);
+    }
+
+    /// Work runs in so many slots, and no more is wanted.
+    void run(std::uint32_t slots)
+    {
+        tell(slots, 0);
     }
 
     /// Answers the only call under way.
@@ -83,8 +91,19 @@
 
     LedgerEffects effects;
     std::uint32_t allowed = 0;
+    /// Rights of this host in the latest write.
+    std::uint32_t granted = 0;
 
 private:
+    void tell(std::uint32_t running, std::uint32_t waiting)
+    {
+        const std::uint64_t seen = m_generation;
+        handle(LedgerDemand{office, RightsUse::Jobs, 0, 0, seen});
+        const LedgerEffects before = effects;
+        handle(LedgerDemand{office, RightsUse::Requests, running, waiting, seen});
+        effects.insert(effects.begin(), before.begin(), before.end());
+    }
+
     RightsLedger m_ledger{self};
     TimePoint m_now{std::chrono::hours(1)};
     std::uint64_t m_generation = 0;
@@ -122,4 +141,30 @@
     });
 }
 
+TEST(RightsLedger, KeepsRightsOfWorkThatStillRunsWhileItStops)
+{
+    story("an entry host whose rights are half standing, with work under all of them", [] {
+        Ledger ledger(50);
+        ledger.want(ceiling);
+        ledger.answer(RowAbsent{rowKey::rightsOf(office)});
+        ASSERT_TRUE(ledger.writes());
+        ledger.answer(RowsWritten{{1}});
+        ASSERT_EQ(ledger.allowed, ceiling);
+        ledger.run(ceiling);
+        section("gives up none of them when it stops", [&] {
+            ledger.handle(LedgerStop{});
+            ledger.pass(RightsLedger::surplusFor);
+            ledger.run(ceiling);
+            EXPECT_EQ(ledger.granted, ceiling);
+            ledger.answer(RowsWritten{{2}});
+        });
+        section("and half of them when half of the work has ended", [&] {
+            ledger.run(ceiling / 2);
+            ledger.pass(RightsLedger::surplusFor);
+            ledger.run(ceiling / 2);
+            EXPECT_EQ(ledger.granted, ceiling / 2);
+        });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/support/fleet_model.h
+++ b/tests/support/fleet_model.h
@@ -323,10 +323,14 @@
         }
         const int host = static_cast<int>(pick(hostCount));
         const Duration length(pick(60'000));
-        switch (pick(4)) {
+        switch (pick(5)) {
         case 0:
             cutOff(host, length);
             return;
+        case 4:
+            m_hosts[host]->stop();
+            m_exitsBy[host] = m_now + std::chrono::seconds(5);
+            return;
         case 1:
             platformDown(length);
             return;
@@ -335,17 +339,28 @@
             return;
         default:
             // The process is killed; what it started goes on at the backend servers.
-            for (const TimePoint end : m_hosts[host]->ends()) {
-                m_orphanedWork.push_back(end);
-            }
-            m_hosts[host] = newHost(host);
+            startAnew(host);
             m_pausedUntil[host] = m_now + length;
             return;
         }
     }
 
+    void startAnew(int host)
+    {
+        for (const TimePoint end : m_hosts[host]->ends()) {
+            m_orphanedWork.push_back(end);
+        }
+        m_exitsBy[host] = TimePoint::max();
+        m_hosts[host] = newHost(host);
+    }
+
     void actHost(std::size_t index)
     {
+        // A process that stops ends once its rights are back, or after a while in any case, and its successor starts.
+        const bool stops = m_exitsBy[index] != TimePoint::max();
+        if (stops && (m_hosts[index]->stopped || m_now >= m_exitsBy[index])) {
+            startAnew(static_cast<int>(index));
+        }
         EntryHostModel &host = *m_hosts[index];
         if (m_now < m_pausedUntil[index] || host.stopped) {
             return;
@@ -417,6 +432,7 @@
     TimePoint m_nextHeartbeat;
     TimePoint m_downUntil;
     std::array<TimePoint, hostCount> m_cutUntil{};
+    std::array<TimePoint, hostCount> m_exitsBy{TimePoint::max(), TimePoint::max(), TimePoint::max(), TimePoint::max()};
     std::array<TimePoint, hostCount> m_pausedUntil{};
     std::deque<TimePoint> m_orphanedWork;
     bool m_faults = true;
