Try one request of an idle service whatever its estimate of run times says

Cause: a request is refused when its time left is less than three estimated runs, and the estimate learns only from runs that ended. Once it had risen to a third of the callers' timeout, every request was refused, no run could lower it, and the service stayed closed with all slots free. The golden file of an ordinary minute had recorded the fault: after 20 s it refused everything. Ruled out: the ceiling and rights (16 granted, 5 running), and the machine's load (one of the two ran alone). Change: with nothing running or waiting for the service at this entry host, the request is started; one at a time, until the estimate has come down. Before: the new test's second request is refused. After: more than 50 of 80 are served. Conclusion: a bound on time left needs a way for its estimate to recover.

--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -336,7 +336,11 @@
     }
     const Duration expected = predictedWait(state, exchange.team);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
-    if (expected > exchange.head.timeout / mostWaitDivisor || m_now + expected + estimate > exchange.deadline) {
+    const bool waitsLong = expected > exchange.head.timeout / mostWaitDivisor;
+    // With nothing under way the request is tried whatever the estimate says, or an estimate that was once too high
+    // could never fall again.
+    const bool isProbe = state.running == 0 && state.queue.size() == 0;
+    if (!isProbe && (waitsLong || m_now + expected + estimate > exchange.deadline)) {
         refuse(id, RefusalReason::DeadlineTooClose, std::max(expected, leastRetryAfter));
         return;
     }
@@ -410,7 +414,7 @@
 {
     Exchange &exchange = m_exchanges.at(request.exchange);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
-    if (m_now + estimate * runsLeftAtStart > exchange.deadline) {
+    if (state.running > 0 && m_now + estimate * runsLeftAtStart > exchange.deadline) {
         refuse(request.exchange, RefusalReason::DeadlineTooClose, leastRetryAfter);
         return;
     }
@@ -421,6 +425,7 @@
     if (!request.team.empty()) {
         m_rights.take(request.team, m_now);
     }
+    ++state.running;
     const AttemptId attemptId{++m_lastAttempt};
     const double charge = state.runEstimate > 0 ? state.runEstimate : firstCharge;
     state.queue.charge(request.team, charge);
@@ -438,6 +443,7 @@
 void RequestPlane::settleWork(const Attempt &attempt, AttemptOutcome outcome)
 {
     ServiceState &state = service(attempt.service);
+    --state.running;
     const double spent = toMilliseconds(m_now - attempt.started);
     const bool ran = outcome != AttemptOutcome::NotRun && outcome != AttemptOutcome::NotSent;
     state.queue.charge(attempt.team, (ran ? spent : 0) - attempt.charged);
--- a/tests/core/routing/request_plane_test.cpp
+++ b/tests/core/routing/request_plane_test.cpp
@@ -206,6 +206,36 @@
     });
 }
 
+TEST(RequestPlane, ServesAgainAfterRunsThatTookTooLong)
+{
+    story("runs that took as long as callers wait", [] {
+        PlaneWorld world;
+        std::uint64_t id = 0;
+        for (int run = 0; run < 4; ++run) {
+            const auto started = only<StartAttempt>(world.request(++id));
+            ASSERT_TRUE(started);
+            world.pass(world.timeout - Duration(100));
+            world.end(started->attempt, AttemptOutcome::Answered);
+        }
+        section("do not keep later requests out for ever: one is tried at a time, and tells how long runs take now",
+                [&] {
+                    int served = 0;
+                    for (int run = 0; run < 40; ++run) {
+                        const auto first = only<StartAttempt>(world.request(++id));
+                        const auto second = only<StartAttempt>(world.request(++id));
+                        world.pass(Duration(100));
+                        for (const auto &started : {first, second}) {
+                            if (started) {
+                                world.end(started->attempt, AttemptOutcome::Answered);
+                                ++served;
+                            }
+                        }
+                    }
+                    EXPECT_GT(served, 50);
+                });
+    });
+}
+
 TEST(RequestPlane, KeepsTheCeilingOfATeam)
 {
     story("a team with two rights on this host and slots for four", [] {
