--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -159,6 +159,10 @@
 {
     m_leaving = event.hosts;
     m_board.setLeaving(event.hosts);
+    for (auto &[id, job] : m_jobs) {
+        // Moving away begins at once and not with the next renewal.
+        job.next = job.stage == Stage::Running && m_leaving.contains(job.row.worker) ? m_now.steady : job.next;
+    }
 }
 
 void JobKeeper::on(const JobPeers &event)
@@ -266,6 +270,11 @@
             end(job, JobState::Failed, JobReason::DeadlinePassed);
             return;
         }
+        if (m_leaving.contains(job.row.worker) && job.canCheckpoint) {
+            // Any job goes on elsewhere from its checkpoint. Asked again until the worker says that it has written one.
+            send(job, CheckpointTask{job.row.id, job.row.epoch});
+            return;
+        }
         if (m_leaving.contains(job.row.worker) && job.row.idempotent && !job.moving) {
             // A job that may run again is moved; others are left to end before the host does.
             job.moving = true;
@@ -352,7 +361,9 @@
         m_outbox.note(JobStep::Placed, job.row);
         job.stage = Stage::Starting;
         job.lapses = m_now.steady + taskLease + clockMargin;
-        send(job, StartTask{job.row.id, job.row.epoch, taskLease, *job.room, job.row.kind, job.row.payload});
+        send(job,
+             StartTask{job.row.id, job.row.epoch, taskLease, *job.room, job.row.kind, job.row.payload,
+                       job.row.checkpoint});
         return;
     }
     const auto *failed = std::get_if<PlatformFailed>(&answer);
@@ -409,7 +420,9 @@
         // The write took effect, but the worker was not asked yet.
         job.stage = Stage::Starting;
         job.lapses = m_now.steady + taskLease + clockMargin;
-        send(job, StartTask{row.id, row.epoch, taskLease, job.room.value_or(row.needs), row.kind, row.payload});
+        send(job,
+             StartTask{row.id, row.epoch, taskLease, job.room.value_or(row.needs), row.kind, row.payload,
+                       row.checkpoint});
         return;
     }
     job.stage = Stage::Waiting;
@@ -434,6 +447,7 @@
 
 void JobKeeper::onReport(Job &job, const TaskReport &report)
 {
+    job.canCheckpoint = report.canCheckpoint;
     switch (report.state) {
     case TaskState::Running:
         if (job.stage == Stage::Adopted && !job.holdsRight) {
@@ -473,6 +487,15 @@
         }
         end(job, JobState::Failed, JobReason::MayHaveRun);
         return;
+    case TaskState::Checkpointed:
+        if (job.row.cancelAsked) {
+            end(job, JobState::Cancelled, JobReason::CancelledByCaller);
+            return;
+        }
+        // The row learns of it with the next start. Until then it names this worker, which any other owner would ask.
+        job.row.checkpoint = report.checkpoint;
+        requeue(job, false);
+        return;
     case TaskState::NeverStarted:
         requeue(job, false);
         return;
@@ -582,6 +605,7 @@
 
 void JobKeeper::onScanned(const RowsFound &found)
 {
+    clearEnded(found);
     for (const StoredRow &stored : found.rows) {
         const auto &row = std::get<JobRow>(stored.value);
         const bool mine = m_jobs.contains(row.id) || isBeingWritten(row.id);
@@ -598,6 +622,21 @@
     }
 }
 
+void JobKeeper::clearEnded(const RowsFound &found)
+{
+    WriteRows removal;
+    for (const StoredRow &stored : found.rows) {
+        const auto &row = std::get<JobRow>(stored.value);
+        const bool isOver = isTerminal(row.state) && m_now.wall >= row.endBy + keepEnded;
+        if (isOver && isOwnToAdopt(row.id) && removal.writes.size() < batchSize) {
+            removal.writes.push_back({stored.key, stored.version, std::nullopt});
+        }
+    }
+    if (!removal.writes.empty()) {
+        m_outbox.call(std::move(removal));
+    }
+}
+
 bool JobKeeper::ownerIsLive(const HolderId &owner) const
 {
     if (owner == *m_self) {
--- a/core/jobs/job_keeper.h
+++ b/core/jobs/job_keeper.h
@@ -33,6 +33,8 @@
     static constexpr Duration orphanInterval{60'000};
     /// Most rows of one transaction.
     static constexpr std::size_t batchSize = 64;
+    /// An ended job can be asked about for this long after the time by which it had to end.
+    static constexpr Duration keepEnded{24 * 3'600'000};
 
     JobKeeper(HostId host, std::uint64_t seed);
 
@@ -77,6 +79,8 @@
         bool holdsRight = false;
         /// The worker was asked to stop the task, so that it moves away from a host that leaves.
         bool moving = false;
+        /// The worker has said that it can write a checkpoint of the task.
+        bool canCheckpoint = false;
         /// Room taken at the worker.
         std::optional<JobNeeds> room;
     };
@@ -116,6 +120,7 @@
 
     void scanForOrphans();
     void onScanned(const RowsFound &found);
+    void clearEnded(const RowsFound &found);
     bool ownerIsLive(const HolderId &owner) const;
     bool isOwnToAdopt(const JobId &job) const;
     bool isBeingWritten(const JobId &job) const;
--- a/core/jobs/job_messages.h
+++ b/core/jobs/job_messages.h
@@ -69,11 +69,13 @@
     Unknown,
     /// The worker refused to start the task; it did not run.
     Refused,
+    /// The worker wrote the task's state to the object store and ended it; it can go on elsewhere from there.
+    Checkpointed,
 };
 
 /// Wire names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 7> taskStateNames{
-    "running", "done", "failed", "stopped", "never-started", "unknown", "refused",
+inline constexpr std::array<std::string_view, 8> taskStateNames{
+    "running", "done", "failed", "stopped", "never-started", "unknown", "refused", "checkpointed",
 };
 
 /// A worker's answer.
@@ -83,6 +85,10 @@
     std::string result;
     Duration ran{};
     std::uint32_t usedMemoryGb = 0;
+    /// The worker can write a checkpoint of the task.
+    bool canCheckpoint = false;
+    /// Object that holds the checkpoint, once there is one.
+    std::string checkpoint{};
 };
 
 /// Why a worker gave no answer.
@@ -153,6 +159,8 @@
     JobNeeds needs;
     std::string kind;
     std::string payload;
+    /// Object to go on from; empty for a start from the beginning.
+    std::string checkpoint{};
 };
 
 /// Renews the task's lease, or only asks when @p lease is zero.
@@ -170,13 +178,20 @@
     std::uint64_t epoch = 0;
 };
 
+/// Writes the task's state to the object store and ends the task.
+struct CheckpointTask
+{
+    JobId job;
+    std::uint64_t epoch = 0;
+};
+
 struct StopTaskRun
 {
     JobId job;
     std::uint64_t epoch = 0;
 };
 
-using WorkerRequest = std::variant<StartTask, RenewTask, FenceTask, StopTaskRun>;
+using WorkerRequest = std::variant<StartTask, RenewTask, FenceTask, CheckpointTask, StopTaskRun>;
 
 struct WorkerCall
 {
--- a/core/messages/rows.h
+++ b/core/messages/rows.h
@@ -186,6 +186,8 @@
     HostId worker;
     bool cancelAsked = false;
     std::string result;
+    /// Object that the next start goes on from; empty without a checkpoint.
+    std::string checkpoint{};
 };
 
 /// Where a host stands in its life, apart from its declaration.
--- a/drivers/job_http.cpp
+++ b/drivers/job_http.cpp
@@ -244,7 +244,8 @@
                                         {"memory_gb", start.needs.memoryGb},
                                         {"accelerators", start.needs.accelerators},
                                         {"kind", start.kind},
-                                        {"payload_object", start.payload}}
+                                        {"payload_object", start.payload},
+                                        {"checkpoint_object", start.checkpoint}}
                                        .dump();
                    },
                    [&](const RenewTask &renew) {
@@ -255,6 +256,10 @@
                        http.target = taskPath(fence.job) + "/fence";
                        http.body = Json{{"epoch", fence.epoch}}.dump();
                    },
+                   [&](const CheckpointTask &checkpoint) {
+                       http.target = taskPath(checkpoint.job) + "/checkpoint";
+                       http.body = Json{{"epoch", checkpoint.epoch}}.dump();
+                   },
                    [&](const StopTaskRun &stop) {
                        http.target = taskPath(stop.job) + "/stop";
                        http.body = Json{{"epoch", stop.epoch}}.dump();
@@ -279,6 +284,8 @@
     report.result = json.value("result", "");
     report.ran = Duration(json.value("ran_ms", std::int64_t{0}));
     report.usedMemoryGb = json.value("used_memory_gb", 0U);
+    report.canCheckpoint = json.value("can_checkpoint", false);
+    report.checkpoint = json.value("checkpoint_object", "");
     return {id, report};
 }
 
--- a/drivers/row_codec.cpp
+++ b/drivers/row_codec.cpp
@@ -118,6 +118,7 @@
             {"accelerators", row.needs.accelerators},
             {"declared_run_ms", row.declaredRun.count()},
             {"payload", row.payload},
+            {"checkpoint", row.checkpoint},
             {"submitted_at", toNumber(row.submittedAt)},
             {"end_by", toNumber(row.endBy)},
             {"state", enumName(jobStateNames, row.state)},
@@ -215,6 +216,7 @@
     row.worker = nameField<HostId>(json, "worker");
     row.cancelAsked = json.at("cancel_asked").get<bool>();
     row.result = json.at("result").get<std::string>();
+    row.checkpoint = json.at("checkpoint").get<std::string>();
     return row;
 }
 
