Explain why a host drains, a job waits or a team is held back

Cause: operators saw states in `status` without what they wait for. The findings are worked out in the core. Conclusion: the command itself has no test of processes yet.

--- /dev/null
+++ b/core/fleet/explanation.cpp
@@ -0,0 +1,196 @@
+#include "core/fleet/explanation.h"
+
+#include "core/base/enum_names.h"
+
+#include <algorithm>
+
+namespace radishvane
+{
+
+namespace
+{
+
+std::string seconds(Duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::seconds>(time).count()) + " s";
+}
+
+std::string listing(const ExplainView &view, const HostId &id)
+{
+    const auto found = view.listed.find(id);
+    return found == view.listed.end() ? "not listed, counted as failed"
+                                      : std::string(enumName(hostListingNames, found->second));
+}
+
+std::vector<std::string> jobsOn(const ExplainView &view, const HostId &id)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, job] : view.jobs) {
+        if (job.worker == id && !isTerminal(job.state)) {
+            names.push_back(name.name());
+        }
+    }
+    return names;
+}
+
+std::string drainWaitsFor(const ExplainView &view, const HostOut &out)
+{
+    switch (out.phase) {
+    case HostPhase::InService:
+        return "nothing";
+    case HostPhase::Draining: {
+        const auto jobs = jobsOn(view, out.host);
+        return jobs.empty() ? "requests that still run, for the longest run time of its services"
+                            : "job " + jobs.front() + " and " + std::to_string(jobs.size() - 1) + " more";
+    }
+    case HostPhase::Rebooting:
+    case HostPhase::OutOfService:
+        return "the platform to say that its reboot is done";
+    }
+    return "nothing";
+}
+
+std::uint32_t grantedFor(const RightsRow &row, RightsUse use)
+{
+    std::uint32_t granted = 0;
+    for (const RightsGrant &grant : row.grants) {
+        granted += grant.use == use ? grant.total() : 0;
+    }
+    return granted;
+}
+
+std::string jobWaitsFor(const ExplainView &view, const JobRow &job)
+{
+    const auto team = view.declared->teams.find(job.team);
+    if (team == view.declared->teams.end()) {
+        return "its team, which the files do not name any more; it will end failed";
+    }
+    const auto rights = view.rights.find(job.team);
+    const std::uint32_t granted = rights == view.rights.end() ? 0 : rights->second.granted();
+    if (granted >= team->second.ceiling) {
+        return "a right: " + std::to_string(granted) + " of " + std::to_string(team->second.ceiling) + " are granted, "
+            + std::to_string(rights == view.rights.end() ? 0 : grantedFor(rights->second, RightsUse::Requests))
+            + " of them for requests";
+    }
+    return "a worker with " + std::to_string(job.needs.cores) + " cores, " + std::to_string(job.needs.memoryGb)
+        + " GB and " + std::to_string(job.needs.accelerators) + " accelerators free";
+}
+
+} // namespace
+
+std::optional<Findings> explainHost(const ExplainView &view, const HostId &id)
+{
+    const auto declared = view.declared->hosts.find(id);
+    if (declared == view.declared->hosts.end()) {
+        return std::nullopt;
+    }
+    const auto placed = placeHosts(view.declared, view.hosts);
+    Findings findings{{Fact::DeclaredPool, declared->second.pool.name()},
+                      {Fact::Pool, placed->hosts.at(id).pool.name()},
+                      {Fact::Listing, listing(view, id)}};
+    if (const auto row = view.hosts.find(id);
+        row != view.hosts.end() && row->second.maintainedAt.time_since_epoch().count() > 0) {
+        findings.push_back({Fact::Maintained, seconds(view.now - row->second.maintainedAt) + " ago"});
+    }
+    HostOut own;
+    own.phase = HostPhase::InService;
+    for (const auto &[pool, row] : view.pools) {
+        for (const HostOut &out : row.out) {
+            own = out.host == id ? out : own;
+        }
+    }
+    findings.push_back({Fact::Phase, std::string(enumName(hostPhaseNames, own.phase))});
+    if (own.phase == HostPhase::InService) {
+        return findings;
+    }
+    findings.push_back({Fact::Cause, std::string(enumName(drainCauseNames, own.cause))});
+    if (own.cause == DrainCause::Move) {
+        findings.push_back({Fact::Target, own.target.name()});
+    }
+    findings.push_back({Fact::InPhaseFor, seconds(view.now - own.since)});
+    findings.push_back({Fact::WaitsFor, drainWaitsFor(view, own)});
+    return findings;
+}
+
+std::optional<Findings> explainJob(const ExplainView &view, const JobId &id)
+{
+    const auto found = view.jobs.find(id);
+    if (found == view.jobs.end()) {
+        return std::nullopt;
+    }
+    const JobRow &job = found->second;
+    Findings findings{{Fact::State, std::string(enumName(jobStateNames, job.state))},
+                      {Fact::Reason, std::string(enumName(jobReasonNames, job.reason))},
+                      {Fact::Attempts, std::to_string(job.attempts)},
+                      {Fact::Worker, job.worker.name()}};
+    if (isTerminal(job.state)) {
+        return findings;
+    }
+    findings.push_back({Fact::Owner, job.owner.host.name()});
+    findings.push_back({Fact::EndsWithin, seconds(job.endBy - view.now)});
+    if (job.state == JobState::Queued) {
+        findings.push_back({Fact::WaitsFor, jobWaitsFor(view, job)});
+    }
+    return findings;
+}
+
+std::optional<Findings> explainTeam(const ExplainView &view, const TeamId &id)
+{
+    const auto found = view.declared->teams.find(id);
+    if (found == view.declared->teams.end()) {
+        return std::nullopt;
+    }
+    const auto keys = std::count_if(view.declared->keys.begin(), view.declared->keys.end(),
+                                    [&](const auto &entry) { return entry.second.team == id; });
+    Findings findings{{Fact::Share, std::to_string(found->second.share)},
+                      {Fact::Ceiling, std::to_string(found->second.ceiling)},
+                      {Fact::Keys, std::to_string(keys)}};
+    std::uint32_t granted = 0;
+    if (const auto rights = view.rights.find(id); rights != view.rights.end()) {
+        granted = rights->second.granted();
+        for (const RightsGrant &grant : rights->second.grants) {
+            findings.push_back({Fact::Granted,
+                                grant.holder.host.name() + ": " + std::to_string(grant.standing) + " standing, "
+                                    + std::to_string(grant.leased) + " leased, for "
+                                    + std::string(enumName(rightsUseNames, grant.use))});
+        }
+    }
+    const std::uint32_t ceiling = found->second.ceiling;
+    findings.push_back({Fact::Free, std::to_string(ceiling > granted ? ceiling - granted : 0)});
+    return findings;
+}
+
+std::optional<Findings> explainPool(const ExplainView &view, const PoolId &id)
+{
+    const auto found = view.declared->pools.find(id);
+    if (found == view.declared->pools.end()) {
+        return std::nullopt;
+    }
+    const auto placed = placeHosts(view.declared, view.hosts);
+    std::size_t hosts = 0;
+    Findings findings;
+    const auto row = view.pools.find(id);
+    const auto isOut = [&](const HostId &host) {
+        return row != view.pools.end()
+            && std::any_of(row->second.out.begin(), row->second.out.end(),
+                           [&](const HostOut &out) { return out.host == host; });
+    };
+    for (const auto &[name, host] : placed->hosts) {
+        if (host.pool != id) {
+            continue;
+        }
+        ++hosts;
+        if (isOut(name)) {
+            findings.push_back({Fact::Out, name.name()});
+        } else if (!view.listed.contains(name)) {
+            findings.push_back({Fact::Failed, name.name()});
+        }
+    }
+    const std::uint32_t budget = found->second.maxHostsOut;
+    findings.insert(findings.begin(),
+                    {{Fact::Hosts, std::to_string(hosts)},
+                     {Fact::Budget, std::to_string(findings.size()) + " of " + std::to_string(budget) + " used"}});
+    return findings;
+}
+
+} // namespace radishvane
--- a/main/commands/command.h
+++ b/main/commands/command.h
@@ -36,6 +36,7 @@
 void addPlan(CLI::App &app, ExitCode &exitCode);
 void addApply(CLI::App &app, ExitCode &exitCode);
 void addStatus(CLI::App &app, ExitCode &exitCode);
+void addExplain(CLI::App &app, ExitCode &exitCode);
 void addCall(CLI::App &app, ExitCode &exitCode);
 
 } // namespace radishvane::commands
--- a/main/radishvane.cpp
+++ b/main/radishvane.cpp
@@ -18,6 +18,7 @@
     commands::addPlan(app, exitCode);
     commands::addApply(app, exitCode);
     commands::addStatus(app, exitCode);
+    commands::addExplain(app, exitCode);
     commands::addCall(app, exitCode);
     CLI11_PARSE(app, argumentCount, arguments);
     return static_cast<int>(exitCode);
