Let any host rest in the spare pool, and keep the planner's interface to what it uses

Cause: a host that could do no pool's work was looked for in vain when it was to rest, past the end of the hosts, if an embedder left the spare pool out of what it serves. The size of the shared buffer stood in the planner and was used by the simulation only. Change: resting needs no work that the host can do; the buffer's size moved to the simulation.

--- a/benchmarks/fleet_simulation.cpp
+++ b/benchmarks/fleet_simulation.cpp
@@ -58,6 +58,20 @@
     return demand;
 }
 
+/// Hosts that stand for the largest rack in service, which is what one buffer for all pools has to make up for.
+std::size_t sharedBuffer(const Config &config, const std::vector<PlannedHost> &hosts)
+{
+    std::map<RackId, std::size_t> racks;
+    std::size_t largest = 0;
+    for (const PlannedHost &host : hosts) {
+        const auto pool = config.pools.find(host.pool);
+        const bool serves = pool != config.pools.end() && !pool->second.spare && host.usable;
+        racks[host.rack] += serves ? 1 : 0;
+        largest = std::max(largest, racks[host.rack]);
+    }
+    return largest;
+}
+
 class Day
 {
 public:
@@ -299,7 +313,7 @@
         for (const SimulatedHost &host : m_hosts) {
             hosts.push_back(host.planned);
         }
-        return static_cast<double>(std::min(usable(sparePool), PoolPlanner::sharedBuffer(m_config, hosts)));
+        return static_cast<double>(std::min(usable(sparePool), sharedBuffer(m_config, hosts)));
     }
 
     void accountRollOut(const PoolId &pool, bool enough)
--- a/core/fleet/move_keeper.cpp
+++ b/core/fleet/move_keeper.cpp
@@ -29,7 +29,7 @@
 }
 
 /// Pools in which each host has something to run: those of the services that have a backend server on it, and for a
-/// worker those without a service. Every host can rest in a spare pool.
+/// worker those without a service.
 std::map<HostId, std::set<PoolId>> poolsServed(const Config &config)
 {
     std::map<HostId, std::set<PoolId>> served;
@@ -42,7 +42,7 @@
     }
     for (const auto &[id, host] : config.hosts) {
         for (const auto &[pool, settings] : config.pools) {
-            if (settings.spare || (host.worker && !ofServices.contains(pool))) {
+            if (host.worker && !settings.spare && !ofServices.contains(pool)) {
                 served[id].insert(pool);
             }
         }
--- a/core/fleet/pool_planner.cpp
+++ b/core/fleet/pool_planner.cpp
@@ -31,20 +31,23 @@
         std::count_if(hosts.begin(), hosts.end(), [&](const PlannedHost *host) { return canServe(*host, pool); }));
 }
 
-/// Of the hosts that can serve a pool, one whose rack holds most of all, so that what stays is spread over racks. There
-/// must be such a host.
-std::size_t fromFullestRack(const std::vector<const PlannedHost *> &hosts, const PoolId &pool)
+/// Of the hosts that can serve a pool, or of all without one, a host whose rack holds most, so that what stays is
+/// spread over racks. There must be such a host.
+std::size_t fromFullestRack(const std::vector<const PlannedHost *> &hosts, const std::optional<PoolId> &pool)
 {
+    const auto fits = [&](std::size_t index) {
+        return !pool || canServe(*hosts[index], *pool);
+    };
     std::map<RackId, std::size_t> racks;
     for (const PlannedHost *host : hosts) {
         ++racks[host->rack];
     }
     std::size_t best = 0;
-    while (!canServe(*hosts[best], pool)) {
+    while (!fits(best)) {
         ++best;
     }
     for (std::size_t index = best + 1; index < hosts.size(); ++index) {
-        if (!canServe(*hosts[index], pool)) {
+        if (!fits(index)) {
             continue;
         }
         const auto count = racks[hosts[index]->rack];
@@ -96,19 +99,6 @@
     return std::clamp(Duration(static_cast<Duration::rep>(std::min(hold, longest))), shortestHold, longestHold);
 }
 
-std::size_t PoolPlanner::sharedBuffer(const Config &config, const std::vector<PlannedHost> &hosts)
-{
-    std::map<RackId, std::size_t> racks;
-    std::size_t largest = 0;
-    for (const PlannedHost &host : hosts) {
-        const auto pool = config.pools.find(host.pool);
-        const bool serves = pool != config.pools.end() && !pool->second.spare && host.usable;
-        racks[host.rack] += serves ? 1 : 0;
-        largest = std::max(largest, racks[host.rack]);
-    }
-    return largest;
-}
-
 void PoolPlanner::record(const PoolId &pool, double demand, Duration hold, TimePoint now)
 {
     std::deque<Sample> &samples = m_samples[pool];
@@ -183,7 +173,7 @@
             neediest->second.needNow = neediest->second.present();
             continue;
         }
-        move(pools, *from, neediest->first, moves);
+        move(pools, *from, to, to, moves);
     }
 }
 
@@ -206,15 +196,16 @@
 {
     for (auto &[id, pool] : pools) {
         while (id != spare && pool.present() > pool.need && !pool.usable.empty()) {
-            move(pools, id, spare, moves);
+            move(pools, id, spare, std::nullopt, moves);
         }
     }
 }
 
-void PoolPlanner::move(PoolViews &pools, const PoolId &from, const PoolId &to, std::vector<PlannedMove> &moves)
+void PoolPlanner::move(PoolViews &pools, const PoolId &from, const PoolId &to, const std::optional<PoolId> &serving,
+                       std::vector<PlannedMove> &moves)
 {
     PoolView &source = pools[from];
-    const std::size_t chosen = fromFullestRack(source.usable, to);
+    const std::size_t chosen = fromFullestRack(source.usable, serving);
     moves.push_back({source.usable[chosen]->host, from, to});
     source.usable.erase(source.usable.begin() + static_cast<std::ptrdiff_t>(chosen));
     ++pools[to].arriving;
--- a/core/fleet/pool_planner.h
+++ b/core/fleet/pool_planner.h
@@ -60,8 +60,6 @@
                                   const PoolDemands &demands, TimePoint now);
 
     static Duration holdTime(const PlanningWeights &weights);
-    /// Hosts that the spare pool keeps for the loss of a rack.
-    static std::size_t sharedBuffer(const Config &config, const std::vector<PlannedHost> &hosts);
 
 private:
     struct Sample
@@ -98,7 +96,9 @@
     /// Work peaks in turn: of the pools that have hosts to give, the one that grew last will need them last.
     static std::optional<PoolId> giver(const PoolViews &pools, const PoolId &spare, const PoolId &to);
     static void release(PoolViews &pools, const PoolId &spare, std::vector<PlannedMove> &moves);
-    static void move(PoolViews &pools, const PoolId &from, const PoolId &to, std::vector<PlannedMove> &moves);
+    /// @param serving pool whose work the host must be able to do; nothing for any host.
+    static void move(PoolViews &pools, const PoolId &from, const PoolId &to, const std::optional<PoolId> &serving,
+                     std::vector<PlannedMove> &moves);
 
     /// Samples that may still be the peak, falling, by pool.
     std::map<PoolId, std::deque<Sample>> m_samples;
--- a/tests/core/fleet/pool_planner_test.cpp
+++ b/tests/core/fleet/pool_planner_test.cpp
@@ -109,12 +109,21 @@
     story("a pool that is short, and idle hosts of which one can do its work", [] {
         const Config config = site(even);
         auto hosts = fleet(3, 3, 3);
-        hosts[0].serves = {spare};
-        hosts[1].serves = {spare, dye};
-        hosts[2].serves = {spare, cutPlans};
+        hosts[0].serves = std::set<PoolId>{};
+        hosts[1].serves = std::set<PoolId>{dye};
+        hosts[2].serves = std::set<PoolId>{cutPlans};
         const auto moves = PoolPlanner().plan(config, hosts, {{cutPlans, 4.4}, {dye, 2.5}}, TimePoint());
         ASSERT_EQ(moves.size(), 1U);
         EXPECT_EQ(moves[0].host, hosts[2].host);
+        section("any host can rest in the spare pool", [&] {
+            PoolPlanner planner;
+            auto idle = fleet(0, 6, 3);
+            idle[5].serves = std::set<PoolId>{};
+            TimePoint now{std::chrono::hours(1)};
+            planner.plan(config, idle, {{cutPlans, 0.5}, {dye, 2.5}}, now);
+            now += PoolPlanner::evenHold;
+            EXPECT_EQ(planner.plan(config, idle, {{cutPlans, 0.5}, {dye, 2.5}}, now).size(), 5U);
+        });
     });
 }
 
