Watch drains by the steady clock

Cause: whether a drain had lasted long enough was told from the wall clock in the row. Set forward by hours, a host was rebooted at once, with requests on it; set back, it was never rebooted. Change: each planner watches a drain by its steady clock from when it first sees it. Before: the new test sees a reboot at once after a step of +5 h, and none 30 s after one of -5 h. After: both wait for the time that a drain takes, and then reboot. Conclusion: a planner that takes over adds one wait, some seconds, to a drain.

--- a/core/fleet/maintenance_keeper.cpp
+++ b/core/fleet/maintenance_keeper.cpp
@@ -136,6 +136,7 @@
         rows.emplace(id, std::get<HostRow>(stored.value));
     }
     m_view.config = placeHosts(m_config, rows);
+    watchDrains();
     const auto moves = planMoves();
     for (const auto &[id, pool] : m_config->pools) {
         const auto found = moves.find(id);
@@ -341,9 +342,26 @@
     return found == m_view.hosts.end() ? WallTime() : std::get<HostRow>(found->second.value).maintainedAt;
 }
 
+void MaintenanceKeeper::watchDrains()
+{
+    std::map<std::pair<HostId, WallTime>, TimePoint> seen;
+    for (const auto &[id, stored] : m_view.pools) {
+        for (const HostOut &out : std::get<PoolRow>(stored.value).out) {
+            const std::pair key(out.host, out.since);
+            const auto before = m_drainsSeen.find(key);
+            seen.emplace(key, before == m_drainsSeen.end() ? m_now.steady : before->second);
+        }
+    }
+    m_drainsSeen = std::move(seen);
+}
+
 bool MaintenanceKeeper::drained(const HostOut &out) const
 {
-    const Duration since = m_now.wall - out.since;
+    const auto seen = m_drainsSeen.find({out.host, out.since});
+    if (seen == m_drainsSeen.end()) {
+        return false;
+    }
+    const TimePoint::duration since = m_now.steady - seen->second;
     Duration requests{};
     for (const auto &[id, service] : m_view.config->services) {
         for (const BackendServer &backend : service.backends) {
--- a/core/fleet/maintenance_keeper.h
+++ b/core/fleet/maintenance_keeper.h
@@ -147,6 +147,7 @@
     std::vector<HostId> due(const Pool &pool, const PoolRow &row) const;
     std::vector<HostId> failedHosts(const Pool &pool, const PoolRow &row) const;
     WallTime maintainedAt(const HostId &host) const;
+    void watchDrains();
     bool drained(const HostOut &out) const;
     bool isOwn(const PoolId &pool) const;
     bool ownsMoves() const;
@@ -168,6 +169,9 @@
     MoveKeeper m_moves;
     View m_view;
     bool m_hostsRead = false;
+    /// When this entry host first saw each drain that is under way, by host and time of the drain. The wall clock in
+    /// the row may have been set since.
+    std::map<std::pair<HostId, WallTime>, TimePoint> m_drainsSeen;
     std::set<OperationId> m_reads;
     std::map<OperationId, Reboot> m_reboots;
 };
--- a/tests/core/fleet/maintenance_keeper_test.cpp
+++ b/tests/core/fleet/maintenance_keeper_test.cpp
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Somebody sets the wall clock.
+    void stepWallClock(Duration by)
+    {
+        m_now.wall += by;
+    }
+
     std::size_t maintained() const
     {
         return static_cast<std::size_t>(
@@ -190,6 +196,22 @@
     });
 }
 
+TEST(Maintenance, DrainsForTheWholeTimeWhateverTheWallClockSays)
+{
+    for (const int hours : {-5, 5}) {
+        story("the wall clock is set by " + std::to_string(hours) + " hours during a drain", [&] {
+            MaintenanceWorld world(1);
+            world.run(std::chrono::seconds(3), PlatformFault::None);
+            ASSERT_GT(world.out(), 0U);
+            world.stepWallClock(std::chrono::hours(hours));
+            world.run(MaintenanceKeeper::leaveTime - Duration(1'000));
+            EXPECT_TRUE(world.platform.reboots().empty()) << "requests may still run";
+            world.run(std::chrono::seconds(30));
+            EXPECT_FALSE(world.platform.reboots().empty());
+        });
+    }
+}
+
 TEST(Maintenance, StartsNoDrainWhileCutOff)
 {
     story("an entry host whose latest host list is older than a few seconds", [] {
--- a/tests/core/jobs/job_keeper_test.cpp
+++ b/tests/core/jobs/job_keeper_test.cpp
@@ -194,6 +194,11 @@
             m_now.steady += step;
             m_now.wall += step;
             m_faults = faults;
+            if (faults && pick(600) == 0) {
+                // Somebody sets the wall clock, by up to an hour either way.
+                constexpr std::uint32_t hour = 3'600'000;
+                m_now.wall += Duration(pick(2 * hour)) - Duration(hour);
+            }
             if (faults && pick(60) == 0) {
                 const std::uint32_t host = pick(hostCount);
                 m_silentUntil[host] = m_now.steady + Duration(pick(40'000));
