Call one piece of code where the same logic stood twice

Read over the whole change; behaviour stays as it is. - A host's entry in a pool's row was searched for in five places: PoolRow::find. Which pools an entry host plans stood twice: isOwnToPlan. A task's start stood twice: startTask. The sum of slot time by service stood twice: postSpent. - The count of running requests was kept beside the backend servers that already count theirs: BackendSet::running. The earlier counter would have gone below zero for a service that was removed and declared again with requests under way. - HostsTask told two answers apart by a flag and one loop for both kinds of rows; the id of the call tells them apart. - The folder argument of three commands: addFolder. Modes and ports of three stand-ins: readMode, by the tables' enumValue, and listenOnEach. An unknown mode now throws in two of them, where it had become a value beyond the enum. - Process tests: replaceEveryEntry, json and startedAt of Fleet. Answers that cannot be read now throw, where mostRunning gave -1 and startedMoreThanOnce nothing, so that a check on them would have passed. - Taken out: the zone of a planned host, which nothing read; a constant of 1 in the simulation; a timer that was set in two places.

--- a/benchmarks/fleet_benchmark.cpp
+++ b/benchmarks/fleet_benchmark.cpp
@@ -104,7 +104,7 @@
     const Config config = fleetConfig(site);
     std::vector<PlannedHost> hosts;
     for (const auto &[id, host] : config.hosts) {
-        hosts.push_back({id, host.pool, host.zone, host.rack, true, false});
+        hosts.push_back({id, host.pool, host.rack, true, false});
     }
     PoolDemands demands;
     for (const auto &[id, pool] : config.pools) {
--- a/benchmarks/fleet_simulation.cpp
+++ b/benchmarks/fleet_simulation.cpp
@@ -19,7 +19,6 @@
 /// A host in service drains before it reboots into another pool; a spare one only reboots.
 constexpr int drainMinutes = 5;
 constexpr int rebootMinutes = 3;
-constexpr int planEveryMinutes = 1;
 /// Part of its hosts that a baseline fills with work.
 constexpr double baselineUse = 0.85;
 /// 14 of 720 hosts fail on an ordinary day.
@@ -80,7 +79,7 @@
     {
         m_demand = recordDemand(site, m_random);
         for (const auto &[id, host] : m_config.hosts) {
-            m_hosts.push_back({{id, host.pool, host.zone, host.rack, true, false}, -1, -1});
+            m_hosts.push_back({{id, host.pool, host.rack, true, false}, -1, -1});
         }
         recordFailures();
     }
@@ -90,10 +89,8 @@
         for (m_minute = 0; m_minute < dayMinutes; ++m_minute) {
             fail();
             arrive();
-            if (m_minute % planEveryMinutes == 0) {
-                for (const PlannedMove &move : decide()) {
-                    begin(move);
-                }
+            for (const PlannedMove &move : decide()) {
+                begin(move);
             }
             account();
         }
--- a/core/fleet/explanation.cpp
+++ b/core/fleet/explanation.cpp
@@ -33,6 +33,17 @@
     return names;
 }
 
+/// The host's entry in any pool's row; a pool that the files took it from may still have it out.
+const HostOut *findOut(const ExplainView &view, const HostId &id)
+{
+    for (const auto &[pool, row] : view.pools) {
+        if (const HostOut *out = row.find(id)) {
+            return out;
+        }
+    }
+    return nullptr;
+}
+
 std::string drainWaitsFor(const ExplainView &view, const HostOut &out)
 {
     switch (out.phase) {
@@ -92,23 +103,18 @@
         row != view.hosts.end() && row->second.maintainedAt.time_since_epoch().count() > 0) {
         findings.push_back({Fact::Maintained, seconds(view.now - row->second.maintainedAt) + " ago"});
     }
-    HostOut own;
-    own.phase = HostPhase::InService;
-    for (const auto &[pool, row] : view.pools) {
-        for (const HostOut &out : row.out) {
-            own = out.host == id ? out : own;
-        }
-    }
-    findings.push_back({Fact::Phase, std::string(enumName(hostPhaseNames, own.phase))});
-    if (own.phase == HostPhase::InService) {
+    const HostOut *out = findOut(view, id);
+    const HostPhase phase = out == nullptr ? HostPhase::InService : out->phase;
+    findings.push_back({Fact::Phase, std::string(enumName(hostPhaseNames, phase))});
+    if (phase == HostPhase::InService) {
         return findings;
     }
-    findings.push_back({Fact::Cause, std::string(enumName(drainCauseNames, own.cause))});
-    if (own.cause == DrainCause::Move) {
-        findings.push_back({Fact::Target, own.target.name()});
+    findings.push_back({Fact::Cause, std::string(enumName(drainCauseNames, out->cause))});
+    if (out->cause == DrainCause::Move) {
+        findings.push_back({Fact::Target, out->target.name()});
     }
-    findings.push_back({Fact::InPhaseFor, seconds(view.now - own.since)});
-    findings.push_back({Fact::WaitsFor, drainWaitsFor(view, own)});
+    findings.push_back({Fact::InPhaseFor, seconds(view.now - out->since)});
+    findings.push_back({Fact::WaitsFor, drainWaitsFor(view, *out)});
     return findings;
 }
 
@@ -170,17 +176,12 @@
     std::size_t hosts = 0;
     Findings findings;
     const auto row = view.pools.find(id);
-    const auto isOut = [&](const HostId &host) {
-        return row != view.pools.end()
-            && std::any_of(row->second.out.begin(), row->second.out.end(),
-                           [&](const HostOut &out) { return out.host == host; });
-    };
     for (const auto &[name, host] : placed->hosts) {
         if (host.pool != id) {
             continue;
         }
         ++hosts;
-        if (isOut(name)) {
+        if (row != view.pools.end() && row->second.find(name) != nullptr) {
             findings.push_back({Fact::Out, name.name()});
         } else if (!view.listed.contains(name)) {
             findings.push_back({Fact::Failed, name.name()});
--- a/core/fleet/explanation.h
+++ b/core/fleet/explanation.h
@@ -6,8 +6,8 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/core/fleet/host_moves.cpp
+++ b/core/fleet/host_moves.cpp
@@ -1,7 +1,5 @@
 #include "core/fleet/host_moves.h"
 
-#include <vector>
-
 namespace radishvane
 {
 
--- a/core/fleet/maintenance_keeper.cpp
+++ b/core/fleet/maintenance_keeper.cpp
@@ -86,9 +86,8 @@
         return;
     }
     m_nextPlan = m_now.steady + planInterval;
-    const bool ownsAny = std::any_of(m_config->pools.begin(), m_config->pools.end(), [this](const auto &entry) {
-        return (m_config->movesHosts || entry.second.maintenanceInterval.count() > 0) && isOwn(entry.first);
-    });
+    const bool ownsAny = std::any_of(m_config->pools.begin(), m_config->pools.end(),
+                                     [this](const auto &entry) { return isOwnToPlan(entry.second); });
     if (ownsAny || ownsMoves()) {
         beginReading();
     }
@@ -140,10 +139,9 @@
     const auto moves = planMoves();
     for (const auto &[id, pool] : m_config->pools) {
         const auto found = moves.find(id);
-        const bool plans = m_config->movesHosts || pool.maintenanceInterval.count() > 0;
         if (found != moves.end()) {
             planPool(pool, found->second);
-        } else if (plans && isOwn(id)) {
+        } else if (isOwnToPlan(pool)) {
             planPool(pool, {});
         }
     }
@@ -209,16 +207,15 @@
         return;
     }
     PoolRow row = rowOf(reboot.pool);
-    const auto out
-        = std::find_if(row.out.begin(), row.out.end(), [&](const HostOut &entry) { return entry.host == reboot.host; });
-    if (out == row.out.end()) {
+    const HostOut *out = row.find(reboot.host);
+    if (out == nullptr) {
         return;
     }
     const HostRow host = returned(*out);
     const auto stored = m_view.hosts.find(reboot.host);
     const std::uint64_t hostVersion = stored == m_view.hosts.end() ? 0 : stored->second.version;
     const bool moved = out->cause == DrainCause::Move;
-    row.out.erase(out);
+    std::erase_if(row.out, [&](const HostOut &entry) { return entry.host == reboot.host; });
     note(moved ? FleetStep::Moved : FleetStep::Returned, row, reboot.host, host.pool);
     // Both rows in one transaction: the host is back and its maintenance is done, or neither.
     call(WriteRows{{RowWrite{rowKey::pool(reboot.pool), versionOf(reboot.pool), RowValue(row)},
@@ -287,9 +284,6 @@
 
 std::vector<HostId> MaintenanceKeeper::due(const Pool &pool, const PoolRow &row) const
 {
-    const auto isOut = [&](const HostId &host) {
-        return std::any_of(row.out.begin(), row.out.end(), [&](const HostOut &out) { return out.host == host; });
-    };
     std::set<ZoneId> zonesOut;
     std::set<RackId> racksOut;
     for (const HostOut &out : row.out) {
@@ -304,7 +298,8 @@
         const bool otherZone = !zonesOut.empty() && !zonesOut.contains(host.zone);
         const WallTime last = maintainedAt(id);
         // A pool loses hosts in one availability zone at a time, so that a zone's loss never adds to a wave elsewhere.
-        if (host.pool != pool.id || isOut(id) || !m_listed.contains(id) || otherZone || m_now.wall - last < begins) {
+        const bool isAvailable = m_listed.contains(id) && row.find(id) == nullptr;
+        if (host.pool != pool.id || !isAvailable || otherZone || m_now.wall - last < begins) {
             continue;
         }
         // Racks that are open already go first, and then the hosts whose turn is longest due.
@@ -327,9 +322,7 @@
 {
     std::vector<HostId> failed;
     for (const auto &[id, host] : m_view.config->hosts) {
-        const bool out = std::any_of(row.out.begin(), row.out.end(),
-                                     [&id = id](const HostOut &entry) { return entry.host == id; });
-        if (host.pool == pool.id && !out && !m_listed.contains(id)) {
+        if (host.pool == pool.id && row.find(id) == nullptr && !m_listed.contains(id)) {
             failed.push_back(id);
         }
     }
@@ -374,9 +367,10 @@
     return !m_view.withJobs.contains(out.host) || since >= longestDrain;
 }
 
-bool MaintenanceKeeper::isOwn(const PoolId &pool) const
+bool MaintenanceKeeper::isOwnToPlan(const Pool &pool) const
 {
-    return isRendezvousOwner(m_host, m_live, pool.name());
+    const bool hasWork = m_config->movesHosts || pool.maintenanceInterval.count() > 0;
+    return hasWork && isRendezvousOwner(m_host, m_live, pool.id.name());
 }
 
 bool MaintenanceKeeper::ownsMoves() const
--- a/core/fleet/maintenance_keeper.h
+++ b/core/fleet/maintenance_keeper.h
@@ -149,7 +149,7 @@
     WallTime maintainedAt(const HostId &host) const;
     void watchDrains();
     bool drained(const HostOut &out) const;
-    bool isOwn(const PoolId &pool) const;
+    bool isOwnToPlan(const Pool &pool) const;
     bool ownsMoves() const;
     bool knowsHosts() const;
     PoolRow rowOf(const PoolId &pool) const;
--- a/core/fleet/move_keeper.cpp
+++ b/core/fleet/move_keeper.cpp
@@ -133,8 +133,8 @@
         const auto out = outs.find(id);
         const bool isOut = out != outs.end();
         const bool arriving = isOut && out->second->cause == DrainCause::Move;
-        hosts.push_back({id, arriving ? out->second->target : host.pool, host.zone, host.rack,
-                         !isOut && view.live.contains(id), arriving, std::move(serves[id])});
+        hosts.push_back({id, arriving ? out->second->target : host.pool, host.rack, !isOut && view.live.contains(id),
+                         arriving, std::move(serves[id])});
     }
     return hosts;
 }
--- a/core/fleet/pool_planner.cpp
+++ b/core/fleet/pool_planner.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 namespace radishvane
 {
--- a/core/fleet/pool_planner.h
+++ b/core/fleet/pool_planner.h
@@ -18,7 +18,6 @@
     HostId host;
     /// Pool that the host belongs to, or goes to while it moves.
     PoolId pool;
-    ZoneId zone;
     RackId rack;
     /// Live, and neither drained nor on its way.
     bool usable = true;
--- a/core/jobs/job_keeper.cpp
+++ b/core/jobs/job_keeper.cpp
@@ -349,6 +349,15 @@
     m_jobOperations.emplace(job.operation, job.row.id);
 }
 
+void JobKeeper::startTask(Job &job)
+{
+    const JobRow &row = job.row;
+    job.stage = Stage::Starting;
+    job.lapses = m_now.steady + taskLease + clockMargin;
+    send(job,
+         StartTask{row.id, row.epoch, taskLease, job.room.value_or(row.needs), row.kind, row.payload, row.checkpoint});
+}
+
 void JobKeeper::onWritten(Job &job, const PlatformAnswer &answer)
 {
     if (const auto *written = std::get_if<RowsWritten>(&answer)) {
@@ -359,11 +368,7 @@
             return;
         }
         m_outbox.note(JobStep::Placed, job.row);
-        job.stage = Stage::Starting;
-        job.lapses = m_now.steady + taskLease + clockMargin;
-        send(job,
-             StartTask{job.row.id, job.row.epoch, taskLease, *job.room, job.row.kind, job.row.payload,
-                       job.row.checkpoint});
+        startTask(job);
         return;
     }
     const auto *failed = std::get_if<PlatformFailed>(&answer);
@@ -418,11 +423,7 @@
     }
     if (starting) {
         // The write took effect, but the worker was not asked yet.
-        job.stage = Stage::Starting;
-        job.lapses = m_now.steady + taskLease + clockMargin;
-        send(job,
-             StartTask{row.id, row.epoch, taskLease, job.room.value_or(row.needs), row.kind, row.payload,
-                       row.checkpoint});
+        startTask(job);
         return;
     }
     job.stage = Stage::Waiting;
--- a/core/jobs/job_keeper.h
+++ b/core/jobs/job_keeper.h
@@ -106,6 +106,7 @@
     std::optional<JobReason> impossible(const JobRow &row) const;
     void place(Job &job);
     void write(Job &job, JobRow row);
+    void startTask(Job &job);
     void onWritten(Job &job, const PlatformAnswer &answer);
     void onReread(Job &job, const PlatformAnswer &answer);
     void send(Job &job, WorkerRequest request);
--- a/core/messages/rows.h
+++ b/core/messages/rows.h
@@ -4,6 +4,7 @@
 #include "core/base/ids.h"
 #include "core/config/config.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -230,6 +231,14 @@
     std::vector<HostOut> out;
     /// Hosts that were failed when the row was written; they count against the budget.
     std::vector<HostId> failed;
+
+    /// The entry of a host that is out; nullptr for one that is not.
+    const HostOut *find(const HostId &host) const
+    {
+        const auto found
+            = std::find_if(out.begin(), out.end(), [&](const HostOut &entry) { return entry.host == host; });
+        return found == out.end() ? nullptr : &*found;
+    }
 };
 
 /// What lasts about one host; one row each.
--- a/core/routing/backend_set.cpp
+++ b/core/routing/backend_set.cpp
@@ -59,6 +59,7 @@
     }
     State &state = m_states[pickFree(avoided)];
     ++state.running;
+    ++m_running;
     updateFree(m_index.at(state.server.id));
     return &state.server;
 }
@@ -70,7 +71,10 @@
         return false;
     }
     State &state = m_states[found->second];
-    state.running -= state.running > 0 ? 1 : 0;
+    if (state.running > 0) {
+        --state.running;
+        --m_running;
+    }
     bool ejected = false;
     if (!countsAsFailure(outcome)) {
         state.failuresInRow = 0;
@@ -127,6 +131,11 @@
     return total;
 }
 
+std::uint32_t BackendSet::running() const
+{
+    return m_running;
+}
+
 std::uint32_t BackendSet::idleSlots() const
 {
     std::uint32_t total = 0;
--- a/core/routing/backend_set.h
+++ b/core/routing/backend_set.h
@@ -49,6 +49,8 @@
     bool hasUsableServer() const;
     std::uint32_t slots() const;
     std::uint32_t idleSlots() const;
+    /// Requests of this entry host that run now, at all servers together.
+    std::uint32_t running() const;
 
 private:
     struct State
@@ -86,6 +88,7 @@
     /// Slots above its own part that this entry host may use at each server.
     std::uint32_t m_extra = 0;
     std::size_t m_ejectedCount = 0;
+    std::uint32_t m_running = 0;
     TimePoint m_nextReadmission = TimePoint::max();
     std::minstd_rand m_random;
 };
--- a/core/routing/request_plane.cpp
+++ b/core/routing/request_plane.cpp
@@ -339,7 +339,7 @@
     const bool waitsLong = expected > exchange.head.timeout / mostWaitDivisor;
     // With nothing under way the request is tried whatever the estimate says, or an estimate that was once too high
     // could never fall again.
-    const bool isProbe = state.running == 0 && state.queue.size() == 0;
+    const bool isProbe = state.backends.running() == 0 && state.queue.size() == 0;
     if (!isProbe && (waitsLong || m_now + expected + estimate > exchange.deadline)) {
         refuse(id, RefusalReason::DeadlineTooClose, std::max(expected, leastRetryAfter));
         return;
@@ -414,7 +414,7 @@
 {
     Exchange &exchange = m_exchanges.at(request.exchange);
     const auto estimate = std::chrono::duration<double, std::milli>(state.runEstimate);
-    if (state.running > 0 && m_now + estimate * runsLeftAtStart > exchange.deadline) {
+    if (state.backends.running() > 0 && m_now + estimate * runsLeftAtStart > exchange.deadline) {
         refuse(request.exchange, RefusalReason::DeadlineTooClose, leastRetryAfter);
         return;
     }
@@ -425,7 +425,6 @@
     if (!request.team.empty()) {
         m_rights.take(request.team, m_now);
     }
-    ++state.running;
     const AttemptId attemptId{++m_lastAttempt};
     const double charge = state.runEstimate > 0 ? state.runEstimate : firstCharge;
     state.queue.charge(request.team, charge);
@@ -443,7 +442,6 @@
 void RequestPlane::settleWork(const Attempt &attempt, AttemptOutcome outcome)
 {
     ServiceState &state = service(attempt.service);
-    --state.running;
     const double spent = toMilliseconds(m_now - attempt.started);
     const bool ran = outcome != AttemptOutcome::NotRun && outcome != AttemptOutcome::NotSent;
     state.queue.charge(attempt.team, (ran ? spent : 0) - attempt.charged);
--- a/core/routing/request_plane.h
+++ b/core/routing/request_plane.h
@@ -91,8 +91,6 @@
         std::uint32_t queueLimit = 0;
         /// Smoothed run time of answered requests in milliseconds; 0 before the first.
         double runEstimate = 0;
-        /// Requests that run now.
-        std::uint32_t running = 0;
         std::map<TeamId, double> spent;
         std::map<HostId, PeerSpare> spareOfPeers;
         bool removed = false;
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -50,7 +50,7 @@
     : m_onRequest(std::move(onRequest))
     , m_onLeft(std::move(onLeft))
     , m_http(evhttp_new(loop.base()))
-    , m_drainEvent(event_new(loop.base(), -1, 0, &HttpServer::closeWhenDrained, this))
+    , m_drainEvent(event_new(loop.base(), -1, EV_PERSIST, &HttpServer::closeWhenDrained, this))
 {
     evhttp_set_allowed_methods(m_http, allowedMethods);
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.bodyBytes));
@@ -93,10 +93,9 @@
     auto *server = static_cast<HttpServer *>(self);
     if (hasWaitingCaller(server->m_socket)) {
         // Closing now would reset a caller whose request may already be on its way.
-        const timeval wait = toTimeval(drainInterval);
-        event_add(server->m_drainEvent, &wait);
         return;
     }
+    event_del(server->m_drainEvent);
     evhttp_del_accept_socket(server->m_http, server->m_socket);
     server->m_socket = nullptr;
 }
--- a/main/commands/apply.cpp
+++ b/main/commands/apply.cpp
@@ -221,9 +221,7 @@
     auto options = std::make_shared<Options>();
     CLI::App *command
         = app.add_subcommand("apply", "Check a set of declarative files and put it in force, whole or not at all");
-    command->add_option("folder", options->folder, "folder that holds the .yaml files")
-        ->required()
-        ->check(CLI::ExistingDirectory);
+    addFolder(*command, options->folder);
     addEndpoint(*command, "--platform", options->platform, "the platform's table service")->required();
     addEndpoint(*command, "--operator", options->operatorPort,
                 "operator port of any entry host, to wait for confirmation by zone");
--- a/main/commands/command_line.cpp
+++ b/main/commands/command_line.cpp
@@ -24,6 +24,13 @@
     return command.add_option_function<std::string>(name, read, help)->type_name("ADDRESS:PORT");
 }
 
+void addFolder(CLI::App &command, std::string &folder)
+{
+    command.add_option("folder", folder, "folder that holds the .yaml files")
+        ->required()
+        ->check(CLI::ExistingDirectory);
+}
+
 void addOutput(CLI::App &command, OutputFormat &format)
 {
     const auto read = [&format](const std::string &name) {
--- a/main/commands/command_line.h
+++ b/main/commands/command_line.h
@@ -18,6 +18,9 @@
 /// Adds an option for an address and a port.
 CLI::Option *addEndpoint(CLI::App &command, const std::string &name, Endpoint &endpoint, const std::string &help);
 
+/// Adds the folder of declarative files.
+void addFolder(CLI::App &command, std::string &folder);
+
 /// Adds --output text|json.
 void addOutput(CLI::App &command, OutputFormat &format);
 
--- a/main/commands/plan.cpp
+++ b/main/commands/plan.cpp
@@ -94,9 +94,7 @@
     auto options = std::make_shared<Options>();
     CLI::App *command
         = app.add_subcommand("plan", "Show what a set of declarative files would change, and change nothing");
-    command->add_option("folder", options->folder, "folder that holds the .yaml files")
-        ->required()
-        ->check(CLI::ExistingDirectory);
+    addFolder(*command, options->folder);
     addEndpoint(*command, "--platform", options->platform, "the platform's table service")->required();
     addOutput(*command, options->format);
     command->callback([options, &exitCode] { exitCode = run(*options); });
--- a/main/commands/validate.cpp
+++ b/main/commands/validate.cpp
@@ -37,9 +37,7 @@
 {
     auto options = std::make_shared<Options>();
     CLI::App *command = app.add_subcommand("validate", "Check a set of declarative files and change nothing");
-    command->add_option("folder", options->folder, "folder that holds the .yaml files")
-        ->required()
-        ->check(CLI::ExistingDirectory);
+    addFolder(*command, options->folder);
     addOutput(*command, options->format);
     command->callback([options, &exitCode] { exitCode = run(*options); });
 }
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -237,15 +237,11 @@
 
 void EntryHost::onPeerUsage(const PeerUsageSeen &usage)
 {
-    std::map<ServiceId, double> services;
+    postSpent(usage.spent);
     for (const PeerSpent &spent : usage.spent) {
-        services[spent.service] += spent.slotMilliseconds;
         m_requests.post(
             RequestEvent(PeerUsage{spent.service, spent.team, static_cast<double>(spent.slotMilliseconds)}));
     }
-    for (const auto &[service, milliseconds] : services) {
-        m_fleet.post(FleetSpent{service, milliseconds});
-    }
     for (const PeerSpare &spare : usage.spare) {
         m_requests.post(RequestEvent(PeerSpareSlots{usage.peer, spare.service, spare.slots}));
     }
@@ -257,15 +253,23 @@
 void EntryHost::onUsageReport(const UsageReport &report)
 {
     OwnUsage usage;
-    std::map<ServiceId, double> services;
     for (const SpentSlotTime &spent : report.spent) {
-        services[spent.service] += spent.slotMilliseconds;
         usage.spent.push_back({spent.service, spent.team, static_cast<std::uint32_t>(spent.slotMilliseconds)});
     }
     for (const SpareSlots &spare : report.spare) {
         usage.spare.push_back({spare.service, spare.slots});
     }
     m_peers.post(PeerEvent(usage));
+    postSpent(report.spent);
+}
+
+template<typename Spent>
+void EntryHost::postSpent(const std::vector<Spent> &spent)
+{
+    std::map<ServiceId, double> services;
+    for (const Spent &entry : spent) {
+        services[entry.service] += entry.slotMilliseconds;
+    }
     for (const auto &[service, milliseconds] : services) {
         m_fleet.post(FleetSpent{service, milliseconds});
     }
--- a/main/entry_host.h
+++ b/main/entry_host.h
@@ -49,6 +49,9 @@
     void onPeersChanged(const PeersChanged &changed);
     void onPeerUsage(const PeerUsageSeen &usage);
     void onUsageReport(const UsageReport &report);
+    /// Tells the fleet task the slot time of each service, all teams together.
+    template<typename Spent>
+    void postSpent(const std::vector<Spent> &spent);
     void onDemand(const TeamDemand &demand);
     void onStage(servers::StopStage stage);
 
--- a/servers/hosts_task.cpp
+++ b/servers/hosts_task.cpp
@@ -19,7 +19,11 @@
     if (const auto *list = std::get_if<HostsListed>(&message.answer)) {
         onHosts(*list);
     } else if (const auto *found = std::get_if<RowsFound>(&message.answer)) {
-        onRows(*found);
+        if (message.id == m_hostsScan) {
+            onHostRows(*found);
+        } else {
+            onPools(*found);
+        }
     }
     m_unanswered -= m_unanswered > 0 ? 1 : 0;
 }
@@ -42,31 +46,29 @@
     reportLeaving();
 }
 
-void HostsTask::onRows(const RowsFound &found)
+void HostsTask::onPools(const RowsFound &found)
 {
-    HostRows hosts;
-    std::set<HostId> drained;
+    m_nextDrained.clear();
     for (const StoredRow &stored : found.rows) {
-        if (const auto *host = std::get_if<HostRow>(&stored.value)) {
-            hosts.emplace(host->host, *host);
-        } else if (const auto *pool = std::get_if<PoolRow>(&stored.value)) {
-            for (const HostOut &out : pool->out) {
-                drained.insert(out.host);
-            }
+        for (const HostOut &out : std::get<PoolRow>(stored.value).out) {
+            m_nextDrained.insert(out.host);
         }
     }
-    if (m_readingHosts) {
-        m_readingHosts = false;
-        onPlaced(std::move(hosts));
-        // Only now is it known where the hosts belong that are drained no more.
-        m_drained = std::move(m_nextDrained);
-        reportLeaving();
-        return;
-    }
-    m_nextDrained = std::move(drained);
-    m_readingHosts = true;
     ++m_unanswered;
-    call(ScanRows{std::string(rowKey::hosts)});
+    m_hostsScan = call(ScanRows{std::string(rowKey::hosts)});
+}
+
+void HostsTask::onHostRows(const RowsFound &found)
+{
+    HostRows rows;
+    for (const StoredRow &stored : found.rows) {
+        const auto &row = std::get<HostRow>(stored.value);
+        rows.emplace(row.host, row);
+    }
+    onPlaced(std::move(rows));
+    // Only now is it known where the hosts belong that are drained no more.
+    m_drained = std::move(m_nextDrained);
+    reportLeaving();
 }
 
 void HostsTask::onPlaced(HostRows rows)
@@ -103,14 +105,15 @@
         return;
     }
     m_unanswered = 2;
-    m_readingHosts = false;
     call(ListHosts{});
     call(ScanRows{std::string(rowKey::pools)});
 }
 
-void HostsTask::call(PlatformRequest request)
+OperationId HostsTask::call(PlatformRequest request)
 {
-    platformCalled.emit(PlatformCall{OperationId{++m_lastOperation}, std::move(request)});
+    const OperationId id{++m_lastOperation};
+    platformCalled.emit(PlatformCall{id, std::move(request)});
+    return id;
 }
 
 } // namespace radishvane::servers
--- a/servers/hosts_task.h
+++ b/servers/hosts_task.h
@@ -33,18 +33,20 @@
 private:
     void on(const PlatformAnswered &message);
     void onHosts(const HostsListed &list);
-    void onRows(const RowsFound &found);
+    void onPools(const RowsFound &found);
+    void onHostRows(const RowsFound &found);
     void onPlaced(HostRows rows);
     void reportLeaving();
     void poll();
-    void call(PlatformRequest request);
+    OperationId call(PlatformRequest request);
 
     std::uint64_t m_lastOperation = 0;
     std::set<HostId> m_listedLeaving;
     std::set<HostId> m_drained;
     /// Hosts that the pools' rows show as drained, until the rows of the hosts are read too.
     std::set<HostId> m_nextDrained;
-    bool m_readingHosts = false;
+    /// The latest reading of the hosts' rows.
+    OperationId m_hostsScan;
     std::set<HostId> m_reported;
     bool m_everReported = false;
     int m_unanswered = 0;
--- a/tests/core/fleet/pool_planner_test.cpp
+++ b/tests/core/fleet/pool_planner_test.cpp
@@ -32,7 +32,7 @@
     std::vector<PlannedHost> hosts;
     for (int index = 0; index < count; ++index) {
         const std::string name = pool.name() + '-' + std::to_string(index);
-        hosts.push_back({HostId(name), pool, ZoneId("a"), RackId("rack-" + std::to_string(index / 2)), true, false});
+        hosts.push_back({HostId(name), pool, RackId("rack-" + std::to_string(index / 2)), true, false});
     }
     return hosts;
 }
--- a/tests/servers/failure_test.cpp
+++ b/tests/servers/failure_test.cpp
@@ -114,18 +114,14 @@
     story("one of three backend servers leaves by the host list", [] {
         Fleet fleet(planAt(21'200));
         ASSERT_EQ(fleet.apply(), 0);
-        const auto started = [&] {
-            const auto counts = nlohmann::json::parse(fleet.get(fleet.backendPort(0), "/executions").body);
-            return counts.at("executions").size();
-        };
         Load load(fleet.entries(), {"quotes:workshop:workshop-key:60:20"}, Duration(9'000), Duration(2'000));
-        ASSERT_TRUE(Fleet::eventually([&] { return started() > 20; }));
+        ASSERT_TRUE(Fleet::eventually([&] { return fleet.startedAt(0) > 20; }));
         fleet.control(fleet.platformPort(0), {{"host", "host-0"}, {"state", "leaving"}}, "/control/hosts");
         std::this_thread::sleep_for(std::chrono::seconds(3));
-        const auto after = started();
+        const auto after = fleet.startedAt(0);
         const auto tally = load.finish();
         EXPECT_EQ(tally.served, tally.sent);
-        EXPECT_EQ(started(), after);
+        EXPECT_EQ(fleet.startedAt(0), after);
     });
 }
 
@@ -155,8 +151,7 @@
         fleet.entry(1).kill();
         const auto ended = [&] {
             int found = 0;
-            const auto rows = nlohmann::json::parse(fleet.get(fleet.platformPort(0), "/table/rows?prefix=job/").body,
-                                                    nullptr, false);
+            const auto rows = fleet.json(fleet.platformPort(0), "/table/rows?prefix=job/");
             for (const auto &row : rows.at("rows")) {
                 const auto job = nlohmann::json::parse(row.at("value").get<std::string>());
                 const auto state = job.at("state").get<std::string>();
--- a/tests/servers/fleet_test.cpp
+++ b/tests/servers/fleet_test.cpp
@@ -10,23 +10,13 @@
 /// Reboots that the platform was asked for.
 int reboots(const Fleet &fleet)
 {
-    const auto counts = nlohmann::json::parse(fleet.get(fleet.platformPort(0), "/control/counts").body, nullptr, false);
-    return counts.is_object() ? counts.value("reboots", 0) : -1;
+    return fleet.json(fleet.platformPort(0), "/control/counts").at("reboots").get<int>();
 }
 
 /// Hosts whose row tells the end of a maintenance, or a move.
-int hostRows(const Fleet &fleet)
+std::size_t hostRows(const Fleet &fleet)
 {
-    const auto rows
-        = nlohmann::json::parse(fleet.get(fleet.platformPort(0), "/table/rows?prefix=host/").body, nullptr, false);
-    return rows.is_object() ? static_cast<int>(rows.at("rows").size()) : -1;
-}
-
-std::size_t startedAt(const Fleet &fleet, std::size_t backend)
-{
-    const auto counts
-        = nlohmann::json::parse(fleet.get(fleet.backendPort(backend), "/executions").body, nullptr, false);
-    return counts.is_object() ? counts.at("executions").size() : 0;
+    return fleet.json(fleet.platformPort(0), "/table/rows?prefix=host/").at("rows").size();
 }
 
 } // namespace
@@ -71,11 +61,11 @@
         constexpr std::size_t spareBackend = 2;
         Load load(fleet.entries(), {"quotes:workshop:workshop-key:80:400"}, Duration(70'000), Duration(3'000));
         section("a spare host gets no requests", [&] {
-            ASSERT_TRUE(Fleet::eventually([&] { return startedAt(fleet, 0) > 50; }));
-            EXPECT_EQ(startedAt(fleet, spareBackend), 0U);
+            ASSERT_TRUE(Fleet::eventually([&] { return fleet.startedAt(0) > 50; }));
+            EXPECT_EQ(fleet.startedAt(spareBackend), 0U);
         });
         section("until it has moved, through a reboot", [&] {
-            EXPECT_TRUE(Fleet::eventually([&] { return startedAt(fleet, spareBackend) > 0; }, Duration(65'000)));
+            EXPECT_TRUE(Fleet::eventually([&] { return fleet.startedAt(spareBackend) > 0; }, Duration(65'000)));
             EXPECT_EQ(reboots(fleet), 1);
         });
         const auto tally = load.finish();
--- a/tests/servers/whole_path_test.cpp
+++ b/tests/servers/whole_path_test.cpp
@@ -153,13 +153,7 @@
         Fleet fleet({20'400});
         ASSERT_EQ(fleet.apply(), 0);
         Load load(fleet.entries(), {"quotes:workshop:workshop-key:60:50"}, Duration(14'000), Duration(5'000));
-        for (std::size_t index = 0; index < 3; ++index) {
-            fleet.entry(index).signal(SIGTERM);
-            EXPECT_EQ(fleet.entry(index).wait(), 0);
-            fleet.startEntry(index);
-            EXPECT_TRUE(
-                Fleet::eventually([&] { return fleet.get(fleet.operatorPort(index), "/readyz").status == 200; }));
-        }
+        fleet.replaceEveryEntry();
         const auto tally = load.finish();
         section("every request is answered", [&] {
             EXPECT_GT(tally.sent, 500U);
--- a/tests/servers/zone_cut_test.cpp
+++ b/tests/servers/zone_cut_test.cpp
@@ -88,13 +88,7 @@
         Fleet fleet(linkedPlan(22'000));
         ASSERT_EQ(fleet.apply(), 0);
         Load load(fleet.entries(), {"quotes:office:office-key:60:200"}, Duration(20'000), Duration(2'000));
-        for (std::size_t index = 0; index < 3; ++index) {
-            fleet.entry(index).signal(SIGTERM);
-            EXPECT_EQ(fleet.entry(index).wait(), 0);
-            fleet.startEntry(index);
-            EXPECT_TRUE(
-                Fleet::eventually([&] { return fleet.get(fleet.operatorPort(index), "/readyz").status == 200; }));
-        }
+        fleet.replaceEveryEntry();
         const auto tally = load.finish();
         EXPECT_EQ(tally.noAnswer, 0U);
         EXPECT_GT(tally.served, 200U);
--- a/tests/stand_ins/backend_stand_in.cpp
+++ b/tests/stand_ins/backend_stand_in.cpp
@@ -172,8 +172,7 @@
     void receive(Incoming &&incoming)
     {
         if (incoming.path == "/control") {
-            const auto mode = Json::parse(incoming.body).at("mode").get<std::string>();
-            m_mode = static_cast<Mode>(std::find(modeNames.begin(), modeNames.end(), mode) - modeNames.begin());
+            m_mode = readMode<Mode>(modeNames, Json::parse(incoming.body)).value();
             write(incoming, httpStatus::ok, "ok", "");
             return;
         }
@@ -320,12 +319,11 @@
     radishvane::drivers::EventLoop loop;
     radishvane::stand_ins::TeamCounts teams;
     std::vector<std::unique_ptr<radishvane::stand_ins::Backend>> backends;
-    for (const std::uint16_t port : ports) {
-        backends.push_back(std::make_unique<radishvane::stand_ins::Backend>(loop, teams, port, slots, connections));
-        if (!backends.back()->listen()) {
-            std::cerr << "port " << port << " cannot be bound\n";
-            return 1;
-        }
+    const auto make = [&](std::uint16_t port) {
+        return std::make_unique<radishvane::stand_ins::Backend>(loop, teams, port, slots, connections);
+    };
+    if (!radishvane::stand_ins::listenOnEach(ports, backends, make)) {
+        return 1;
     }
     loop.run();
     return 0;
--- a/tests/stand_ins/platform_stand_in.cpp
+++ b/tests/stand_ins/platform_stand_in.cpp
@@ -217,18 +217,19 @@
 class Port
 {
 public:
-    Port(EventLoop &loop, Store &store)
+    Port(EventLoop &loop, Store &store, std::uint16_t port)
         : m_loop(loop)
         , m_store(store)
+        , m_port(port)
         , m_server(
               loop, HttpLimits{16 << 20, 64 << 10, Duration(60'000)},
               [this](HttpRequest &&request) { receive(std::move(request)); }, [](ExchangeId) {})
     {
     }
 
-    bool listen(const Endpoint &endpoint)
+    bool listen()
     {
-        return m_server.listen(endpoint);
+        return m_server.listen({"127.0.0.1", m_port});
     }
 
 private:
@@ -275,19 +276,19 @@
     void control(const HttpRequest &request)
     {
         const Json json = Json::parse(request.body);
-        const auto mode = json.at("mode").get<std::string>();
-        const auto found = std::find(modeNames.begin(), modeNames.end(), mode);
-        if (found == modeNames.end()) {
-            m_server.answer(request.id, textAnswer(httpStatus::badRequest, "unknown mode " + mode));
+        const auto mode = readMode<Mode>(modeNames, json);
+        if (!mode) {
+            m_server.answer(request.id, textAnswer(httpStatus::badRequest, "unknown mode in " + request.body));
             return;
         }
-        m_mode = static_cast<Mode>(found - modeNames.begin());
+        m_mode = *mode;
         m_delay = Duration(json.value("delay_ms", 0));
         m_server.answer(request.id, textAnswer(httpStatus::ok, "ok"));
     }
 
     EventLoop &m_loop;
     Store &m_store;
+    std::uint16_t m_port;
     Mode m_mode = Mode::Ok;
     Duration m_delay{};
     HttpServer m_server;
@@ -309,12 +310,11 @@
     radishvane::drivers::EventLoop loop;
     radishvane::stand_ins::Store store(loop, radishvane::Duration(lag));
     std::vector<std::unique_ptr<radishvane::stand_ins::Port>> ways;
-    for (const std::uint16_t port : ports) {
-        ways.push_back(std::make_unique<radishvane::stand_ins::Port>(loop, store));
-        if (!ways.back()->listen({"127.0.0.1", port})) {
-            std::cerr << "port " << port << " cannot be bound\n";
-            return 1;
-        }
+    const auto make = [&](std::uint16_t port) {
+        return std::make_unique<radishvane::stand_ins::Port>(loop, store, port);
+    };
+    if (!radishvane::stand_ins::listenOnEach(ports, ways, make)) {
+        return 1;
     }
     loop.run();
     return 0;
--- a/tests/stand_ins/worker_stand_in.cpp
+++ b/tests/stand_ins/worker_stand_in.cpp
@@ -75,8 +75,7 @@
     void receive(const HttpRequest &request)
     {
         if (request.path == "/control") {
-            const auto mode = Json::parse(request.body).at("mode").get<std::string>();
-            m_mode = static_cast<Mode>(std::find(modeNames.begin(), modeNames.end(), mode) - modeNames.begin());
+            m_mode = readMode<Mode>(modeNames, Json::parse(request.body)).value();
             m_server.answer(request.id, textAnswer(httpStatus::ok, "ok"));
             return;
         }
@@ -263,12 +262,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     radishvane::drivers::EventLoop loop;
     std::vector<std::unique_ptr<radishvane::stand_ins::Worker>> workers;
-    for (const std::uint16_t port : ports) {
-        workers.push_back(std::make_unique<radishvane::stand_ins::Worker>(loop, port, cores));
-        if (!workers.back()->listen()) {
-            std::cerr << "port " << port << " cannot be bound\n";
-            return 1;
-        }
+    const auto make = [&](std::uint16_t port) {
+        return std::make_unique<radishvane::stand_ins::Worker>(loop, port, cores);
+    };
+    if (!radishvane::stand_ins::listenOnEach(ports, workers, make)) {
+        return 1;
     }
     loop.run();
     return 0;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -2,7 +2,10 @@
 
 #include "drivers/blocking_http.h"
 
+#include <gtest/gtest.h>
+
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -131,6 +134,16 @@
     return *m_processes.at("entry-" + m_plan.zones[index]);
 }
 
+void Fleet::replaceEveryEntry()
+{
+    for (std::size_t index = 0; index < m_plan.zones.size(); ++index) {
+        entry(index).signal(SIGTERM);
+        EXPECT_EQ(entry(index).wait(), 0);
+        startEntry(index);
+        EXPECT_TRUE(eventually([&] { return get(operatorPort(index), "/readyz").status == drivers::httpStatus::ok; }));
+    }
+}
+
 std::vector<Endpoint> Fleet::entries() const
 {
     std::vector<Endpoint> ports;
@@ -315,8 +328,18 @@
 
 nlohmann::json Fleet::status(std::size_t entry) const
 {
-    const auto json = nlohmann::json::parse(get(operatorPort(entry), "/status").body, nullptr, false);
-    return json.is_object() ? json : nlohmann::json::object();
+    const auto answer = json(operatorPort(entry), "/status");
+    return answer.is_object() ? answer : nlohmann::json::object();
+}
+
+nlohmann::json Fleet::json(const Endpoint &endpoint, const std::string &target) const
+{
+    return nlohmann::json::parse(get(endpoint, target).body, nullptr, false);
+}
+
+std::size_t Fleet::startedAt(std::size_t backend) const
+{
+    return json(backendPort(backend), "/executions").at("executions").size();
 }
 
 bool Fleet::eventually(const std::function<bool()> &condition, Duration within)
@@ -333,18 +356,15 @@
 
 int Fleet::mostRunning(const std::string &team) const
 {
-    const auto counts = nlohmann::json::parse(get(backendPort(0), "/executions").body, nullptr, false);
-    return counts.is_object() ? counts.at("most_by_team").value(team, 0) : -1;
+    return json(backendPort(0), "/executions").at("most_by_team").value(team, 0);
 }
 
 std::map<std::string, int> Fleet::startedMoreThanOnce() const
 {
     std::map<std::string, int> starts;
     const auto add = [&](const Endpoint &endpoint) {
-        const auto counts = nlohmann::json::parse(get(endpoint, "/executions").body, nullptr, false);
-        const auto executions
-            = counts.is_object() ? counts.value("executions", nlohmann::json::object()) : nlohmann::json::object();
-        for (const auto &[name, count] : executions.items()) {
+        const auto counts = json(endpoint, "/executions");
+        for (const auto &[name, count] : counts.at("executions").items()) {
             starts[name] += count.get<int>();
         }
     };
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -61,6 +61,8 @@
 
     void startEntry(std::size_t index);
     Process &entry(std::size_t index);
+    /// Stops each entry host gracefully in turn and starts it anew; the test expects each to end and to get ready.
+    void replaceEveryEntry();
     std::vector<Endpoint> entries() const;
     Endpoint entryPort(std::size_t index) const;
     Endpoint operatorPort(std::size_t index) const;
@@ -86,6 +88,10 @@
     drivers::HttpAnswer request(std::size_t entry, const drivers::HttpHeaders &headers = {},
                                 const std::string &key = "office-key") const;
     nlohmann::json status(std::size_t entry) const;
+    /// GET of JSON; a field of an answer that cannot be read throws.
+    nlohmann::json json(const Endpoint &endpoint, const std::string &target) const;
+    /// Requests that one backend server was asked to run.
+    std::size_t startedAt(std::size_t backend) const;
 
     /// Waits until @p condition holds; a test fails after a bound that no healthy run comes near.
     static bool eventually(const std::function<bool()> &condition, Duration within = Duration(30'000));
