--- /dev/null
+++ b/core/cells/call_gate.cpp
@@ -0,0 +1,87 @@
+#include "core/cells/call_gate.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+constexpr std::size_t jobIdLength = 16;
+/// Part of the bound on withdrawn keys after which a host without contact takes none any more, in tenths.
+constexpr int staleTenths = 6;
+
+bool isJobId(std::string_view text)
+{
+    const auto isHexDigit = [](char letter) {
+        return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f') || (letter >= 'A' && letter <= 'F');
+    };
+    return text.size() == jobIdLength && std::all_of(text.begin(), text.end(), isHexDigit);
+}
+
+} // namespace
+
+CallGate::CallGate(Duration keysWithin) : m_keysWithin(keysWithin)
+{
+}
+
+void CallGate::see(const SiteConfigPtr &config)
+{
+    if (!m_config || config->version >= m_config->version) {
+        m_config = config;
+    }
+}
+
+void CallGate::contact(TimePoint asked)
+{
+    m_contact = std::max(m_contact, asked);
+}
+
+bool CallGate::hasFreshKeys(TimePoint now) const
+{
+    return m_config && now - m_contact < m_keysWithin * staleTenths / 10;
+}
+
+const SiteConfigPtr &CallGate::config() const
+{
+    return m_config;
+}
+
+GateVerdict CallGate::check(const GateCall &call, TimePoint now) const
+{
+    if (!m_config) {
+        return GateRefusal::NoConfig;
+    }
+    const Queue *queue = m_config->queueOf(call.host, call.path);
+    if (queue == nullptr) {
+        return GateRefusal::UnknownQueue;
+    }
+    GatePass pass;
+    pass.kind = call.kind;
+    pass.queue = queue->id;
+    if (!queue->open) {
+        const auto key = m_config->keys.find(call.key);
+        if (key == m_config->keys.end()) {
+            return GateRefusal::UnknownKey;
+        }
+        if (!hasFreshKeys(now)) {
+            return GateRefusal::StaleKeys;
+        }
+        pass.team = key->second;
+    }
+    const std::string rest = call.path.substr(queue->prefix.size());
+    if (rest.empty()) {
+        return call.kind == GateCallKind::Ask ? GateVerdict(pass) : GateVerdict(GateRefusal::BadJobId);
+    }
+    if (!isJobId(rest)) {
+        return GateRefusal::BadJobId;
+    }
+    if (call.kind == GateCallKind::Other) {
+        return GateRefusal::UnknownCall;
+    }
+    pass.job = JobId(rest);
+    return pass;
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/cell_keeper.cpp
@@ -0,0 +1,504 @@
+#include "core/cells/cell_keeper.h"
+
+#include "core/base/enum_names.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// Interval between two looks for ended jobs that may go.
+constexpr Duration dropInterval{5'000};
+
+} // namespace
+
+CellKeeper::CellKeeper(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times)
+    : m_cell(std::move(cell))
+    , m_host(host)
+    , m_times(times)
+    , m_lease(std::move(host), incarnation, std::move(link))
+    , m_runs(m_outbox, m_writer, times)
+    , m_config(std::make_shared<SiteConfig>())
+{
+}
+
+CellEffects CellKeeper::handle(const CellEvent &event, Instant now)
+{
+    m_outbox.now = now;
+    std::visit([this](const auto &alternative) { on(alternative); }, event);
+    advance();
+    return m_outbox.take();
+}
+
+const std::optional<OwnerRow> &CellKeeper::owner() const
+{
+    return m_lease.owner();
+}
+
+bool CellKeeper::isServing(TimePoint now) const
+{
+    return m_active && m_rebuilt && !m_releasing && m_lease.valid(now);
+}
+
+const JobBook &CellKeeper::book() const
+{
+    return m_runs.book();
+}
+
+const WorkerRoster &CellKeeper::roster() const
+{
+    return m_runs.roster();
+}
+
+// ---- ownership ----
+
+void CellKeeper::advance()
+{
+    advanceOwnership();
+    if (!m_active) {
+        return;
+    }
+    const TimePoint now = m_outbox.now.steady;
+    if (!m_rebuilt) {
+        if (m_read.value == 0 && now >= m_readNotBefore) {
+            m_read = m_outbox.send(ReadCell{{}, m_cell});
+        }
+    } else if (!m_releasing) {
+        advanceWaves();
+        m_runs.advance(*m_config, m_lease.valid(now));
+        dropOldJobs();
+    }
+    advanceWrites();
+}
+
+void CellKeeper::advanceOwnership()
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (m_active && m_lease.isKnown() && !m_lease.owns()) {
+        deactivate(CellDecision::OwnershipLost, m_lease.owner() ? m_lease.owner()->host.name() : "no-owner");
+    }
+    const bool wants = !m_active && !m_stopping && !m_writer.pending();
+    if (!wants || !(m_lease.owns() || m_lease.mayTake(now)) || now < m_readNotBefore) {
+        return;
+    }
+    CellTransaction transaction;
+    transaction.cell = m_cell;
+    transaction.guard = m_lease.version();
+    transaction.owner = m_lease.nextRow();
+    write(std::move(transaction));
+}
+
+void CellKeeper::activate()
+{
+    m_active = true;
+    m_rebuilt = false;
+    m_releasing = false;
+    m_read = CallId{};
+    m_outbox.epoch = m_lease.epoch();
+    m_writer.clear();
+    m_runs.clear();
+    m_waves.clear();
+    m_outbox.add(OwnershipChanged{true, m_outbox.epoch});
+    m_outbox.note(CellDecision::OwnershipTaken, m_cell.name(), m_host.name(), m_lease.version());
+}
+
+void CellKeeper::deactivate(CellDecision why, const std::string &reason)
+{
+    for (auto &[id, job] : m_runs.book().jobs()) {
+        answerAll(job.submitters, CallAnswer::InDoubt);
+        answerAll(job.cancellers, CallAnswer::InDoubt);
+    }
+    m_active = false;
+    m_rebuilt = false;
+    m_releasing = false;
+    m_runs.clear();
+    m_writer.clear();
+    m_waves.clear();
+    m_outbox.add(OwnershipChanged{false, m_outbox.epoch});
+    m_outbox.note(why, m_cell.name(), m_host.name(), m_lease.version(), reason);
+}
+
+void CellKeeper::write(CellTransaction transaction)
+{
+    const CallId call = m_outbox.send(WriteCell{{}, transaction});
+    m_writer.sent(call, std::move(transaction), m_runs.roster(), m_outbox.now.steady);
+}
+
+void CellKeeper::advanceWrites()
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (m_stopping && !m_releasing && !m_writer.pending() && !m_writer.hasWork()) {
+        m_releasing = true;
+        CellTransaction transaction;
+        transaction.cell = m_cell;
+        transaction.guard = m_lease.version();
+        transaction.owner = m_lease.releasedRow();
+        write(std::move(transaction));
+        return;
+    }
+    auto transaction = m_writer.next(m_cell, m_runs.book(), m_runs.roster(), m_lease, now);
+    if (transaction) {
+        write(std::move(*transaction));
+    }
+}
+
+void CellKeeper::on(const CellWritten &event)
+{
+    if (!m_writer.pending() || m_writer.pending()->call != event.call) {
+        return;
+    }
+    switch (event.outcome) {
+    case CellWriteOutcome::Written:
+        onWritten(event.version);
+        return;
+    case CellWriteOutcome::Conflict:
+        onConflict(event);
+        return;
+    case CellWriteOutcome::Refused:
+    case CellWriteOutcome::Unknown:
+        m_outbox.note(CellDecision::StoreWriteFailed, m_cell.name(), {}, m_lease.version(),
+                      std::string(enumName(cellWriteOutcomeNames, event.outcome)));
+        m_releasing = false;
+        m_readNotBefore = m_outbox.now.steady + readRetry;
+        m_writer.fail(m_outbox.now.steady);
+        return;
+    }
+}
+
+void CellKeeper::onWritten(std::uint64_t version)
+{
+    CellWriter::Pending done = m_writer.succeed();
+    const CellTransaction &transaction = done.transaction;
+    if (transaction.owner) {
+        m_lease.wrote(*transaction.owner, version, done.sent);
+    }
+    if (m_releasing) {
+        deactivate(CellDecision::OwnershipReleased, "stopping");
+        return;
+    }
+    if (!m_active) {
+        activate();
+        return;
+    }
+    for (const JobRow &row : transaction.jobs) {
+        Job *job = m_runs.book().find(row.id);
+        if (job == nullptr) {
+            continue;
+        }
+        job->stored = true;
+        answerAll(job->submitters, CallAnswer::Accepted);
+    }
+    for (const ProgressRow &row : transaction.progress) {
+        Job *job = m_runs.book().find(row.id);
+        if (job == nullptr || !isFinal(row.state)) {
+            continue;
+        }
+        job->endStored = true;
+        answerAll(job->cancellers, CallAnswer::Cancelled);
+        m_runs.book().settle(*job);
+    }
+    m_runs.stored(done);
+}
+
+void CellKeeper::onConflict(const CellWritten &event)
+{
+    m_releasing = false;
+    m_writer.fail(m_outbox.now.steady);
+    m_lease.see(OwnerSeen{event.owner, event.version}, m_outbox.now.steady);
+    m_outbox.note(CellDecision::StoreWriteFailed, m_cell.name(), event.owner ? event.owner->host.name() : std::string(),
+                  event.version, "conflict");
+}
+
+void CellKeeper::on(const CellReadDone &event)
+{
+    if (event.call != m_read) {
+        return;
+    }
+    m_read = CallId{};
+    if (!event.contents) {
+        m_readNotBefore = m_outbox.now.steady + readRetry;
+        return;
+    }
+    m_runs.rebuild(*event.contents, m_entries);
+    for (auto &[id, job] : m_runs.book().jobs()) {
+        applyConfig(job);
+    }
+    m_waves.restore(event.contents->waves);
+    m_waves.see(m_waveList);
+    m_rebuilt = true;
+    m_outbox.note(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
+}
+
+void CellKeeper::on(const OwnerSeen &event)
+{
+    m_lease.see(event, m_outbox.now.steady);
+}
+
+void CellKeeper::on(const StoreContact &event)
+{
+    m_lease.contact(event.asked, m_outbox.now.steady);
+}
+
+void CellKeeper::on(const CellTick &)
+{
+    m_runs.lookAgain();
+}
+
+void CellKeeper::on(const CellStop &)
+{
+    m_stopping = true;
+}
+
+// ---- what the platform tells ----
+
+void CellKeeper::on(const ConfigSeen &event)
+{
+    if (event.config->version < m_config->version) {
+        return;
+    }
+    m_config = event.config;
+    for (const JobId &id : m_runs.book().live()) {
+        applyConfig(*m_runs.book().find(id));
+    }
+    m_runs.lookAgain();
+}
+
+void CellKeeper::applyConfig(Job &job) const
+{
+    const auto queue = m_config->queues.find(job.row.queue);
+    if (queue != m_config->queues.end()) {
+        job.mostFailures = queue->second.mostFailures;
+    }
+}
+
+void CellKeeper::on(const WorkersSeen &event)
+{
+    m_entries = event.workers;
+    if (m_active && m_rebuilt) {
+        m_runs.see(m_entries);
+    }
+}
+
+void CellKeeper::on(const WavesSeen &event)
+{
+    m_waveList = event.waves;
+    if (m_active && m_rebuilt) {
+        m_waves.see(m_waveList);
+    }
+}
+
+void CellKeeper::on(const OrderAnswered &event)
+{
+    m_runs.answered(event);
+}
+
+void CellKeeper::on(const HoldAnswered &event)
+{
+    m_runs.answered(event);
+}
+
+// ---- maintenance ----
+
+void CellKeeper::advanceWaves()
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (!m_waves.isActive()) {
+        m_runs.cordon({});
+        return;
+    }
+    const WavePlan plan = m_waves.plan(m_runs.roster(), now);
+    m_runs.cordon(plan.cordoned);
+    for (const WaveRow &row : plan.changed) {
+        m_writer.changeWave(row);
+        if (row.completed) {
+            m_outbox.note(CellDecision::WaveCompleted, std::to_string(row.number), {}, row.ordered.size());
+        }
+    }
+    if (!m_lease.valid(now)) {
+        return;
+    }
+    if (plan.listHosts) {
+        m_hostLists[m_outbox.send(ListHosts{})] = now;
+    }
+    for (const auto &[host, wave] : plan.maintain) {
+        MaintainHost order;
+        order.host = host;
+        order.wave = wave;
+        order.holder = m_host;
+        order.fence = m_outbox.epoch;
+        m_hostOrders[m_outbox.send(order)] = {host, wave};
+        m_outbox.note(CellDecision::HostMaintained, host.name(), {}, wave, "ordered");
+    }
+    for (const auto &[wave, completed] : plan.reports) {
+        m_reports[m_outbox.send(ReportWave{{}, wave, completed})] = wave;
+    }
+}
+
+void CellKeeper::on(const HostsListed &event)
+{
+    const auto found = m_hostLists.find(event.call);
+    if (found == m_hostLists.end()) {
+        return;
+    }
+    const TimePoint asked = found->second;
+    m_hostLists.erase(found);
+    if (event.hosts) {
+        m_waves.see(*event.hosts, asked);
+    }
+}
+
+void CellKeeper::on(const HostOrderAnswered &event)
+{
+    const auto found = m_hostOrders.find(event.call);
+    if (found == m_hostOrders.end()) {
+        return;
+    }
+    const auto [host, wave] = found->second;
+    m_hostOrders.erase(found);
+    m_outbox.note(CellDecision::HostMaintained, host.name(), {}, wave,
+                  std::string(enumName(hostOrderOutcomeNames, event.outcome)));
+    m_waves.ordered(host, wave, event.outcome, m_outbox.now.steady);
+}
+
+void CellKeeper::on(const WaveReported &event)
+{
+    const auto found = m_reports.find(event.call);
+    if (found == m_reports.end()) {
+        return;
+    }
+    m_waves.reported(found->second, event.written);
+    m_reports.erase(found);
+}
+
+// ---- callers ----
+
+void CellKeeper::on(const SubmitJob &event)
+{
+    if (!isServing(m_outbox.now.steady) || m_stopping) {
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
+    JobBook &book = m_runs.book();
+    Job *known = book.find(event.id);
+    if (known != nullptr) {
+        if (known->stored) {
+            answer(event.exchange, CallAnswer::Accepted);
+        } else {
+            known->submitters.push_back(event.exchange);
+        }
+        return;
+    }
+    if (book.live().size() >= mostLiveJobs) {
+        m_outbox.note(CellDecision::JobRefused, event.id.name(), {}, book.live().size(), "too-many-jobs");
+        answer(event.exchange, CallAnswer::Overloaded);
+        return;
+    }
+    JobRow row;
+    row.id = event.id;
+    row.queue = event.queue;
+    row.team = event.team;
+    row.epoch = m_outbox.epoch;
+    row.accepted = m_outbox.now.wall;
+    row.spec = event.spec;
+    Job &job = book.add(std::move(row), m_outbox.now.steady);
+    applyConfig(job);
+    book.openDue(job, m_outbox.now);
+    job.submitters.push_back(event.exchange);
+    m_writer.addJob(event.id);
+    m_outbox.note(CellDecision::JobAccepted, event.id.name(), event.queue.name(), event.spec.steps.size());
+}
+
+void CellKeeper::on(const AskJob &event)
+{
+    if (!isServing(m_outbox.now.steady)) {
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
+    const Job *job = m_runs.book().find(event.id);
+    if (job == nullptr || !job->stored) {
+        answer(event.exchange, CallAnswer::NoSuchJob);
+        return;
+    }
+    m_outbox.add(AnswerCall{event.exchange, CallAnswer::State, shownState(*job), 0, {}});
+}
+
+GraphState CellKeeper::shownState(const Job &job)
+{
+    if (isFinal(job.state) && !job.endStored) {
+        return job.begun ? GraphState::Running : GraphState::Queued;
+    }
+    return job.state;
+}
+
+void CellKeeper::on(const CancelJob &event)
+{
+    if (!isServing(m_outbox.now.steady)) {
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
+    Job *job = m_runs.book().find(event.id);
+    if (job == nullptr) {
+        answer(event.exchange, CallAnswer::NoSuchJob);
+        return;
+    }
+    if (isFinal(job->state) && job->endStored) {
+        answer(event.exchange, CallAnswer::Cancelled);
+        return;
+    }
+    job->cancellers.push_back(event.exchange);
+    if (isFinal(job->state)) {
+        return;
+    }
+    m_runs.book().finish(*job, GraphState::Cancelled, m_outbox.now.steady);
+    m_writer.changeJob(event.id);
+    m_runs.jobEnded(event.id, "cancelled");
+    m_outbox.note(CellDecision::JobEnded, event.id.name(), {}, 0, "cancelled");
+}
+
+void CellKeeper::on(const AskPending &event)
+{
+    if (!isServing(m_outbox.now.steady)) {
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
+    const std::uint64_t pending = m_runs.book().pending(event.queue);
+    m_outbox.add(AnswerCall{event.exchange, CallAnswer::Pending, GraphState::Queued, pending, {}});
+}
+
+void CellKeeper::answer(ExchangeId exchange, CallAnswer answer)
+{
+    const bool isRefusal = answer == CallAnswer::Unavailable || answer == CallAnswer::Overloaded;
+    m_outbox.add(AnswerCall{exchange, answer, GraphState::Queued, 0, isRefusal ? retryAfter : Duration{0}});
+}
+
+void CellKeeper::answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply)
+{
+    for (const ExchangeId exchange : exchanges) {
+        answer(exchange, reply);
+    }
+    exchanges.clear();
+}
+
+void CellKeeper::dropOldJobs()
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (now < m_nextDrop) {
+        return;
+    }
+    m_nextDrop = now + dropInterval;
+    std::vector<JobId> old;
+    for (const auto &[id, job] : m_runs.book().jobs()) {
+        if (job.endStored && m_runs.book().live().count(id) == 0 && now - job.endedAt > m_times.keepEnded) {
+            old.push_back(id);
+        }
+    }
+    for (const JobId &id : old) {
+        m_writer.dropJob(id);
+        m_runs.book().erase(id);
+    }
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/cell_writer.cpp
@@ -0,0 +1,148 @@
+#include "core/cells/cell_writer.h"
+
+namespace radishvane::cells
+{
+
+void CellWriter::clear()
+{
+    *this = CellWriter{};
+}
+
+void CellWriter::addJob(const JobId &job)
+{
+    m_newJobs.insert(job);
+}
+
+void CellWriter::changeJob(const JobId &job)
+{
+    m_changedJobs.insert(job);
+}
+
+void CellWriter::dropJob(const JobId &job)
+{
+    m_droppedJobs.insert(job);
+}
+
+void CellWriter::changeRoster()
+{
+    m_roster = true;
+}
+
+void CellWriter::changeWave(const WaveRow &wave)
+{
+    m_waves[wave.number] = wave;
+}
+
+void CellWriter::requireOwner()
+{
+    m_ownerRequired = true;
+}
+
+bool CellWriter::hasWork() const
+{
+    return m_roster || m_ownerRequired || !m_newJobs.empty() || !m_changedJobs.empty() || !m_droppedJobs.empty()
+        || !m_waves.empty();
+}
+
+const std::optional<CellWriter::Pending> &CellWriter::pending() const
+{
+    return m_pending;
+}
+
+std::optional<CellTransaction> CellWriter::next(const CellId &cell, const JobBook &book, const WorkerRoster &roster,
+                                                const CellLease &lease, TimePoint now)
+{
+    const bool isDue = hasWork() || lease.renewalDue(now);
+    if (m_pending || !isDue || now < m_notBefore) {
+        return std::nullopt;
+    }
+    CellTransaction transaction;
+    transaction.cell = cell;
+    transaction.guard = lease.version();
+    if (m_ownerRequired || lease.renewalDue(now)) {
+        transaction.owner = lease.nextRow();
+        m_ownerRequired = false;
+    }
+    takeJobs(transaction, book);
+    takeProgress(transaction, book);
+    if (m_roster) {
+        transaction.roster = roster.row();
+        m_roster = false;
+    }
+    for (const auto &[number, wave] : m_waves) {
+        transaction.waves.push_back(wave);
+    }
+    m_waves.clear();
+    while (!m_droppedJobs.empty() && transaction.jobs.size() + transaction.dropped.size() < mostRows / 3) {
+        transaction.dropped.push_back(*m_droppedJobs.begin());
+        m_droppedJobs.erase(m_droppedJobs.begin());
+    }
+    return transaction;
+}
+
+void CellWriter::takeJobs(CellTransaction &transaction, const JobBook &book)
+{
+    std::size_t payload = 0;
+    while (!m_newJobs.empty() && transaction.jobs.size() < mostRows / 3 && payload < mostPayload) {
+        const JobId id = *m_newJobs.begin();
+        m_newJobs.erase(m_newJobs.begin());
+        const Job *job = book.find(id);
+        if (job != nullptr && !job->stored) {
+            payload += job->row.spec.payload.size();
+            transaction.jobs.push_back(job->row);
+        }
+    }
+}
+
+void CellWriter::takeProgress(CellTransaction &transaction, const JobBook &book)
+{
+    while (!m_changedJobs.empty() && transaction.progress.size() < mostRows / 3) {
+        const JobId id = *m_changedJobs.begin();
+        m_changedJobs.erase(m_changedJobs.begin());
+        const Job *job = book.find(id);
+        if (job != nullptr && !job->endStored) {
+            transaction.progress.push_back(book.progressRow(*job));
+        }
+    }
+}
+
+void CellWriter::sent(CallId call, CellTransaction transaction, const WorkerRoster &roster, TimePoint now)
+{
+    Pending pending{call, std::move(transaction), now, {}};
+    if (m_changedJobs.empty()) {
+        for (const auto &[id, worker] : roster.all()) {
+            pending.ends[id] = {worker.born, worker.processed};
+        }
+    }
+    m_pending = std::move(pending);
+}
+
+CellWriter::Pending CellWriter::succeed()
+{
+    Pending done = std::move(*m_pending);
+    m_pending.reset();
+    return done;
+}
+
+void CellWriter::fail(TimePoint now)
+{
+    const CellTransaction &transaction = m_pending->transaction;
+    for (const JobRow &row : transaction.jobs) {
+        m_newJobs.insert(row.id);
+    }
+    for (const ProgressRow &row : transaction.progress) {
+        m_changedJobs.insert(row.id);
+    }
+    for (const JobId &id : transaction.dropped) {
+        m_droppedJobs.insert(id);
+    }
+    for (const WaveRow &wave : transaction.waves) {
+        m_waves.try_emplace(wave.number, wave);
+    }
+    m_roster = m_roster || transaction.roster.has_value();
+    m_ownerRequired = true;
+    m_notBefore = now + retryPause;
+    m_pending.reset();
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/job_book.cpp
@@ -0,0 +1,319 @@
+#include "core/cells/job_book.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// Pause before a lasting task that failed starts again, so that a task that cannot run does not fill the workers'
+/// lists.
+constexpr Duration lastingPause{100};
+
+Occurrence newOccurrence(const GraphSpec &spec, TimePoint now)
+{
+    Occurrence occurrence;
+    occurrence.begunAt = now;
+    occurrence.steps.resize(spec.steps.size());
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        Step &step = occurrence.steps[index];
+        step.tasks.resize(spec.steps[index].count);
+        for (std::uint32_t task = 0; task < spec.steps[index].count; ++task) {
+            step.waiting.insert(task);
+        }
+        if (step.tasks.empty()) {
+            ++occurrence.stepsDone;
+        }
+    }
+    return occurrence;
+}
+
+} // namespace
+
+void JobBook::clear()
+{
+    m_jobs.clear();
+    m_live.clear();
+}
+
+Job &JobBook::add(JobRow row, TimePoint now)
+{
+    const JobId id = row.id;
+    Job &job = m_jobs[id];
+    job.row = std::move(row);
+    job.seenAt = now;
+    m_live.insert(id);
+    return job;
+}
+
+void JobBook::restore(const ProgressRow &row, Instant now)
+{
+    Job *job = find(row.id);
+    if (job == nullptr) {
+        return;
+    }
+    job->state = row.state;
+    job->begun = row.begun;
+    job->firstOpen = row.firstOpen;
+    if (isFinal(row.state)) {
+        job->endStored = true;
+        job->endedAt = now.steady;
+        job->open.clear();
+        m_live.erase(row.id);
+        return;
+    }
+    for (const auto &[number, progress] : row.open) {
+        Occurrence occurrence = newOccurrence(job->row.spec, now.steady);
+        for (std::size_t index = 0; index < std::min(progress.size(), occurrence.steps.size()); ++index) {
+            Step &step = occurrence.steps[index];
+            for (std::uint32_t place = 0; place < std::min(progress[index].size(), step.tasks.size()); ++place) {
+                step.tasks[place].progress = progress[index][place];
+                if (progress[index][place].done) {
+                    step.waiting.erase(place);
+                    ++step.done;
+                }
+            }
+            if (!step.tasks.empty() && step.done == step.tasks.size()) {
+                ++occurrence.stepsDone;
+            }
+        }
+        job->open[number] = std::move(occurrence);
+    }
+}
+
+void JobBook::openDue(Job &job, Instant now)
+{
+    if (isFinal(job.state)) {
+        return;
+    }
+    const GraphSpec &spec = job.row.spec;
+    std::uint32_t next = job.open.empty() ? job.firstOpen : job.open.rbegin()->first + 1;
+    while (next < spec.occurrences() && (spec.repeats == 0 || now.wall >= spec.dueAt(next))) {
+        job.open[next] = newOccurrence(spec, now.steady);
+        ++next;
+    }
+}
+
+Job *JobBook::find(const JobId &id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const Job *JobBook::find(const JobId &id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+Step *JobBook::step(const TaskId &id)
+{
+    Job *job = find(id.job);
+    if (job == nullptr) {
+        return nullptr;
+    }
+    const auto occurrence = job->open.find(id.occurrence);
+    if (occurrence == job->open.end() || id.step >= occurrence->second.steps.size()) {
+        return nullptr;
+    }
+    Step &step = occurrence->second.steps[id.step];
+    return id.index < step.tasks.size() ? &step : nullptr;
+}
+
+Task *JobBook::task(const TaskId &id)
+{
+    Step *found = step(id);
+    return found == nullptr ? nullptr : &found->tasks[id.index];
+}
+
+const StepSpec *JobBook::spec(const TaskId &id) const
+{
+    const Job *job = find(id.job);
+    return job == nullptr || id.step >= job->row.spec.steps.size() ? nullptr : &job->row.spec.steps[id.step];
+}
+
+std::map<JobId, Job> &JobBook::jobs()
+{
+    return m_jobs;
+}
+
+const std::map<JobId, Job> &JobBook::jobs() const
+{
+    return m_jobs;
+}
+
+const std::set<JobId> &JobBook::live() const
+{
+    return m_live;
+}
+
+void JobBook::erase(const JobId &id)
+{
+    m_live.erase(id);
+    m_jobs.erase(id);
+}
+
+bool JobBook::isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step)
+{
+    const std::vector<std::uint32_t> &after = job.row.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&occurrence](std::uint32_t earlier) {
+        const Step &before = occurrence.steps[earlier];
+        return before.done == before.tasks.size();
+    });
+}
+
+Run &JobBook::begin(const TaskId &id, Run run)
+{
+    Step &place = *step(id);
+    Job &job = *find(id.job);
+    job.begun = true;
+    if (job.state == GraphState::Queued) {
+        job.state = GraphState::Running;
+    }
+    place.waiting.erase(id.index);
+    ++place.onWorker[run.worker];
+    Task &task = place.tasks[id.index];
+    task.startedRun = std::max(task.startedRun, run.number);
+    task.run = std::move(run);
+    return *task.run;
+}
+
+void JobBook::giveBack(Step &step, const TaskId &id)
+{
+    Task &task = step.tasks[id.index];
+    const auto on = step.onWorker.find(task.run->worker);
+    if (on != step.onWorker.end() && --on->second == 0) {
+        step.onWorker.erase(on);
+    }
+    task.run.reset();
+    if (!task.progress.done) {
+        step.waiting.insert(id.index);
+    }
+}
+
+EndEffect JobBook::end(const TaskId &id, RunNumber run, RunEnd how, std::uint32_t mostFailures, TimePoint now)
+{
+    Step *place = step(id);
+    if (place == nullptr) {
+        return EndEffect::Ignored;
+    }
+    Task &task = place->tasks[id.index];
+    if (!task.run || task.run->number != run) {
+        return EndEffect::Ignored;
+    }
+    Job &job = *find(id.job);
+    const bool lasting = job.row.spec.steps[id.step].lasting;
+    const bool isOver = isFinal(job.state);
+    if (how == RunEnd::Failed) {
+        task.failedOn = task.run->worker;
+    }
+    task.progress.done = how == RunEnd::Done && !lasting;
+    task.progress.endedRun = std::max(task.progress.endedRun, run);
+    giveBack(*place, id);
+    if (lasting) {
+        task.notBefore = now + lastingPause;
+    }
+    if (isOver) {
+        return EndEffect::TaskWaits;
+    }
+    if (how == RunEnd::Failed && !lasting && ++task.progress.failures >= mostFailures) {
+        finish(job, GraphState::Failed, now);
+        return EndEffect::JobEnded;
+    }
+    if (!task.progress.done) {
+        return EndEffect::TaskWaits;
+    }
+    Occurrence &occurrence = job.open.at(id.occurrence);
+    if (++place->done == place->tasks.size()) {
+        ++occurrence.stepsDone;
+    }
+    if (occurrence.stepsDone < occurrence.steps.size()) {
+        return EndEffect::TaskDone;
+    }
+    // An occurrence stays open until all before it are done, so that one number tells which are.
+    while (!job.open.empty() && job.open.begin()->first == job.firstOpen
+           && job.open.begin()->second.stepsDone == job.open.begin()->second.steps.size()) {
+        job.open.erase(job.open.begin());
+        ++job.firstOpen;
+    }
+    if (job.firstOpen < job.row.spec.occurrences()) {
+        return EndEffect::TaskDone;
+    }
+    finish(job, GraphState::Completed, now);
+    return EndEffect::JobEnded;
+}
+
+void JobBook::withdraw(const TaskId &id, RunNumber run)
+{
+    Step *place = step(id);
+    if (place == nullptr || !place->tasks[id.index].run || place->tasks[id.index].run->number != run) {
+        return;
+    }
+    giveBack(*place, id);
+}
+
+void JobBook::finish(Job &job, GraphState state, TimePoint now)
+{
+    job.state = state;
+    job.endedAt = now;
+}
+
+bool JobBook::hasRuns(const Job &job)
+{
+    for (const auto &[number, occurrence] : job.open) {
+        for (const Step &step : occurrence.steps) {
+            if (!step.onWorker.empty()) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void JobBook::settle(Job &job)
+{
+    if (!isFinal(job.state) || !job.endStored || hasRuns(job)) {
+        return;
+    }
+    job.open.clear();
+    job.row.spec = GraphSpec{};
+    m_live.erase(job.row.id);
+}
+
+ProgressRow JobBook::progressRow(const Job &job) const
+{
+    ProgressRow row;
+    row.id = job.row.id;
+    row.state = job.state;
+    row.begun = job.begun;
+    row.firstOpen = job.firstOpen;
+    if (isFinal(job.state)) {
+        return row;
+    }
+    for (const auto &[number, occurrence] : job.open) {
+        OccurrenceProgress &progress = row.open[number];
+        for (const Step &step : occurrence.steps) {
+            std::vector<TaskProgress> &tasks = progress.emplace_back();
+            for (const Task &task : step.tasks) {
+                tasks.push_back(task.progress);
+            }
+        }
+    }
+    return row;
+}
+
+std::uint64_t JobBook::pending(const QueueId &queue) const
+{
+    std::uint64_t count = 0;
+    for (const JobId &id : m_live) {
+        const Job &job = m_jobs.at(id);
+        if (job.row.queue == queue && job.stored && !job.begun && !isFinal(job.state)) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/job_graph.cpp
@@ -0,0 +1,123 @@
+#include "core/cells/job_graph.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+std::optional<std::uint32_t> parseNumber(std::string_view text)
+{
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+} // namespace
+
+Needs &Needs::operator+=(const Needs &other)
+{
+    cpu += other.cpu;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Needs &Needs::operator-=(const Needs &other)
+{
+    cpu -= std::min(cpu, other.cpu);
+    memoryMb -= std::min(memoryMb, other.memoryMb);
+    accelerators -= std::min(accelerators, other.accelerators);
+    return *this;
+}
+
+bool Needs::fitIn(const Needs &room) const
+{
+    return cpu <= room.cpu && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+}
+
+Needs operator+(Needs left, const Needs &right)
+{
+    left += right;
+    return left;
+}
+
+Needs operator-(Needs left, const Needs &right)
+{
+    left -= right;
+    return left;
+}
+
+Needs StepSpec::reserved() const
+{
+    Needs result = needs;
+    if (filling) {
+        result.cpu = 0;
+    }
+    return result;
+}
+
+std::uint32_t GraphSpec::occurrences() const
+{
+    return std::max<std::uint32_t>(repeats, 1);
+}
+
+WallTime GraphSpec::dueAt(std::uint32_t occurrence) const
+{
+    return firstDue + occurrence * period;
+}
+
+std::string taskName(const TaskId &task)
+{
+    return task.job.name() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+        + std::to_string(task.index);
+}
+
+std::optional<TaskId> parseTaskName(std::string_view name)
+{
+    std::array<std::uint32_t, 3> numbers{};
+    for (std::size_t place = numbers.size(); place > 0; --place) {
+        const auto dot = name.rfind('.');
+        if (dot == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto number = parseNumber(name.substr(dot + 1));
+        if (!number) {
+            return std::nullopt;
+        }
+        numbers[place - 1] = *number;
+        name = name.substr(0, dot);
+    }
+    if (name.empty()) {
+        return std::nullopt;
+    }
+    return TaskId{JobId(std::string(name)), numbers[0], numbers[1], numbers[2]};
+}
+
+bool isFinal(GraphState state)
+{
+    switch (state) {
+    case GraphState::Queued:
+    case GraphState::Running:
+        return false;
+    case GraphState::Completed:
+    case GraphState::Failed:
+    case GraphState::Cancelled:
+        return true;
+    }
+    return true;
+}
+
+} // namespace radishvane::cells
+
+std::size_t std::hash<radishvane::cells::TaskId>::operator()(const radishvane::cells::TaskId &task) const noexcept
+{
+    const std::size_t place = (std::size_t{task.occurrence} << 40) ^ (std::size_t{task.step} << 20) ^ task.index;
+    return std::hash<radishvane::JobId>{}(task.job) ^ std::hash<std::size_t>{}(place);
+}
--- /dev/null
+++ b/core/cells/run_keeper.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "core/cells/cell_outbox.h"
+#include "core/cells/cell_writer.h"
+#include "core/cells/job_book.h"
+#include "core/cells/start_planner.h"
+#include "core/cells/team_ledger.h"
+#include "core/cells/worker_roster.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishvane::cells
+{
+
+/// Lengths of time that the site's bounds decide.
+struct CellTimes
+{
+    /// Lease of what runs on a worker, from each hold call.
+    Duration hold{5'000};
+    /// An ended job can be asked about for this long.
+    Duration keepEnded{150'000};
+};
+
+/// The runs of a cell's tasks on its workers: starts, leases, ends and stops.
+///
+/// A task starts only when no earlier run of it can be alive: each earlier run has ended, was never carried out, or has
+/// lost its lease on its worker's clock.
+class RunKeeper
+{
+public:
+    /// A start that is carried out later than that is refused by the worker.
+    static constexpr Duration startWindow{1'500};
+    /// A hold call waits so long for an end.
+    static constexpr Duration holdWait{1'000};
+    /// Pause between two hold calls to a worker, so that ends come together.
+    static constexpr Duration holdPause{25};
+    /// Pause after a hold call that had no answer.
+    static constexpr Duration holdRetry{250};
+    /// A task whose percentage has not risen for that long stands still.
+    static constexpr Duration stallTime{2'200};
+    /// Failures in a row, without a task done, after which a worker is avoided.
+    static constexpr std::uint32_t suspectFailures = 3;
+    /// Time for which a worker that failed tasks is avoided.
+    static constexpr Duration avoidTime{3'000};
+    /// Part of a pool's workers that may be avoided at one time: one in this many.
+    static constexpr std::size_t mostAvoided = 3;
+    /// A worker that is being emptied has that long to finish its tasks before they are stopped.
+    static constexpr Duration emptyPatience{1'500};
+    /// Most starts that one look gives out.
+    static constexpr std::size_t mostStarts = 64;
+
+    RunKeeper(CellOutbox &outbox, CellWriter &writer, CellTimes times);
+
+    /// Begins under a new epoch with what the store holds.
+    void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries);
+    void clear();
+
+    void see(const std::vector<WorkerEntry> &entries);
+    void answered(const OrderAnswered &event);
+    void answered(const HoldAnswered &event);
+    /// A transaction has stored what it held of ends.
+    void stored(const CellWriter::Pending &done);
+    /// A job that may need stops has ended.
+    void jobEnded(const JobId &job, const std::string &reason);
+    /// Tasks may have come due with time, so the next advance() looks for starts.
+    void lookAgain();
+    /// Sends what is due.
+    /// @param mayOrder whether the cell is owned for certain.
+    void advance(const SiteConfig &config, bool mayOrder);
+    /// Keeps these workers free of new tasks, and empties them.
+    void cordon(const std::set<WorkerId> &workers);
+
+    JobBook &book();
+    const JobBook &book() const;
+    const WorkerRoster &roster() const;
+
+private:
+    void advanceHolds();
+    void sendHold(Worker &worker);
+    void takeEnds(Worker &worker, const HoldReport &report);
+    void takeRunning(Worker &worker, const HoldReport &report, TimePoint sent);
+    void takeMissing(Worker &worker, const HoldReport &report, TimePoint sent);
+    bool adopt(Worker &worker, const RunningRow &row);
+    void endLife(Worker &worker, std::int64_t born);
+    void loseTasks(Worker &worker, CellDecision why);
+    void expireLeases();
+    void judge(Worker &worker, RunEnd how);
+
+    void planStarts(const SiteConfig &config);
+    bool startOne(const SiteConfig &config, const ReadyStep &ready, std::uint32_t index);
+    void startAnswered(const TaskId &task, const OrderAnswered &event);
+    void stopAnswered(const TaskId &task, const OrderAnswered &event);
+    void endRun(const TaskId &task, RunEnd how);
+    void withdrawRun(const TaskId &task);
+    void wantStop(const TaskId &task, const std::string &reason);
+    void advanceStops();
+    void stopStalled();
+    void emptyWorkers();
+    bool mayDisrupt(const TaskId &task) const;
+    void occupy(Worker &worker, const TaskId &task);
+    void vacate(const TaskId &task);
+    RunNumber nextRun(const Job &job, const Task &task) const;
+    std::uint32_t mostFailures(const JobId &job) const;
+
+    CellOutbox &m_outbox;
+    CellWriter &m_writer;
+    CellTimes m_times;
+    const SiteConfig *m_config = nullptr;
+    JobBook m_book;
+    WorkerRoster m_roster;
+    TeamLedger m_ledger;
+    std::map<CallId, TaskId> m_starts;
+    std::map<CallId, TaskId> m_stops;
+    std::map<CallId, WorkerId> m_holds;
+    /// Runs whose stop is wanted and has not been accepted.
+    std::set<TaskId> m_stopping;
+    bool m_planDue = false;
+};
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/team_ledger.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/cells/site.h"
+
+#include <map>
+
+namespace radishvane::cells
+{
+
+/// What each team's tasks take of the workers of one cell, against the part of its ceiling that the cell may use.
+class TeamLedger
+{
+public:
+    void clear();
+    void take(const TeamId &team, const Needs &needs);
+    void giveBack(const TeamId &team, const Needs &needs);
+    /// Whether @p team stays at or under its ceiling with @p needs more. Jobs without a team have no ceiling.
+    bool mayTake(const SiteConfig &config, const TeamId &team, const Needs &needs) const;
+    /// Use of processor time for the team's weight; less comes first when all is full.
+    double useForWeight(const SiteConfig &config, const TeamId &team) const;
+
+private:
+    std::map<TeamId, Needs> m_used;
+};
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/wave_keeper.cpp
@@ -0,0 +1,249 @@
+#include "core/cells/wave_keeper.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+void WaveKeeper::clear()
+{
+    *this = WaveKeeper{};
+}
+
+void WaveKeeper::restore(const std::vector<WaveRow> &rows)
+{
+    for (const WaveRow &row : rows) {
+        m_restored[row.number] = row;
+    }
+}
+
+void WaveKeeper::see(const std::vector<Wave> &waves)
+{
+    for (const Wave &wave : waves) {
+        const auto [place, isNew] = m_waves.try_emplace(wave.number);
+        WaveState &state = place->second;
+        state.wave = wave;
+        if (!isNew) {
+            continue;
+        }
+        for (const HostId &host : wave.hosts) {
+            state.hosts.try_emplace(host);
+        }
+        const auto restored = m_restored.find(wave.number);
+        if (restored == m_restored.end()) {
+            continue;
+        }
+        state.begun = true;
+        state.completed = restored->second.completed;
+        for (const HostId &host : restored->second.ordered) {
+            const auto known = state.hosts.find(host);
+            if (known != state.hosts.end()) {
+                // It may still be down; the next list tells.
+                known->second.stage = HostStage::Down;
+                known->second.accepted = true;
+            }
+        }
+    }
+}
+
+void WaveKeeper::see(const std::vector<SiteHost> &hosts, TimePoint asked)
+{
+    m_hosts.clear();
+    for (const SiteHost &host : hosts) {
+        m_hosts[host.id] = host;
+    }
+    m_listedAt = asked;
+    m_listed = true;
+}
+
+void WaveKeeper::ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_waves.find(wave);
+    if (found == m_waves.end()) {
+        return;
+    }
+    WaveHost &entry = found->second.hosts[host];
+    entry.since = now;
+    switch (outcome) {
+    case HostOrderOutcome::Accepted:
+        entry.stage = HostStage::Down;
+        entry.accepted = true;
+        return;
+    case HostOrderOutcome::Unknown:
+        // It counts as down until it is seen up after the answer could come no more, and is then ordered again.
+        entry.stage = HostStage::Down;
+        entry.accepted = false;
+        return;
+    case HostOrderOutcome::NotInWave:
+    case HostOrderOutcome::Invalid:
+        entry.stage = HostStage::Done;
+        return;
+    case HostOrderOutcome::Fenced:
+    case HostOrderOutcome::Busy:
+    case HostOrderOutcome::Refused:
+        entry.stage = HostStage::Emptying;
+        entry.notBefore = now + retryInterval;
+        return;
+    }
+}
+
+void WaveKeeper::reported(std::uint64_t wave, bool written)
+{
+    const auto found = m_waves.find(wave);
+    if (found == m_waves.end() || written) {
+        return;
+    }
+    found->second.reportedRunning = false;
+    found->second.reportedCompleted = false;
+}
+
+bool WaveKeeper::isActive() const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(),
+                       [](const auto &pair) { return !pair.second.completed || !pair.second.reportedCompleted; });
+}
+
+WavePlan WaveKeeper::plan(const WorkerRoster &roster, TimePoint now)
+{
+    WavePlan plan;
+    const bool isOpen
+        = std::any_of(m_waves.begin(), m_waves.end(), [](const auto &pair) { return !pair.second.completed; });
+    if (isOpen && now >= m_nextList) {
+        m_nextList = now + listInterval;
+        plan.listHosts = true;
+    }
+    for (auto &[number, state] : m_waves) {
+        if (!state.completed && m_listed) {
+            planWave(state, roster, plan, now);
+        }
+        const bool isUntold = state.completed ? !state.reportedCompleted : state.begun && !state.reportedRunning;
+        if (isUntold) {
+            state.reportedRunning = true;
+            state.reportedCompleted = state.completed;
+            plan.reports.emplace_back(number, state.completed);
+        }
+    }
+    return plan;
+}
+
+bool WaveKeeper::isBusyElsewhere(const HostId &host, std::uint64_t wave) const
+{
+    return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto &pair) {
+        const auto found = pair.second.hosts.find(host);
+        return pair.first != wave && found != pair.second.hosts.end()
+            && (found->second.stage == HostStage::Ordered || found->second.stage == HostStage::Down
+                || found->second.stage == HostStage::Emptying);
+    });
+}
+
+void WaveKeeper::advance(WaveState &state, TimePoint now, WavePlan &plan)
+{
+    bool changed = false;
+    for (auto &[host, entry] : state.hosts) {
+        const auto listed = m_hosts.find(host);
+        if (listed == m_hosts.end()) {
+            // A host that has gone for good needs no maintenance.
+            changed = changed || entry.stage != HostStage::Done;
+            entry.stage = HostStage::Done;
+            continue;
+        }
+        const bool isFresh = m_listedAt > entry.since + settleTime;
+        if (entry.stage != HostStage::Down || !isFresh || listed->second.state != SiteHostState::Up) {
+            continue;
+        }
+        entry.since = now;
+        if (!entry.accepted) {
+            // The order may yet be carried out, so the host keeps its place and is ordered again.
+            entry.stage = HostStage::Ordered;
+            plan.maintain.emplace_back(host, state.wave.number);
+            continue;
+        }
+        entry.stage = HostStage::Done;
+        changed = true;
+    }
+    const bool isComplete = std::all_of(state.hosts.begin(), state.hosts.end(),
+                                        [](const auto &pair) { return pair.second.stage == HostStage::Done; });
+    if (isComplete) {
+        state.completed = true;
+        changed = true;
+    }
+    if (changed) {
+        plan.changed.push_back(rowOf(state));
+    }
+}
+
+void WaveKeeper::planWave(WaveState &state, const WorkerRoster &roster, WavePlan &plan, TimePoint now)
+{
+    if (!state.begun) {
+        state.begun = true;
+        plan.changed.push_back(rowOf(state));
+    }
+    advance(state, now, plan);
+    if (state.completed) {
+        return;
+    }
+    std::size_t down = 0;
+    std::size_t emptying = 0;
+    for (const auto &[host, entry] : state.hosts) {
+        const auto listed = m_hosts.find(host);
+        const bool isListedDown = listed != m_hosts.end() && listed->second.state == SiteHostState::Maintained;
+        const bool isOrdered = entry.stage == HostStage::Down || entry.stage == HostStage::Ordered;
+        down += isOrdered || (isListedDown && entry.stage != HostStage::Done) ? 1 : 0;
+        emptying += entry.stage == HostStage::Emptying ? 1 : 0;
+    }
+    const std::size_t mostEmptying
+        = state.wave.mostAtOnce * (1 + emptiedAhead) - std::min<std::size_t>(down, state.wave.mostAtOnce);
+    std::vector<std::tuple<double, HostId>> waiting;
+    for (auto &[host, entry] : state.hosts) {
+        const auto listed = m_hosts.find(host);
+        if (entry.stage != HostStage::Waiting || listed == m_hosts.end() || listed->second.state != SiteHostState::Up
+            || isBusyElsewhere(host, state.wave.number)) {
+            continue;
+        }
+        const Worker *worker = roster.find(listed->second.worker);
+        waiting.emplace_back(worker == nullptr ? 0.0 : static_cast<double>(worker->used.cpu), host);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto &[load, host] : waiting) {
+        if (emptying >= mostEmptying) {
+            break;
+        }
+        state.hosts[host].stage = HostStage::Emptying;
+        state.hosts[host].since = now;
+        ++emptying;
+    }
+    for (auto &[host, entry] : state.hosts) {
+        if (entry.stage != HostStage::Emptying) {
+            continue;
+        }
+        const SiteHost &listed = m_hosts.at(host);
+        const Worker *worker = roster.find(listed.worker);
+        if (worker != nullptr) {
+            plan.cordoned.insert(listed.worker);
+        }
+        const bool isEmpty = worker == nullptr || worker->tasks.empty();
+        if (!isEmpty || listed.state != SiteHostState::Up || down >= state.wave.mostAtOnce || now < entry.notBefore) {
+            continue;
+        }
+        entry.stage = HostStage::Ordered;
+        entry.since = now;
+        entry.worker = listed.worker;
+        ++down;
+        plan.maintain.emplace_back(host, state.wave.number);
+    }
+}
+
+WaveRow WaveKeeper::rowOf(const WaveState &state) const
+{
+    WaveRow row;
+    row.number = state.wave.number;
+    row.completed = state.completed;
+    for (const auto &[host, entry] : state.hosts) {
+        if (entry.accepted) {
+            row.ordered.push_back(host);
+        }
+    }
+    return row;
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/worker_roster.cpp
@@ -0,0 +1,169 @@
+#include "core/cells/worker_roster.h"
+
+#include <cmath>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// A worker's clock may run that much slower than ours (published by the platform: 2 %).
+constexpr double slowestClock = 0.98;
+/// Time for a worker to end what has lost its lease.
+constexpr std::int64_t lapseMarginMs = 250;
+
+} // namespace
+
+bool Worker::isSettled(TimePoint now) const
+{
+    return fenced || now >= inheritedUntil;
+}
+
+bool Worker::takesTasks(TimePoint now) const
+{
+    return fenced && recorded && !cordoned && entry && entry->state == WorkerState::Ready && now >= avoidedUntil;
+}
+
+bool Worker::hasLabel(const std::string &label) const
+{
+    return label.empty() || (entry && entry->labels.count(label) > 0);
+}
+
+Needs Worker::room() const
+{
+    return entry ? entry->room : Needs{};
+}
+
+std::int64_t Worker::clockNow(TimePoint now) const
+{
+    return clock + std::llround(toMilliseconds(now - clockAt));
+}
+
+std::int64_t Worker::clockAtLeast(TimePoint now) const
+{
+    return clock + static_cast<std::int64_t>(toMilliseconds(now - clockAt) * slowestClock);
+}
+
+bool Worker::hasLapsed(TimePoint now) const
+{
+    return now >= inheritedUntil && clockAtLeast(now) > leaseDeadline + lapseMarginMs;
+}
+
+WorkerAddress Worker::address() const
+{
+    return WorkerAddress{id, endpoint};
+}
+
+void WorkerRoster::reset(const RosterRow &recorded, TimePoint inheritedUntil)
+{
+    m_workers.clear();
+    m_inheritedUntil = inheritedUntil;
+    for (const KnownWorker &known : recorded.workers) {
+        Worker worker;
+        worker.id = known.id;
+        worker.pool = known.pool;
+        worker.endpoint = known.endpoint;
+        worker.born = known.born;
+        worker.recorded = true;
+        worker.inheritedUntil = inheritedUntil;
+        m_workers[known.id] = std::move(worker);
+    }
+}
+
+std::vector<WorkerId> WorkerRoster::see(const std::vector<WorkerEntry> &entries)
+{
+    std::vector<WorkerId> reborn;
+    for (auto &[id, worker] : m_workers) {
+        worker.entry.reset();
+    }
+    for (const WorkerEntry &entry : entries) {
+        const auto [place, isNew] = m_workers.try_emplace(entry.id);
+        Worker &worker = place->second;
+        if (isNew) {
+            worker.id = entry.id;
+            worker.born = entry.born;
+            worker.inheritedUntil = m_inheritedUntil;
+        } else if (entry.born > worker.born) {
+            // Discovery may lag behind the worker's own word, so an earlier birth tells nothing.
+            reborn.push_back(entry.id);
+        } else if (entry.born < worker.born) {
+            continue;
+        }
+        if (isNew || worker.endpoint != entry.endpoint || worker.pool != entry.pool) {
+            worker.recorded = false;
+        }
+        worker.pool = entry.pool;
+        worker.endpoint = entry.endpoint;
+        worker.entry = entry;
+    }
+    return reborn;
+}
+
+bool WorkerRoster::forgetGone(TimePoint now)
+{
+    const auto forgotten = std::erase_if(m_workers, [now](const auto &pair) {
+        const Worker &worker = pair.second;
+        return !worker.entry && worker.tasks.empty() && worker.hold.value == 0 && worker.hasLapsed(now);
+    });
+    return forgotten > 0;
+}
+
+Worker *WorkerRoster::find(const WorkerId &id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const Worker *WorkerRoster::find(const WorkerId &id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+std::map<WorkerId, Worker> &WorkerRoster::all()
+{
+    return m_workers;
+}
+
+const std::map<WorkerId, Worker> &WorkerRoster::all() const
+{
+    return m_workers;
+}
+
+bool WorkerRoster::isUnsettled(const PoolId &pool, TimePoint now) const
+{
+    for (const auto &[id, worker] : m_workers) {
+        if (worker.pool == pool && worker.recorded && !worker.isSettled(now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+RosterRow WorkerRoster::row() const
+{
+    RosterRow row;
+    for (const auto &[id, worker] : m_workers) {
+        row.workers.push_back(KnownWorker{worker.id, worker.pool, worker.endpoint, worker.born});
+    }
+    return row;
+}
+
+void WorkerRoster::beginLife(Worker &worker, std::int64_t born)
+{
+    worker.born = born;
+    worker.fenced = false;
+    worker.clock = 0;
+    worker.clockAt = TimePoint{};
+    worker.leaseDeadline = 0;
+    worker.inheritedUntil = TimePoint{};
+    worker.processed = 0;
+    worker.stored = 0;
+    worker.noted = 0;
+    worker.failuresInARow = 0;
+    worker.avoidedUntil = TimePoint{};
+    worker.nextHold = TimePoint{};
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/drivers/cell_codec.cpp
@@ -0,0 +1,255 @@
+#include "drivers/cell_codec.h"
+
+#include "drivers/cereal_fields.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/variant.hpp>
+
+#include <sstream>
+
+namespace radishvane::cells
+{
+
+template<typename Archive>
+void wallField(Archive &archive, WallTime &time)
+{
+    std::int64_t count = time.time_since_epoch().count();
+    archive(count);
+    time = WallTime(Duration(count));
+}
+
+template<typename Archive>
+void serialize(Archive &archive, Needs &needs)
+{
+    archive(needs.cpu, needs.memoryMb, needs.accelerators);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, StepSpec &step)
+{
+    archive(step.count, step.needs, step.mostPerWorker, step.allowance);
+    durationField(archive, step.estimate);
+    durationField(archive, step.tailTarget);
+    listField(archive, step.after);
+    archive(step.checkpoints, step.gang, step.sameRack, step.speculative, step.lasting, step.filling);
+    textField(archive, step.label);
+    textField(archive, step.rack);
+    textField(archive, step.image);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, GraphSpec &spec)
+{
+    textField(archive, spec.payload);
+    listField(archive, spec.steps);
+    archive(spec.repeats);
+    wallField(archive, spec.firstDue);
+    durationField(archive, spec.period);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, OwnerRow &row)
+{
+    archive(row.host, row.incarnation, row.link, row.epoch);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, JobRow &row)
+{
+    archive(row.id, row.queue, row.team, row.epoch);
+    wallField(archive, row.accepted);
+    archive(row.spec);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, TaskProgress &task)
+{
+    archive(task.done, task.failures, task.endedRun);
+    textField(archive, task.checkpoint);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ProgressRow &row)
+{
+    archive(row.id, row.state, row.begun, row.firstOpen);
+    auto size = static_cast<std::uint32_t>(row.open.size());
+    archive(size);
+    if (size > mostItems) {
+        throw std::length_error("list of " + std::to_string(size) + " items");
+    }
+    auto place = row.open.begin();
+    for (std::uint32_t item = 0; item < size; ++item) {
+        std::uint32_t number = place == row.open.end() ? 0 : place->first;
+        archive(number);
+        OccurrenceProgress &progress = row.open[number];
+        auto steps = static_cast<std::uint32_t>(progress.size());
+        archive(steps);
+        if (steps > mostItems) {
+            throw std::length_error("list of " + std::to_string(steps) + " items");
+        }
+        progress.resize(steps);
+        for (std::vector<TaskProgress> &tasks : progress) {
+            listField(archive, tasks);
+        }
+        place = row.open.upper_bound(number);
+    }
+}
+
+template<typename Archive>
+void serialize(Archive &archive, KnownWorker &worker)
+{
+    archive(worker.id, worker.pool, worker.endpoint, worker.born);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, RosterRow &row)
+{
+    listField(archive, row.workers);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, WaveRow &row)
+{
+    archive(row.number, row.completed);
+    listField(archive, row.ordered);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, SubmitJob &question)
+{
+    archive(question.exchange, question.id, question.queue, question.team, question.spec);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, AskJob &question)
+{
+    archive(question.exchange, question.id);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, CancelJob &question)
+{
+    archive(question.exchange, question.id);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, AskPending &question)
+{
+    archive(question.exchange, question.queue);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, AnswerCall &answer)
+{
+    archive(answer.exchange, answer.answer, answer.state, answer.pending);
+    durationField(archive, answer.retryAfter);
+}
+
+} // namespace radishvane::cells
+
+namespace radishvane::drivers
+{
+
+namespace
+{
+
+template<typename Value>
+std::string encode(Value value)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+    return stream.str();
+}
+
+template<typename Value>
+CellDecoded<Value> decode(std::string_view bytes)
+{
+    if (bytes.size() > mostCellBytes) {
+        return LayerError<CellCodecError>{CellCodecError::TooLarge, std::to_string(bytes.size()) + " bytes"};
+    }
+    try {
+        std::istringstream stream{std::string(bytes)};
+        cereal::PortableBinaryInputArchive archive(stream);
+        Value value;
+        archive(value);
+        return value;
+    } catch (const std::exception &error) {
+        return LayerError<CellCodecError>{CellCodecError::Malformed, error.what()};
+    }
+}
+
+} // namespace
+
+std::string encodeRow(const cells::OwnerRow &row)
+{
+    return encode(row);
+}
+
+std::string encodeRow(const cells::JobRow &row)
+{
+    return encode(row);
+}
+
+std::string encodeRow(const cells::ProgressRow &row)
+{
+    return encode(row);
+}
+
+std::string encodeRow(const cells::RosterRow &row)
+{
+    return encode(row);
+}
+
+std::string encodeRow(const cells::WaveRow &row)
+{
+    return encode(row);
+}
+
+std::string encodeQuestion(const LinkQuestion &question)
+{
+    return encode(question);
+}
+
+std::string encodeAnswer(const cells::AnswerCall &answer)
+{
+    return encode(answer);
+}
+
+CellDecoded<cells::OwnerRow> decodeOwnerRow(std::string_view bytes)
+{
+    return decode<cells::OwnerRow>(bytes);
+}
+
+CellDecoded<cells::JobRow> decodeJobRow(std::string_view bytes)
+{
+    return decode<cells::JobRow>(bytes);
+}
+
+CellDecoded<cells::ProgressRow> decodeProgressRow(std::string_view bytes)
+{
+    return decode<cells::ProgressRow>(bytes);
+}
+
+CellDecoded<cells::RosterRow> decodeRosterRow(std::string_view bytes)
+{
+    return decode<cells::RosterRow>(bytes);
+}
+
+CellDecoded<cells::WaveRow> decodeWaveRow(std::string_view bytes)
+{
+    return decode<cells::WaveRow>(bytes);
+}
+
+CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes)
+{
+    return decode<LinkQuestion>(bytes);
+}
+
+CellDecoded<cells::AnswerCall> decodeAnswer(std::string_view bytes)
+{
+    return decode<cells::AnswerCall>(bytes);
+}
+
+} // namespace radishvane::drivers
--- /dev/null
+++ b/drivers/cell_codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/base/result.h"
+#include "core/cells/cell_messages.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace radishvane::drivers
+{
+
+/// Why bytes of a row or of another entry host's message could not be read.
+enum class CellCodecError {
+    TooLarge,
+    Malformed,
+};
+
+/// Log names, in the order of the enumerators.
+inline constexpr std::array<std::string_view, 2> cellCodecErrorNames{"too-large", "malformed"};
+
+template<typename Value>
+using CellDecoded = Result<Value, LayerError<CellCodecError>>;
+
+/// Largest row or message that is read.
+inline constexpr std::size_t mostCellBytes = 1 << 20;
+
+/// A caller's question that another entry host took in.
+using LinkQuestion = std::variant<cells::SubmitJob, cells::AskJob, cells::CancelJob, cells::AskPending>;
+
+std::string encodeRow(const cells::OwnerRow &row);
+std::string encodeRow(const cells::JobRow &row);
+std::string encodeRow(const cells::ProgressRow &row);
+std::string encodeRow(const cells::RosterRow &row);
+std::string encodeRow(const cells::WaveRow &row);
+std::string encodeQuestion(const LinkQuestion &question);
+std::string encodeAnswer(const cells::AnswerCall &answer);
+
+CellDecoded<cells::OwnerRow> decodeOwnerRow(std::string_view bytes);
+CellDecoded<cells::JobRow> decodeJobRow(std::string_view bytes);
+CellDecoded<cells::ProgressRow> decodeProgressRow(std::string_view bytes);
+CellDecoded<cells::RosterRow> decodeRosterRow(std::string_view bytes);
+CellDecoded<cells::WaveRow> decodeWaveRow(std::string_view bytes);
+CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes);
+CellDecoded<cells::AnswerCall> decodeAnswer(std::string_view bytes);
+
+} // namespace radishvane::drivers
--- /dev/null
+++ b/drivers/event_log.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "drivers/event_loop.h"
+#include "drivers/log.h"
+#include "drivers/timer.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace radishvane::drivers
+{
+
+/// Structured log: one JSON object a line on standard output, written without blocking.
+///
+/// Lines wait in a bounded buffer; a reader that does not read costs lines, which are counted, and nothing else.
+class EventLog
+{
+public:
+    /// Bytes that may wait for the reader.
+    static constexpr std::size_t mostBuffered = 512 << 10;
+    static constexpr Duration flushInterval{100};
+
+    EventLog(EventLoop &loop, const Clock &clock, std::string host, LogLevel least);
+    ~EventLog();
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    void line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+    /// Lines that found no room.
+    std::uint64_t dropped() const;
+    /// Writes what can be written at once.
+    void flush();
+
+private:
+    const Clock &m_clock;
+    std::string m_host;
+    LogLevel m_least;
+    std::string m_buffer;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_reported = 0;
+    int m_flags = 0;
+    Timer m_timer;
+};
+
+} // namespace radishvane::drivers
--- a/drivers/peer_codec.cpp
+++ b/drivers/peer_codec.cpp
@@ -1,91 +1,17 @@
 #include "drivers/peer_codec.h"
 
+#include "drivers/cereal_fields.h"
+
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/variant.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <sstream>
 #include <stdexcept>
 
 namespace radishvane
 {
 
-namespace
-{
-
-/// Bounds on what a length in a message may claim, checked before anything is allocated.
-constexpr std::uint32_t mostItems = 4'096;
-constexpr std::uint32_t mostTextBytes = drivers::mostStreamBytes;
-
-/// Names and addresses are short, and a length of one byte keeps heartbeats small.
-template<typename Archive>
-void nameField(Archive &archive, std::string &text)
-{
-    auto size = static_cast<std::uint8_t>(text.size());
-    archive(size);
-    text.resize(size);
-    archive(cereal::binary_data(text.data(), text.size()));
-}
-
-template<typename Archive>
-void textField(Archive &archive, std::string &text)
-{
-    auto size = static_cast<std::uint32_t>(text.size());
-    archive(size);
-    if (size > mostTextBytes) {
-        throw std::length_error("text of " + std::to_string(size) + " bytes");
-    }
-    text.resize(size);
-    archive(cereal::binary_data(text.data(), text.size()));
-}
-
-template<typename Archive, typename Item>
-void listField(Archive &archive, std::vector<Item> &items)
-{
-    auto size = static_cast<std::uint32_t>(items.size());
-    archive(size);
-    if (size > mostItems) {
-        throw std::length_error("list of " + std::to_string(size) + " items");
-    }
-    items.resize(size);
-    for (Item &item : items) {
-        archive(item);
-    }
-}
-
-template<typename Archive>
-void durationField(Archive &archive, Duration &duration)
-{
-    auto count = static_cast<std::uint32_t>(
-        std::clamp<Duration::rep>(duration.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-    archive(count);
-    duration = Duration(count);
-}
-
-} // namespace
-
-template<typename Archive, typename Tag>
-void serialize(Archive &archive, NameId<Tag> &id)
-{
-    std::string name = id.name();
-    nameField(archive, name);
-    id = NameId<Tag>(std::move(name));
-}
-
-template<typename Archive, typename Tag>
-void serialize(Archive &archive, NumberId<Tag> &id)
-{
-    archive(id.value);
-}
-
-template<typename Archive>
-void serialize(Archive &archive, Endpoint &endpoint)
-{
-    nameField(archive, endpoint.address);
-    archive(endpoint.port);
-}
-
 template<typename Archive>
 void serialize(Archive &archive, HolderId &holder)
 {
--- a/drivers/settings.cpp
+++ b/drivers/settings.cpp
@@ -13,19 +13,6 @@
 constexpr Range headerRange{1'024, 1 << 20};
 constexpr Range waitRange{0, 600'000};
 
-LogLevel readLogLevel(FieldReader &fields)
-{
-    if (!fields.has("log_level")) {
-        return LogLevel::Info;
-    }
-    const std::string name = fields.text("log_level");
-    const auto level = enumValue<LogLevel>(logLevelNames, name);
-    if (!level) {
-        fields.report(ConfigProblemKind::OutOfRange, "log_level", name, "must be debug, info, warning or error");
-    }
-    return level.value_or(LogLevel::Info);
-}
-
 std::vector<Endpoint> readPeers(FieldReader &fields, std::vector<ConfigProblem> &problems)
 {
     std::vector<Endpoint> peers;
@@ -44,6 +31,19 @@
 
 } // namespace
 
+LogLevel readLogLevel(FieldReader &fields)
+{
+    if (!fields.has("log_level")) {
+        return LogLevel::Info;
+    }
+    const std::string name = fields.text("log_level");
+    const auto level = enumValue<LogLevel>(logLevelNames, name);
+    if (!level) {
+        fields.report(ConfigProblemKind::OutOfRange, "log_level", name, "must be debug, info, warning or error");
+    }
+    return level.value_or(LogLevel::Info);
+}
+
 Result<Settings, std::vector<ConfigProblem>> readSettings(const FileText &file)
 {
     auto document = parseYaml(file);
--- a/drivers/settings.h
+++ b/drivers/settings.h
@@ -3,6 +3,7 @@
 #include "core/base/result.h"
 #include "core/config/config.h"
 #include "core/config/config_problem.h"
+#include "core/config/field_reader.h"
 #include "drivers/http_server.h"
 #include "drivers/log.h"
 #include "drivers/yaml_documents.h"
@@ -38,6 +39,9 @@
     LogLevel logLevel = LogLevel::Info;
 };
 
+/// The field log_level, which may be absent; a wrong one is reported to @p fields.
+LogLevel readLogLevel(FieldReader &fields);
+
 /// Reads and checks a settings file.
 ///
 /// @return the settings, or every problem with its line.
--- /dev/null
+++ b/drivers/site_settings.cpp
@@ -0,0 +1,56 @@
+#include "drivers/site_settings.h"
+
+#include "core/config/field_reader.h"
+#include "drivers/settings.h"
+
+namespace radishvane::drivers
+{
+
+namespace
+{
+
+constexpr Range millisecondsRange{1, 3'600'000};
+constexpr Range secondsRange{1, 86'400};
+
+Duration milliseconds(FieldReader &fields, const std::string &field)
+{
+    return Duration(fields.number(field, millisecondsRange));
+}
+
+Duration seconds(FieldReader &fields, const std::string &field)
+{
+    return std::chrono::seconds(fields.number(field, secondsRange));
+}
+
+} // namespace
+
+Result<SiteSettings, std::vector<ConfigProblem>> readSiteSettings(const FileText &file)
+{
+    auto document = parseYaml(file);
+    if (!document) {
+        return std::vector<ConfigProblem>{document.error()};
+    }
+    std::vector<ConfigProblem> problems;
+    FieldReader fields(document.value().root, "the settings", problems);
+    SiteSettings settings;
+    settings.host = HostId(fields.text("host"));
+    settings.zone = ZoneId(fields.text("zone"));
+    settings.listen = fields.endpoint("listen");
+    settings.readyListen = fields.endpoint("ready_listen");
+    settings.linkListen = fields.endpoint("link_listen");
+    settings.metricsListen = fields.endpoint("metrics_listen");
+    settings.store = fields.endpoint("store");
+    settings.hostService = fields.endpoint("host_service");
+    settings.mostHold = milliseconds(fields, "most_hold_ms");
+    settings.keysWithin = milliseconds(fields, "keys_within_ms");
+    settings.stopWithin = seconds(fields, "stop_within_s");
+    settings.keepEnded = seconds(fields, "keep_ended_s");
+    settings.logLevel = readLogLevel(fields);
+    fields.finish();
+    if (!problems.empty()) {
+        return problems;
+    }
+    return settings;
+}
+
+} // namespace radishvane::drivers
--- a/main/radishvaned.cpp
+++ b/main/radishvaned.cpp
@@ -1,7 +1,9 @@
 #include "drivers/config_files.h"
 #include "drivers/log.h"
 #include "drivers/settings.h"
+#include "drivers/site_settings.h"
 #include "main/entry_host.h"
+#include "main/site_host.h"
 
 #include <CLI/CLI.hpp>
 
@@ -18,6 +20,57 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitNotBound = 3;
 
+int report(const std::vector<radishvane::ConfigProblem> &problems)
+{
+    for (const radishvane::ConfigProblem &problem : problems) {
+        std::cerr << describe(problem) << '\n';
+    }
+    return exitBadSettings;
+}
+
+int reportUnbound(const std::string &path, const std::string &address)
+{
+    std::cerr << path << ": the address of " << address << " cannot be bound\n";
+    return exitNotBound;
+}
+
+int runEntryHost(const radishvane::drivers::FileText &file)
+{
+    using namespace radishvane;
+    const auto settings = drivers::readSettings(file);
+    if (!settings) {
+        return report(settings.error());
+    }
+    drivers::startLog(settings.value().logLevel);
+    EntryHost host(settings.value());
+    const std::string unbound = host.listen();
+    if (!unbound.empty()) {
+        return reportUnbound(file.name, unbound);
+    }
+    drivers::logLine(drivers::LogLevel::Info, "started",
+                     {{"host", settings.value().host.name()}, {"zone", settings.value().zone.name()}});
+    host.run();
+    drivers::logLine(drivers::LogLevel::Info, "ended", {{"host", settings.value().host.name()}});
+    return 0;
+}
+
+int runOnSite(const radishvane::drivers::FileText &file)
+{
+    using namespace radishvane;
+    const auto settings = drivers::readSiteSettings(file);
+    if (!settings) {
+        return report(settings.error());
+    }
+    drivers::startLog(settings.value().logLevel);
+    SiteHost host(settings.value());
+    const std::string unbound = host.listen();
+    if (!unbound.empty()) {
+        return reportUnbound(file.name, unbound);
+    }
+    host.run();
+    return 0;
+}
+
 } // namespace
 
 int main(int argumentCount, char **arguments)
@@ -30,6 +83,8 @@
         ->check(CLI::ExistingFile);
     app.add_option("--log-level", logLevel, "overrides log_level")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+    bool onSite = false;
+    app.add_flag("--site", onSite, "runs on the users' platform, with the settings of a site");
     CLI11_PARSE(app, argumentCount, arguments);
 
     using namespace radishvane;
@@ -38,25 +93,7 @@
     if (!logLevel.empty()) {
         file.text += "\nlog_level: " + logLevel + '\n';
     }
-    const auto settings = drivers::readSettings(file);
-    if (!settings) {
-        for (const ConfigProblem &problem : settings.error()) {
-            std::cerr << describe(problem) << '\n';
-        }
-        return exitBadSettings;
-    }
-    drivers::startLog(settings.value().logLevel);
     // A connection that its peer has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    EntryHost host(settings.value());
-    const std::string unbound = host.listen();
-    if (!unbound.empty()) {
-        std::cerr << path << ": the address of " << unbound << " cannot be bound\n";
-        return exitNotBound;
-    }
-    drivers::logLine(drivers::LogLevel::Info, "started",
-                     {{"host", settings.value().host.name()}, {"zone", settings.value().zone.name()}});
-    host.run();
-    drivers::logLine(drivers::LogLevel::Info, "ended", {{"host", settings.value().host.name()}});
-    return 0;
+    return onSite ? runOnSite(file) : runEntryHost(file);
 }
--- /dev/null
+++ b/main/site_host.cpp
@@ -0,0 +1,106 @@
+#include "main/site_host.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace radishvane
+{
+
+namespace
+{
+
+/// One cell holds all pools of a site of this size; docs/design/platform.md tells how it is split.
+const cells::CellId onlyCell("c0");
+/// Longest lease that is asked for: long enough for an outage of the store, short enough for a silent worker.
+constexpr Duration mostLease{6'000};
+/// Time in which the balancer notices that this host is not ready: two looks, a second apart, and a half.
+constexpr Duration leaveWait{2'500};
+/// Part of the time to stop that open requests may take.
+constexpr Duration finishWait{1'500};
+
+cells::CellTimes timesOf(const drivers::SiteSettings &settings)
+{
+    cells::CellTimes times;
+    times.hold = std::min(mostLease, settings.mostHold - settings.mostHold / 20);
+    times.keepEnded = settings.keepEnded + settings.keepEnded / 4;
+    return times;
+}
+
+std::uint64_t incarnationOf(const Clock &clock)
+{
+    return static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
+}
+
+} // namespace
+
+SiteHost::SiteHost(const drivers::SiteSettings &settings)
+    : m_settings(settings)
+    , m_log(m_loop, m_clock, settings.host.name(), settings.logLevel)
+    , m_store(m_loop, m_clock, m_log, onlyCell, settings.store, settings.hostService)
+    , m_cell(m_loop, m_clock, m_log, onlyCell, settings.host, incarnationOf(m_clock), settings.linkListen,
+             timesOf(settings))
+    , m_front(m_loop, m_clock, m_log,
+              servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
+              settings.keysWithin)
+    , m_stop(m_loop, m_clock, std::min(leaveWait, settings.stopWithin / 2),
+             std::min(finishWait, settings.stopWithin / 4))
+{
+    wire();
+}
+
+SiteHost::~SiteHost()
+{
+    event_free(m_reload);
+}
+
+void SiteHost::wire()
+{
+    m_store.cellEvent.connect([this](const cells::CellEvent &event) { m_cell.post(event); });
+    m_store.configChanged.connect([this](const cells::SiteConfigPtr &config) { m_front.post(config); });
+    m_store.operatorAnswered.connect([this](const servers::OperatorContact &contact) { m_front.post(contact); });
+    m_cell.siteCalled.connect([this](const servers::SiteCall &call) { m_store.post(call); });
+    m_cell.answered.connect([this](const cells::AnswerCall &answer) { m_front.post(answer); });
+    m_cell.ownerChanged.connect([this](const servers::OwnerKnown &owner) { m_front.post(owner); });
+    m_cell.released.connect([this] {
+        m_stop.post(servers::RightsReleased{});
+        m_stop.post(servers::JobsHandedBack{});
+    });
+    m_front.asked.connect([this](const servers::CellQuestion &question) {
+        std::visit([this](const auto &ask) { m_cell.post(cells::CellEvent(ask)); }, question);
+    });
+    m_front.statusChanged.connect([this](const servers::RequestStatus &status) { m_stop.post(status); });
+    m_stop.stageChanged.connect([this](servers::StopStage stage) {
+        m_front.post(stage);
+        if (stage == servers::StopStage::Leaving) {
+            m_cell.post(cells::CellEvent(cells::CellStop{}));
+        }
+        if (stage == servers::StopStage::Stopped) {
+            m_loop.stop();
+        }
+    });
+    m_reload = evsignal_new(
+        m_loop.base(), SIGHUP,
+        [](evutil_socket_t, short, void *self) {
+            // The settings of a site hold addresses and bounds only, which a running process cannot change.
+            static_cast<SiteHost *>(self)->m_log.line(drivers::LogLevel::Info, "reload",
+                                                      {{"outcome", "nothing-to-change"}});
+        },
+        this);
+    event_add(m_reload, nullptr);
+}
+
+std::string SiteHost::listen()
+{
+    return m_front.listen();
+}
+
+void SiteHost::run()
+{
+    m_log.line(drivers::LogLevel::Info, "started", {{"zone", m_settings.zone.name()}});
+    m_loop.run();
+    m_log.line(drivers::LogLevel::Info, "stopped", {});
+}
+
+} // namespace radishvane
--- /dev/null
+++ b/servers/cell_task.cpp
@@ -0,0 +1,134 @@
+#include "servers/cell_task.h"
+
+#include "core/base/enum_names.h"
+#include "platform/worker_wire.h"
+
+namespace radishvane::servers
+{
+
+CellTask::CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
+                   const HostId &host, std::uint64_t incarnation, const Endpoint &link, cells::CellTimes times)
+    : m_clock(clock)
+    , m_log(log)
+    , m_incarnation(incarnation)
+    , m_host(host)
+    , m_keeper(cell, host, incarnation, link, times)
+    , m_http(loop)
+    , m_mailbox(
+          loop,
+          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
+    , m_timer(loop, tickInterval, [this] { handle(cells::CellTick{}); })
+{
+}
+
+void CellTask::post(Message message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void CellTask::on(const cells::CellEvent &event)
+{
+    handle(event);
+}
+
+void CellTask::handle(const cells::CellEvent &event)
+{
+    m_stopping = m_stopping || std::holds_alternative<cells::CellStop>(event);
+    for (const cells::CellEffect &effect : m_keeper.handle(event, m_clock.instant())) {
+        std::visit([this](const auto &alternative) { apply(alternative); }, effect);
+    }
+    tellOwner();
+    if (m_stopping && !m_owns && !m_toldReleased) {
+        m_toldReleased = true;
+        released.emit();
+    }
+}
+
+void CellTask::tellOwner()
+{
+    const auto &owner = m_keeper.owner();
+    if (owner == m_toldOwner) {
+        return;
+    }
+    m_toldOwner = owner;
+    const bool isSelf = owner && owner->host == m_host && owner->incarnation == m_incarnation;
+    ownerChanged.emit(OwnerKnown{owner, isSelf});
+}
+
+template<typename Order>
+void CellTask::order(const Order &order)
+{
+    m_http.send(platform::workerCall(order), [this, id = order.call](drivers::HttpOutcome &&outcome) {
+        handle(platform::readOrderAnswer(id, outcome));
+    });
+}
+
+void CellTask::apply(const cells::StartOrder &start)
+{
+    order(start);
+}
+
+void CellTask::apply(const cells::StopOrder &stop)
+{
+    order(stop);
+}
+
+void CellTask::apply(const cells::HoldOrder &hold)
+{
+    m_http.send(platform::workerCall(hold), [this, id = hold.call](drivers::HttpOutcome &&outcome) {
+        handle(platform::readHoldAnswer(id, outcome));
+    });
+}
+
+void CellTask::apply(const cells::WriteCell &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::ReadCell &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::ReadOwner &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::ListHosts &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::MaintainHost &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::ReportWave &call)
+{
+    siteCalled.emit(call);
+}
+
+void CellTask::apply(const cells::AnswerCall &answer)
+{
+    answered.emit(answer);
+}
+
+void CellTask::apply(const cells::OwnershipChanged &change)
+{
+    m_owns = change.owns;
+    siteCalled.emit(change);
+}
+
+void CellTask::apply(const cells::DecisionNoted &note)
+{
+    m_log.line(drivers::LogLevel::Info, enumName(cells::cellDecisionNames, note.decision),
+               {{"subject", note.subject},
+                {"worker", note.worker},
+                {"epoch", std::to_string(note.epoch)},
+                {"number", std::to_string(note.number)},
+                {"reason", note.reason}});
+}
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/cell_task.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/cells/cell_keeper.h"
+#include "drivers/event_log.h"
+#include "drivers/http_client.h"
+#include "drivers/mailbox.h"
+#include "drivers/timer.h"
+#include "servers/site_messages.h"
+
+#include <sigc++/signal.h>
+
+#include <variant>
+
+namespace radishvane::servers
+{
+
+/// Owns the connections to workers and this process's part in a cell.
+class CellTask
+{
+public:
+    using Message = std::variant<cells::CellEvent>;
+
+    static constexpr Duration tickInterval{25};
+
+    CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
+             const HostId &host, std::uint64_t incarnation, const Endpoint &link, cells::CellTimes times);
+
+    void post(Message message);
+
+    sigc::signal<void(const SiteCall &)> siteCalled;
+    sigc::signal<void(const cells::AnswerCall &)> answered;
+    sigc::signal<void(const OwnerKnown &)> ownerChanged;
+    /// The cell is not this process's any more, or never was.
+    sigc::signal<void()> released;
+
+private:
+    void on(const cells::CellEvent &event);
+    void handle(const cells::CellEvent &event);
+    void apply(const cells::StartOrder &order);
+    void apply(const cells::StopOrder &order);
+    void apply(const cells::HoldOrder &order);
+    void apply(const cells::WriteCell &call);
+    void apply(const cells::ReadCell &call);
+    void apply(const cells::ReadOwner &call);
+    void apply(const cells::ListHosts &call);
+    void apply(const cells::MaintainHost &call);
+    void apply(const cells::ReportWave &call);
+    void apply(const cells::AnswerCall &answer);
+    void apply(const cells::OwnershipChanged &change);
+    void apply(const cells::DecisionNoted &note);
+    template<typename Order>
+    void order(const Order &order);
+    void tellOwner();
+
+    const Clock &m_clock;
+    drivers::EventLog &m_log;
+    std::uint64_t m_incarnation;
+    HostId m_host;
+    cells::CellKeeper m_keeper;
+    std::optional<cells::OwnerRow> m_toldOwner;
+    bool m_stopping = false;
+    bool m_owns = false;
+    bool m_toldReleased = false;
+    drivers::HttpClient m_http;
+    drivers::Mailbox<Message> m_mailbox;
+    drivers::Timer m_timer;
+};
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/site_front_task.cpp
@@ -0,0 +1,250 @@
+#include "servers/site_front_task.h"
+
+#include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
+#include "drivers/cell_codec.h"
+#include "platform/caller_wire.h"
+
+namespace radishvane::servers
+{
+
+namespace
+{
+
+constexpr auto linkPath = "/cell";
+
+std::string subjectOf(const CellQuestion &question)
+{
+    return std::visit(Overloaded{
+                          [](const cells::SubmitJob &ask) { return ask.id.name(); },
+                          [](const cells::AskJob &ask) { return ask.id.name(); },
+                          [](const cells::CancelJob &ask) { return ask.id.name(); },
+                          [](const cells::AskPending &ask) { return ask.queue.name(); },
+                      },
+                      question);
+}
+
+/// What a caller is told when the owner's answer did not come.
+cells::CallAnswer answerInDoubt(const CellQuestion &question)
+{
+    return std::visit(Overloaded{
+                          [](const cells::SubmitJob &) { return cells::CallAnswer::InDoubt; },
+                          [](const cells::AskJob &) { return cells::CallAnswer::Unavailable; },
+                          [](const cells::CancelJob &) { return cells::CallAnswer::InDoubt; },
+                          [](const cells::AskPending &) { return cells::CallAnswer::Unavailable; },
+                      },
+                      question);
+}
+
+} // namespace
+
+SiteFrontTask::SiteFrontTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Ports ports,
+                             Duration keysWithin)
+    : m_clock(clock)
+    , m_log(log)
+    , m_ports(std::move(ports))
+    , m_gate(keysWithin)
+    , m_callers(
+          loop, drivers::HttpLimits{}, [this](drivers::HttpRequest &&request) { take(request); },
+          [](ExchangeId) {
+              // The question goes on: a job that was asked for is stored all the same.
+          })
+    , m_ready(
+          loop, drivers::HttpLimits{},
+          [this](drivers::HttpRequest &&request) { m_ready.answer(request.id, platform::readyAnswer(isReady())); },
+          [](ExchangeId) {})
+    , m_link(
+          loop, drivers::HttpLimits{}, [this](drivers::HttpRequest &&request) { takeLink(request); }, [](ExchangeId) {})
+    , m_http(loop)
+    , m_mailbox(
+          loop,
+          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
+    , m_timer(loop, statusInterval, [this] { tellStatus(); })
+{
+}
+
+std::string SiteFrontTask::listen()
+{
+    if (!m_callers.listen(m_ports.callers)) {
+        return "listen";
+    }
+    if (!m_ready.listen(m_ports.ready)) {
+        return "ready_listen";
+    }
+    return m_link.listen(m_ports.link) ? std::string() : std::string("link_listen");
+}
+
+void SiteFrontTask::post(Message message)
+{
+    m_mailbox.post(std::move(message));
+}
+
+void SiteFrontTask::on(const cells::SiteConfigPtr &message)
+{
+    m_gate.see(message);
+}
+
+void SiteFrontTask::on(const OperatorContact &message)
+{
+    m_gate.contact(message.asked);
+}
+
+void SiteFrontTask::on(const OwnerKnown &message)
+{
+    m_owner = message;
+}
+
+void SiteFrontTask::on(const StopStage &message)
+{
+    switch (message) {
+    case StopStage::Serving:
+        return;
+    case StopStage::Leaving:
+        m_stopping = true;
+        m_callers.closeAfterAnswers();
+        return;
+    case StopStage::Finishing:
+        m_callers.stopAccepting();
+        return;
+    case StopStage::Releasing:
+    case StopStage::Stopped:
+        return;
+    }
+}
+
+bool SiteFrontTask::isReady() const
+{
+    return !m_stopping && m_gate.hasFreshKeys(m_clock.now());
+}
+
+void SiteFrontTask::take(const drivers::HttpRequest &request)
+{
+    const cells::GateCall call = platform::readGateCall(request);
+    const cells::GateVerdict verdict = m_gate.check(call, m_clock.now());
+    std::visit(Overloaded{
+                   [&](const cells::GatePass &passed) { pass(passed, request); },
+                   [&](cells::GateRefusal refusal) {
+                       m_log.line(drivers::LogLevel::Info, "call-refused",
+                                  {{"subject", call.path},
+                                   {"reason", std::string(enumName(cells::gateRefusalNames, refusal))}});
+                       m_callers.answer(request.id, platform::gateAnswer(refusal, retryAfter));
+                   },
+               },
+               verdict);
+}
+
+void SiteFrontTask::pass(const cells::GatePass &pass, const drivers::HttpRequest &request)
+{
+    const ExchangeId id{++m_lastId};
+    CellQuestion question;
+    switch (pass.kind) {
+    case cells::GateCallKind::Submit: {
+        auto spec = platform::readGraph(request.body);
+        if (!spec) {
+            m_log.line(drivers::LogLevel::Info, "call-refused",
+                       {{"subject", pass.job.name()}, {"reason", spec.error()}});
+            m_callers.answer(request.id, platform::badBodyAnswer(spec.error()));
+            return;
+        }
+        question = cells::SubmitJob{id, pass.job, pass.queue, pass.team, std::move(spec.value())};
+        break;
+    }
+    case cells::GateCallKind::Cancel:
+        question = cells::CancelJob{id, pass.job};
+        break;
+    case cells::GateCallKind::Ask:
+    case cells::GateCallKind::Other:
+        question = pass.job.empty() ? CellQuestion(cells::AskPending{id, pass.queue})
+                                    : CellQuestion(cells::AskJob{id, pass.job});
+        break;
+    }
+    m_open[id] = Open{Source::Caller, request.id, subjectOf(question), m_clock.now()};
+    if (m_owner.isSelf) {
+        asked.emit(question);
+        return;
+    }
+    forward(question, id, std::min(platform::callerTimeout(request, ownerTimeout), ownerTimeout));
+}
+
+void SiteFrontTask::forward(const CellQuestion &question, ExchangeId id, Duration timeout)
+{
+    if (!m_owner.owner || m_owner.owner->host.empty()) {
+        settle(cells::AnswerCall{id, cells::CallAnswer::Unavailable, {}, 0, retryAfter});
+        return;
+    }
+    drivers::HttpCall call;
+    call.endpoint = m_owner.owner->link;
+    call.method = drivers::HttpMethod::Post;
+    call.target = linkPath;
+    call.body = drivers::encodeQuestion(question);
+    call.timeout = timeout;
+    m_http.send(call, [this, id, inDoubt = answerInDoubt(question)](drivers::HttpOutcome &&outcome) {
+        cells::AnswerCall answer{id, inDoubt, {}, 0, retryAfter};
+        if (const auto *http = std::get_if<drivers::HttpAnswer>(&outcome)) {
+            const auto decoded = drivers::decodeAnswer(http->body);
+            if (http->status == drivers::httpStatus::ok && decoded) {
+                answer = decoded.value();
+                answer.exchange = id;
+            }
+        } else if (std::get<drivers::HttpFailure>(outcome) == drivers::HttpFailure::NotSent) {
+            answer.answer = cells::CallAnswer::Unavailable;
+        }
+        settle(answer);
+    });
+}
+
+void SiteFrontTask::takeLink(const drivers::HttpRequest &request)
+{
+    auto question = drivers::decodeQuestion(request.body);
+    if (!question) {
+        m_log.line(drivers::LogLevel::Warning, "link-message-unreadable", {{"reason", question.error().detail}});
+        m_link.answer(request.id, drivers::HttpAnswer{drivers::httpStatus::badRequest, {}, {}});
+        return;
+    }
+    const ExchangeId id{++m_lastId};
+    m_open[id] = Open{Source::Link, request.id, subjectOf(question.value()), m_clock.now()};
+    std::visit([id](auto &ask) { ask.exchange = id; }, question.value());
+    // Only an owner answers; a process that is none says so at once.
+    asked.emit(question.value());
+}
+
+void SiteFrontTask::on(const cells::AnswerCall &message)
+{
+    settle(message);
+}
+
+void SiteFrontTask::settle(const cells::AnswerCall &answer)
+{
+    const auto found = m_open.find(answer.exchange);
+    if (found == m_open.end()) {
+        return;
+    }
+    const Open open = found->second;
+    m_open.erase(found);
+    switch (open.source) {
+    case Source::Caller:
+        m_log.line(drivers::LogLevel::Info, "call-answered",
+                   {{"subject", open.subject},
+                    {"outcome", std::string(enumName(cells::callAnswerNames, answer.answer))},
+                    {"ms", std::to_string(toMilliseconds(m_clock.now() - open.since))}});
+        m_callers.answer(open.exchange, platform::callAnswer(answer));
+        return;
+    case Source::Link:
+        m_link.answer(open.exchange, drivers::HttpAnswer{drivers::httpStatus::ok, {}, drivers::encodeAnswer(answer)});
+        return;
+    }
+}
+
+void SiteFrontTask::tellStatus()
+{
+    RequestStatus status;
+    status.running = m_callers.open();
+    statusChanged.emit(status);
+    const bool ready = isReady();
+    if (ready != m_wasReady) {
+        m_wasReady = ready;
+        m_log.line(drivers::LogLevel::Info, ready ? "ready" : "not-ready", {});
+    }
+}
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/site_front_task.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/cells/call_gate.h"
+#include "drivers/event_log.h"
+#include "drivers/http_client.h"
+#include "drivers/http_server.h"
+#include "drivers/mailbox.h"
+#include "servers/site_messages.h"
+
+#include <sigc++/signal.h>
+
+#include <map>
+#include <variant>
+
+namespace radishvane::servers
+{
+
+/// Owns the ports of callers, of the balancer and of other entry hosts. Checks calls, and passes them to the cell's
+/// owner, which may be this process.
+class SiteFrontTask
+{
+public:
+    using Message = std::variant<cells::SiteConfigPtr, OperatorContact, OwnerKnown, cells::AnswerCall, StopStage>;
+
+    struct Ports
+    {
+        Endpoint callers;
+        Endpoint ready;
+        Endpoint link;
+    };
+
+    /// Longest wait for the owner's answer.
+    static constexpr Duration ownerTimeout{2'200};
+    /// When a refused caller had best come back.
+    static constexpr Duration retryAfter{1'000};
+    /// Interval at which the number of open requests is told.
+    static constexpr Duration statusInterval{100};
+
+    SiteFrontTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Ports ports,
+                  Duration keysWithin);
+
+    /// @return the name of the port that cannot be bound; empty when all are.
+    std::string listen();
+    void post(Message message);
+
+    sigc::signal<void(const CellQuestion &)> asked;
+    sigc::signal<void(const RequestStatus &)> statusChanged;
+
+private:
+    /// Where a question came from, and so where its answer goes.
+    enum class Source {
+        Caller,
+        Link,
+    };
+
+    struct Open
+    {
+        Source source = Source::Caller;
+        /// Id at the server that took it.
+        ExchangeId exchange;
+        std::string subject;
+        TimePoint since;
+    };
+
+    void on(const cells::SiteConfigPtr &message);
+    void on(const OperatorContact &message);
+    void on(const OwnerKnown &message);
+    void on(const cells::AnswerCall &message);
+    void on(const StopStage &message);
+
+    void take(const drivers::HttpRequest &request);
+    void pass(const cells::GatePass &pass, const drivers::HttpRequest &request);
+    void takeLink(const drivers::HttpRequest &request);
+    void forward(const CellQuestion &question, ExchangeId id, Duration timeout);
+    void settle(const cells::AnswerCall &answer);
+    bool isReady() const;
+    void tellStatus();
+
+    const Clock &m_clock;
+    drivers::EventLog &m_log;
+    Ports m_ports;
+    cells::CallGate m_gate;
+    OwnerKnown m_owner;
+    bool m_stopping = false;
+    bool m_wasReady = false;
+    std::uint64_t m_lastId = 0;
+    std::map<ExchangeId, Open> m_open;
+    drivers::HttpServer m_callers;
+    drivers::HttpServer m_ready;
+    drivers::HttpServer m_link;
+    drivers::HttpClient m_http;
+    drivers::Mailbox<Message> m_mailbox;
+    drivers::Timer m_timer;
+};
+
+} // namespace radishvane::servers
--- /dev/null
+++ b/servers/site_messages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/cells/call_gate.h"
+#include "core/cells/cell_messages.h"
+#include "servers/task_messages.h"
+
+#include <optional>
+#include <variant>
+
+namespace radishvane::servers
+{
+
+/// Calls of a cell to the platform's store and host service.
+using SiteCall = std::variant<cells::WriteCell, cells::ReadCell, cells::ReadOwner, cells::ListHosts,
+                              cells::MaintainHost, cells::ReportWave, cells::OwnershipChanged>;
+
+/// The operator's table has answered a question sent at @c asked.
+struct OperatorContact
+{
+    TimePoint asked;
+};
+
+/// Who owns the cell now, as this process knows.
+struct OwnerKnown
+{
+    std::optional<cells::OwnerRow> owner;
+    /// This process is the owner.
+    bool isSelf = false;
+};
+
+/// A caller's question for the cell of this process.
+using CellQuestion = std::variant<cells::SubmitJob, cells::AskJob, cells::CancelJob, cells::AskPending>;
+
+} // namespace radishvane::servers
