Let the lease of a silent worker run out, and keep a worker free while its host is ordered down

Cause: a start without an answer went to a worker whose host had just gone down. Ruled out: the in-doubt order itself (the worker's list would have settled it). Change: a worker that does not answer is asked without a new lease and gets no tasks; a host order that was accepted ends the worker's life at once; workers stay cordoned while the order is under way. Conclusion: a lease may only be extended for a worker that answers.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -360,7 +360,10 @@
     m_hostOrders.erase(found);
     m_outbox.note(CellDecision::HostMaintained, host.name(), {}, wave,
                   std::string(enumName(hostOrderOutcomeNames, event.outcome)));
-    m_waves.ordered(host, wave, event.outcome, m_outbox.now.steady);
+    const WorkerId worker = m_waves.ordered(host, wave, event.outcome, m_outbox.now.steady);
+    if (event.outcome == HostOrderOutcome::Accepted) {
+        m_runs.endWorker(worker);
+    }
 }
 
 void CellKeeper::on(const WaveReported &event)
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -169,10 +169,10 @@
 {
     const TimePoint now = m_outbox.now.steady;
     for (auto &[id, worker] : m_roster.all()) {
-        if (worker.hold.value != 0 || now < worker.nextHold) {
+        if (worker.gone || worker.hold.value != 0 || now < worker.nextHold) {
             continue;
         }
-        const bool isUnknown = !worker.fenced && (worker.entry || !worker.isSettled(now));
+        const bool isUnknown = (!worker.fenced || worker.silent) && (worker.entry || !worker.isSettled(now));
         const bool hasEnds = worker.processed > worker.noted;
         const bool mayNote = worker.stored == worker.processed;
         if (isUnknown || (hasEnds && mayNote) || (!hasEnds && !worker.tasks.empty())) {
@@ -194,9 +194,11 @@
     order.worker = worker.address();
     order.fence = m_outbox.epoch;
     order.noted = worker.stored;
-    if (worker.fenced && !worker.tasks.empty()) {
+    // A silent worker is only asked: a lease that it may or may not get would never be known to have expired.
+    if (worker.fenced && !worker.silent && !worker.tasks.empty()) {
         order.deadline = worker.clockNow(now) + m_times.hold.count();
         order.wait = holdWait;
+        worker.earlierDeadline = worker.leaseDeadline;
         worker.leaseDeadline = std::max(worker.leaseDeadline, *order.deadline);
     }
     worker.hold = m_outbox.send(order);
@@ -219,12 +221,17 @@
     const TimePoint now = m_outbox.now.steady;
     if (event.outcome != OrderOutcome::Accepted) {
         worker->nextHold = now + holdRetry;
+        worker->silent = true;
+        if (event.outcome == OrderOutcome::NotSent) {
+            worker->leaseDeadline = worker->earlierDeadline;
+        }
         if (event.outcome == OrderOutcome::WrongInstance) {
             // Another worker has the address, so the one that was meant is gone.
             loseTasks(*worker, CellDecision::WorkerLost);
         }
         return;
     }
+    worker->silent = false;
     worker->nextHold = now + holdPause;
     if (event.report.born > worker->born && worker->born != 0) {
         endLife(*worker, event.report.born);
@@ -386,6 +393,16 @@
     }
 }
 
+void RunKeeper::endWorker(const WorkerId &id)
+{
+    Worker *worker = m_roster.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    loseTasks(*worker, CellDecision::HostMaintained);
+    worker->gone = true;
+}
+
 void RunKeeper::expireLeases()
 {
     const TimePoint now = m_outbox.now.steady;
@@ -474,6 +491,7 @@
     order.fence = m_outbox.epoch;
     order.checkpoint = task.progress.checkpoint;
     worker->leaseDeadline = std::max(worker->leaseDeadline, order.deadline);
+    worker->earlierDeadline = std::max(worker->earlierDeadline, order.deadline);
 
     Run run;
     run.number = order.run;
@@ -532,15 +550,23 @@
         return;
     case OrderOutcome::Unknown:
         run.phase = RunPhase::InDoubt;
+        if (Worker *worker = m_roster.find(run.worker)) {
+            worker->silent = true;
+        }
         m_outbox.note(CellDecision::OrderInDoubt, taskName(id), run.worker.name(), run.number, "start");
         return;
     case OrderOutcome::Unhealthy:
-    case OrderOutcome::NotSent:
         if (Worker *worker = m_roster.find(run.worker)) {
             worker->avoidedUntil = std::max(worker->avoidedUntil, now + holdRetry);
         }
         withdrawRun(id);
         return;
+    case OrderOutcome::NotSent:
+        if (Worker *worker = m_roster.find(run.worker)) {
+            worker->silent = true;
+        }
+        withdrawRun(id);
+        return;
     case OrderOutcome::Fenced:
     case OrderOutcome::Outdated:
     case OrderOutcome::Late:
--- a/core/cells/run_keeper.h
+++ b/core/cells/run_keeper.h
@@ -63,6 +63,8 @@
     void answered(const HoldAnswered &event);
     /// A transaction has stored what it held of ends.
     void stored(const CellWriter::Pending &done);
+    /// The life of a worker has ended for certain, with all that it ran.
+    void endWorker(const WorkerId &worker);
     /// A job that may need stops has ended.
     void jobEnded(const JobId &job, const std::string &reason);
     /// Tasks may have come due with time, so the next advance() looks for starts.
--- a/core/cells/wave_keeper.cpp
+++ b/core/cells/wave_keeper.cpp
@@ -56,11 +56,11 @@
     m_listed = true;
 }
 
-void WaveKeeper::ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now)
+WorkerId WaveKeeper::ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now)
 {
     const auto found = m_waves.find(wave);
     if (found == m_waves.end()) {
-        return;
+        return WorkerId();
     }
     WaveHost &entry = found->second.hosts[host];
     entry.since = now;
@@ -68,23 +68,24 @@
     case HostOrderOutcome::Accepted:
         entry.stage = HostStage::Down;
         entry.accepted = true;
-        return;
+        break;
     case HostOrderOutcome::Unknown:
         // It counts as down until it is seen up after the answer could come no more, and is then ordered again.
         entry.stage = HostStage::Down;
         entry.accepted = false;
-        return;
+        break;
     case HostOrderOutcome::NotInWave:
     case HostOrderOutcome::Invalid:
         entry.stage = HostStage::Done;
-        return;
+        break;
     case HostOrderOutcome::Fenced:
     case HostOrderOutcome::Busy:
     case HostOrderOutcome::Refused:
         entry.stage = HostStage::Emptying;
         entry.notBefore = now + retryInterval;
-        return;
+        break;
     }
+    return entry.worker;
 }
 
 void WaveKeeper::reported(std::uint64_t wave, bool written)
@@ -213,6 +214,9 @@
         ++emptying;
     }
     for (auto &[host, entry] : state.hosts) {
+        if (entry.stage == HostStage::Ordered || entry.stage == HostStage::Down) {
+            plan.cordoned.insert(entry.worker);
+        }
         if (entry.stage != HostStage::Emptying) {
             continue;
         }
--- a/core/cells/wave_keeper.h
+++ b/core/cells/wave_keeper.h
@@ -42,7 +42,8 @@
     void restore(const std::vector<WaveRow> &rows);
     void see(const std::vector<Wave> &waves);
     void see(const std::vector<SiteHost> &hosts, TimePoint asked);
-    void ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now);
+    /// @return the worker that ran on the host when it was ordered; empty when none was known.
+    WorkerId ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now);
     void reported(std::uint64_t wave, bool written);
 
     WavePlan plan(const WorkerRoster &roster, TimePoint now);
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -17,12 +17,13 @@
 
 bool Worker::isSettled(TimePoint now) const
 {
-    return fenced || now >= inheritedUntil;
+    return fenced || gone || now >= inheritedUntil;
 }
 
 bool Worker::takesTasks(TimePoint now) const
 {
-    return fenced && recorded && !cordoned && entry && entry->state == WorkerState::Ready && now >= avoidedUntil;
+    return fenced && recorded && !cordoned && !silent && !gone && entry && entry->state == WorkerState::Ready
+        && now >= avoidedUntil;
 }
 
 bool Worker::hasLabel(const std::string &label) const
@@ -104,7 +105,8 @@
 {
     const auto forgotten = std::erase_if(m_workers, [now](const auto &pair) {
         const Worker &worker = pair.second;
-        return !worker.entry && worker.tasks.empty() && worker.hold.value == 0 && worker.hasLapsed(now);
+        return !worker.entry && worker.tasks.empty() && worker.hold.value == 0
+            && (worker.gone || worker.hasLapsed(now));
     });
     return forgotten > 0;
 }
@@ -154,6 +156,9 @@
 {
     worker.born = born;
     worker.fenced = false;
+    worker.silent = false;
+    worker.gone = false;
+    worker.earlierDeadline = 0;
     worker.clock = 0;
     worker.clockAt = TimePoint{};
     worker.leaseDeadline = 0;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -24,6 +24,10 @@
     bool fenced = false;
     /// The store's list of workers names it, so that a later owner asks it too.
     bool recorded = false;
+    /// The last call had no answer; it gets no new lease and no tasks until it answers.
+    bool silent = false;
+    /// Its life has ended for certain; the entry in discovery lags behind.
+    bool gone = false;
     /// Kept free, so that its host can be maintained.
     bool cordoned = false;
     /// When it was last free to take tasks.
@@ -34,6 +38,8 @@
     TimePoint clockAt;
     /// Latest deadline that was ordered, on its clock; 0 when none.
     std::int64_t leaseDeadline = 0;
+    /// The same without the hold call under way.
+    std::int64_t earlierDeadline = 0;
     /// Whatever an earlier owner had it run has ended by then.
     TimePoint inheritedUntil;
 
