Bound the time that planning takes, and judge progress by what workers list

Cause: each answer led to a look at every job and every worker. The release at SIGTERM never came, since something was always waiting to be written. Ruled out: slow workers (the same tasks ended elsewhere in time), the store (its answers came). Change: orders of jobs are weighed anew only when tasks end; a pool known to be full is not tried again in one look; looks keep a distance that grows with the jobs; holds, stops and waves run at ticks. A task stands still only between two lists that lie close together. The row that gives the cell back goes with the last rows to be stored. A look remembers the lease before it.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -29,7 +29,7 @@
 {
     m_outbox.now = now;
     std::visit([this](const auto &alternative) { on(alternative); }, event);
-    advance();
+    advance(std::holds_alternative<CellTick>(event));
     return m_outbox.take();
 }
 
@@ -55,7 +55,7 @@
 
 // ---- ownership ----
 
-void CellKeeper::advance()
+void CellKeeper::advance(bool isTick)
 {
     advanceOwnership();
     if (!m_active) {
@@ -66,10 +66,12 @@
         if (m_read.value == 0 && now >= m_readNotBefore) {
             m_read = m_outbox.send(ReadCell{{}, m_cell});
         }
-    } else if (!m_releasing) {
+    } else if (!m_stopping && isTick) {
         advanceWaves();
         m_runs.advance(*m_config, m_lease.valid(now));
         dropOldJobs();
+    } else if (!m_stopping) {
+        m_runs.advanceStarts(*m_config, m_lease.valid(now));
     }
     advanceWrites();
 }
@@ -130,19 +132,16 @@
 void CellKeeper::advanceWrites()
 {
     const TimePoint now = m_outbox.now.steady;
-    if (m_stopping && !m_releasing && !m_writer.pending() && !m_writer.hasWork()) {
-        m_releasing = true;
-        CellTransaction transaction;
-        transaction.cell = m_cell;
-        transaction.guard = m_lease.version();
-        transaction.owner = m_lease.releasedRow();
-        write(std::move(transaction));
+    auto transaction = m_writer.next(m_cell, m_runs.book(), m_runs.roster(), m_lease, now);
+    if (!transaction) {
         return;
     }
-    auto transaction = m_writer.next(m_cell, m_runs.book(), m_runs.roster(), m_lease, now);
-    if (transaction) {
-        write(std::move(*transaction));
+    if (m_stopping && !m_writer.hasWork()) {
+        // The last of what is to be stored goes with the row that gives the cell back.
+        transaction->owner = m_lease.releasedRow();
+        m_releasing = true;
     }
+    write(std::move(*transaction));
 }
 
 void CellKeeper::on(const CellWritten &event)
@@ -250,6 +249,7 @@
 void CellKeeper::on(const CellStop &)
 {
     m_stopping = true;
+    m_writer.requireOwner();
 }
 
 // ---- what the platform tells ----
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -56,7 +56,7 @@
     void on(const CellTick &event);
     void on(const CellStop &event);
 
-    void advance();
+    void advance(bool isTick);
     void advanceOwnership();
     void advanceWrites();
     void advanceWaves();
--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -226,6 +226,7 @@
         return EndEffect::TaskWaits;
     }
     Occurrence &occurrence = job.open.at(id.occurrence);
+    ++occurrence.tasksDone;
     if (++place->done == place->tasks.size()) {
         ++occurrence.stepsDone;
     }
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -38,6 +38,8 @@
     double load = 0;
     /// When the percentage last rose.
     TimePoint progressAt;
+    /// When the worker last listed it.
+    TimePoint seenAt;
     bool stopWanted = false;
     bool stopAccepted = false;
     /// The stop call under way; 0 when none.
@@ -72,6 +74,12 @@
     std::vector<Step> steps;
     std::uint32_t stepsDone = 0;
     TimePoint begunAt;
+    /// Time by which the occurrence has to end to earn in full, and what was left to do at @c weighedAt tasks done.
+    WallTime objective{};
+    Duration chainLeft{0};
+    double workLeft = 0;
+    std::uint32_t tasksDone = 0;
+    std::optional<std::uint32_t> weighedAt;
 };
 
 struct Job
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -145,7 +145,6 @@
 
 void RunKeeper::advance(const SiteConfig &config, bool mayOrder)
 {
-    m_config = &config;
     for (const JobId &id : m_book.live()) {
         Job &job = *m_book.find(id);
         if (job.row.spec.repeats > 0) {
@@ -155,12 +154,17 @@
     expireLeases();
     if (mayOrder) {
         advanceHolds();
-        stopStalled();
         emptyWorkers();
         advanceStops();
         planStarts(config);
     }
-    m_config = nullptr;
+}
+
+void RunKeeper::advanceStarts(const SiteConfig &config, bool mayOrder)
+{
+    if (mayOrder) {
+        planStarts(config);
+    }
 }
 
 // ---- leases of workers ----
@@ -194,11 +198,11 @@
     order.worker = worker.address();
     order.fence = m_outbox.epoch;
     order.noted = worker.stored;
+    worker.earlierDeadline = worker.leaseDeadline;
     // A silent worker is only asked: a lease that it may or may not get would never be known to have expired.
     if (worker.fenced && !worker.silent && !worker.tasks.empty()) {
         order.deadline = worker.clockNow(now) + m_times.hold.count();
         order.wait = holdWait;
-        worker.earlierDeadline = worker.leaseDeadline;
         worker.leaseDeadline = std::max(worker.leaseDeadline, *order.deadline);
     }
     worker.hold = m_outbox.send(order);
@@ -306,9 +310,12 @@
             run.confirmedAt = sent;
             run.progressAt = now;
         }
-        if (row.percent > run.percent) {
+        if (now - run.seenAt > stallTime) {
+            // Nothing is known of the time between two looks that lie far apart.
             run.progressAt = now;
         }
+        stopIfStalled(worker, row);
+        run.seenAt = now;
         run.percent = row.percent;
         run.load = row.load;
         if (!row.checkpoint.empty()) {
@@ -440,23 +447,28 @@
 
 void RunKeeper::planStarts(const SiteConfig &config)
 {
-    if (!m_planDue) {
+    const TimePoint now = m_outbox.now.steady;
+    if (!m_planDue || now < m_nextPlan) {
         return;
     }
     m_planDue = false;
+    m_nextPlan = now + Duration(m_book.live().size() / jobsEachMillisecond);
+    PoolRooms rooms(m_roster, now);
     std::size_t starts = 0;
     for (const ReadyStep &ready : startOrder(m_book, config, m_outbox.now)) {
         const Job &job = *m_book.find(ready.job);
-        if (job.inherited && m_roster.isUnsettled(ready.pool, m_outbox.now.steady)) {
+        if (rooms.isFullFor(ready.pool, job.row.spec.steps[ready.step])
+            || (job.inherited && m_roster.isUnsettled(ready.pool, now))) {
             continue;
         }
         const std::set<std::uint32_t> waiting = job.open.at(ready.occurrence).steps[ready.step].waiting;
         for (const std::uint32_t index : waiting) {
             if (starts >= mostStarts) {
                 m_planDue = true;
+                m_nextPlan = now;
                 return;
             }
-            if (!startOne(config, ready, index)) {
+            if (!startOne(config, rooms, ready, index)) {
                 break;
             }
             ++starts;
@@ -464,7 +476,7 @@
     }
 }
 
-bool RunKeeper::startOne(const SiteConfig &config, const ReadyStep &ready, std::uint32_t index)
+bool RunKeeper::startOne(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index)
 {
     const TimePoint now = m_outbox.now.steady;
     const TaskId id{ready.job, ready.occurrence, ready.step, index};
@@ -478,8 +490,9 @@
     if (!m_ledger.mayTake(config, job.row.team, spec.needs)) {
         return false;
     }
-    Worker *worker = chooseWorker(m_roster, ready, spec, step, task, now);
+    Worker *worker = chooseWorker(rooms, ready, spec, step, task);
     if (worker == nullptr) {
+        rooms.noteFull(ready.pool, spec);
         return false;
     }
     StartOrder order;
@@ -674,25 +687,21 @@
     run.stopAccepted = true;
 }
 
-void RunKeeper::stopStalled()
+void RunKeeper::stopIfStalled(Worker &worker, const RunningRow &row)
 {
     const TimePoint now = m_outbox.now.steady;
-    for (auto &[id, worker] : m_roster.all()) {
-        for (const TaskId &taskId : worker.tasks) {
-            const Task *task = m_book.task(taskId);
-            const StepSpec *spec = m_book.spec(taskId);
-            if (task == nullptr || !task->run || spec == nullptr || task->run->phase != RunPhase::Running
-                || task->run->stopWanted || (spec->lasting && task->run->percent >= atWork) || spec->filling) {
-                continue;
-            }
-            // A share of the work that takes long rises slowly, so long tasks are watched for longer.
-            const Duration patience = std::max(stallTime, std::chrono::duration_cast<Duration>(spec->estimate / 2));
-            if (now - task->run->progressAt > patience && task->run->percent < atWork) {
-                wantStop(taskId, "no-progress");
-                worker.avoidedUntil = std::max(worker.avoidedUntil, now + avoidTime);
-            }
-        }
+    const StepSpec &spec = *m_book.spec(row.task);
+    Run &run = *m_book.task(row.task)->run;
+    if (row.percent > run.percent || row.percent >= atWork || spec.filling) {
+        run.progressAt = now;
+    }
+    // A share of the work that takes long rises slowly, so long tasks are watched for longer.
+    const Duration patience = std::max(stallTime, std::chrono::duration_cast<Duration>(spec.estimate / 2));
+    if (run.stopWanted || now - run.progressAt <= patience) {
+        return;
     }
+    wantStop(row.task, "no-progress");
+    worker.avoidedUntil = std::max(worker.avoidedUntil, now + avoidTime);
 }
 
 void RunKeeper::emptyWorkers()
--- a/core/cells/run_keeper.h
+++ b/core/cells/run_keeper.h
@@ -49,6 +49,8 @@
     static constexpr std::size_t mostAvoided = 3;
     /// A worker that is being emptied has that long to finish its tasks before they are stopped.
     static constexpr Duration emptyPatience{1'500};
+    /// Jobs for each millisecond that two looks for starts are apart, so that looks take a bounded part of the time.
+    static constexpr std::size_t jobsEachMillisecond = 8;
     /// Most starts that one look gives out.
     static constexpr std::size_t mostStarts = 64;
 
@@ -69,9 +71,11 @@
     void jobEnded(const JobId &job, const std::string &reason);
     /// Tasks may have come due with time, so the next advance() looks for starts.
     void lookAgain();
-    /// Sends what is due.
+    /// Sends what is due at intervals: holds, stops and expired leases; then starts.
     /// @param mayOrder whether the cell is owned for certain.
     void advance(const SiteConfig &config, bool mayOrder);
+    /// Sends the starts that an event has made possible, unless a look at all jobs would cost too much now.
+    void advanceStarts(const SiteConfig &config, bool mayOrder);
     /// Keeps these workers free of new tasks, and empties them.
     void cordon(const std::set<WorkerId> &workers);
 
@@ -92,14 +96,14 @@
     void judge(Worker &worker, RunEnd how);
 
     void planStarts(const SiteConfig &config);
-    bool startOne(const SiteConfig &config, const ReadyStep &ready, std::uint32_t index);
+    bool startOne(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index);
     void startAnswered(const TaskId &task, const OrderAnswered &event);
     void stopAnswered(const TaskId &task, const OrderAnswered &event);
     void endRun(const TaskId &task, RunEnd how);
     void withdrawRun(const TaskId &task);
     void wantStop(const TaskId &task, const std::string &reason);
     void advanceStops();
-    void stopStalled();
+    void stopIfStalled(Worker &worker, const RunningRow &row);
     void emptyWorkers();
     bool mayDisrupt(const TaskId &task) const;
     void occupy(Worker &worker, const TaskId &task);
@@ -110,7 +114,6 @@
     CellOutbox &m_outbox;
     CellWriter &m_writer;
     CellTimes m_times;
-    const SiteConfig *m_config = nullptr;
     JobBook m_book;
     WorkerRoster m_roster;
     TeamLedger m_ledger;
@@ -120,6 +123,7 @@
     /// Runs whose stop is wanted and has not been accepted.
     std::set<TaskId> m_stopping;
     bool m_planDue = false;
+    TimePoint m_nextPlan;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -35,8 +35,57 @@
                        [&](std::uint32_t index) { return step.tasks[index].notBefore <= now; });
 }
 
-Rank rankOf(const Job &job, const Occurrence &occurrence, std::uint32_t number, const StepSpec &spec,
-            const Queue &queue, Instant now)
+/// Longest chain of declared run times through the steps; done steps count for nothing when @p onlyLeft.
+Duration longestChain(const Job &job, const Occurrence &occurrence, bool onlyLeft)
+{
+    const std::vector<StepSpec> &steps = job.row.spec.steps;
+    std::vector<Duration> ends(steps.size(), Duration{0});
+    Duration longest{0};
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        Duration begin{0};
+        for (const std::uint32_t earlier : steps[index].after) {
+            begin = std::max(begin, ends[earlier]);
+        }
+        const Step &step = occurrence.steps[index];
+        const bool isDone = onlyLeft && step.done == step.tasks.size();
+        ends[index] = begin + (isDone ? Duration{0} : steps[index].estimate);
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+/// Declared processor time of the tasks that are not done, in thousandths of a core times milliseconds.
+double remainingWork(const Job &job, const Occurrence &occurrence)
+{
+    double work = 0;
+    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+        const Step &step = occurrence.steps[index];
+        const StepSpec &spec = job.row.spec.steps[index];
+        work += static_cast<double>(step.tasks.size() - step.done) * static_cast<double>(spec.needs.cpu)
+            * static_cast<double>(spec.estimate.count());
+    }
+    return work;
+}
+
+/// Weighs an occurrence anew when tasks of it have been done since.
+void weigh(const Job &job, Occurrence &occurrence, std::uint32_t number, const Queue &queue)
+{
+    if (occurrence.weighedAt == occurrence.tasksDone) {
+        return;
+    }
+    const GraphSpec &graph = job.row.spec;
+    if (!occurrence.weighedAt) {
+        const auto whole = longestChain(job, occurrence, false);
+        const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
+        occurrence.objective
+            = begin + std::chrono::duration_cast<Duration>(whole * queue.stretch) + queue.targetDuration;
+    }
+    occurrence.chainLeft = longestChain(job, occurrence, true);
+    occurrence.workLeft = remainingWork(job, occurrence);
+    occurrence.weighedAt = occurrence.tasksDone;
+}
+
+Rank rankOf(const Job &job, const Occurrence &occurrence, const StepSpec &spec, const Queue &queue, Instant now)
 {
     Rank rank;
     rank.priority = queue.priority;
@@ -45,15 +94,8 @@
     if (spec.lasting) {
         return rank;
     }
-    const GraphSpec &graph = job.row.spec;
-    Duration chain{0};
-    for (const StepSpec &step : graph.steps) {
-        chain += step.estimate;
-    }
-    const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
-    const auto objective = std::chrono::duration_cast<Duration>(chain * queue.stretch) + queue.targetDuration;
-    rank.late = now.wall + remainingChain(job, occurrence) > begin + objective;
-    rank.work = rank.late ? 0 : remainingWork(job, occurrence);
+    rank.late = now.wall + occurrence.chainLeft > occurrence.objective;
+    rank.work = rank.late ? 0 : occurrence.workLeft;
     return rank;
 }
 
@@ -80,52 +122,23 @@
 
 } // namespace
 
-Duration remainingChain(const Job &job, const Occurrence &occurrence)
-{
-    const std::vector<StepSpec> &steps = job.row.spec.steps;
-    std::vector<Duration> ends(steps.size(), Duration{0});
-    Duration longest{0};
-    for (std::size_t index = 0; index < steps.size(); ++index) {
-        Duration begin{0};
-        for (const std::uint32_t earlier : steps[index].after) {
-            begin = std::max(begin, ends[earlier]);
-        }
-        const Step &step = occurrence.steps[index];
-        const bool isDone = step.done == step.tasks.size();
-        ends[index] = begin + (isDone ? Duration{0} : steps[index].estimate);
-        longest = std::max(longest, ends[index]);
-    }
-    return longest;
-}
-
-double remainingWork(const Job &job, const Occurrence &occurrence)
-{
-    double work = 0;
-    for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
-        const Step &step = occurrence.steps[index];
-        const StepSpec &spec = job.row.spec.steps[index];
-        work += static_cast<double>(step.tasks.size() - step.done) * static_cast<double>(spec.needs.cpu)
-            * static_cast<double>(spec.estimate.count());
-    }
-    return work;
-}
-
-std::vector<ReadyStep> startOrder(const JobBook &book, const SiteConfig &config, Instant now)
+std::vector<ReadyStep> startOrder(JobBook &book, const SiteConfig &config, Instant now)
 {
     std::vector<RankedStep> ranked;
     for (const JobId &id : book.live()) {
-        const Job &job = *book.find(id);
+        Job &job = *book.find(id);
         const auto queue = config.queues.find(job.row.queue);
         if (isFinal(job.state) || !job.stored || queue == config.queues.end()) {
             continue;
         }
-        for (const auto &[number, occurrence] : job.open) {
+        for (auto &[number, occurrence] : job.open) {
             for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
                 if (!hasWaitingTask(occurrence.steps[index], now.steady) || !JobBook::isReady(job, occurrence, index)) {
                     continue;
                 }
+                weigh(job, occurrence, number, queue->second);
                 const StepSpec &spec = job.row.spec.steps[index];
-                ranked.push_back(RankedStep{rankOf(job, occurrence, number, spec, queue->second, now),
+                ranked.push_back(RankedStep{rankOf(job, occurrence, spec, queue->second, now),
                                             ReadyStep{id, number, index, queue->second.pool}});
             }
         }
@@ -141,23 +154,52 @@
     return order;
 }
 
-Worker *chooseWorker(WorkerRoster &roster, const ReadyStep &ready, const StepSpec &spec, const Step &step,
-                     const Task &task, TimePoint now)
+PoolRooms::PoolRooms(WorkerRoster &roster, TimePoint now)
+{
+    for (auto &[id, worker] : roster.all()) {
+        if (worker.takesTasks(now)) {
+            m_workers[worker.pool].push_back(&worker);
+        }
+    }
+}
+
+const std::vector<Worker *> &PoolRooms::workers(const PoolId &pool) const
+{
+    static const std::vector<Worker *> none;
+    const auto found = m_workers.find(pool);
+    return found == m_workers.end() ? none : found->second;
+}
+
+bool PoolRooms::isFullFor(const PoolId &pool, const StepSpec &spec) const
+{
+    const auto found = m_refused.find(pool);
+    return found != m_refused.end() && found->second.fitIn(spec.reserved());
+}
+
+void PoolRooms::noteFull(const PoolId &pool, const StepSpec &spec)
+{
+    // Only a task that any worker could have taken tells about others.
+    if (spec.label.empty() && spec.mostPerWorker == 0 && !spec.filling && spec.tailTarget == Duration{0}) {
+        m_refused.try_emplace(pool, spec.reserved());
+    }
+}
+
+Worker *chooseWorker(const PoolRooms &rooms, const ReadyStep &ready, const StepSpec &spec, const Step &step,
+                     const Task &task)
 {
     Worker *best = nullptr;
     std::tuple<bool, bool, double> bestScore;
-    for (auto &[id, worker] : roster.all()) {
-        if (worker.pool != ready.pool || !worker.takesTasks(now) || !worker.hasLabel(spec.label)
-            || !hasRoom(worker, spec, step) || disturbs(worker, spec)) {
+    for (Worker *worker : rooms.workers(ready.pool)) {
+        if (!worker->hasLabel(spec.label) || !hasRoom(*worker, spec, step) || disturbs(*worker, spec)) {
             continue;
         }
-        const bool nearData = worker.hasLabel(spec.rack);
-        const bool failedHere = task.failedOn == id;
-        const double room = static_cast<double>(std::max<std::uint64_t>(worker.room().cpu, 1));
-        const double taken = static_cast<double>(worker.used.cpu + worker.fillingCpu) / room;
-        const std::tuple<bool, bool, double> score{!nearData, failedHere, taken};
+        const bool isFar = !worker->hasLabel(spec.rack);
+        const bool failedHere = task.failedOn == worker->id;
+        const double room = static_cast<double>(std::max<std::uint64_t>(worker->room().cpu, 1));
+        const double taken = static_cast<double>(worker->used.cpu + worker->fillingCpu) / room;
+        const std::tuple<bool, bool, double> score{isFar, failedHere, taken};
         if (best == nullptr || score < bestScore) {
-            best = &worker;
+            best = worker;
             bestScore = score;
         }
     }
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -3,6 +3,7 @@
 #include "core/cells/job_book.h"
 #include "core/cells/site.h"
 
+#include <map>
 #include <vector>
 
 namespace radishvane::cells
@@ -17,22 +18,34 @@
     PoolId pool;
 };
 
-/// Longest chain of declared run times through the steps that are not done.
-Duration remainingChain(const Job &job, const Occurrence &occurrence);
-/// Declared processor time of the tasks that are not done, in thousandths of a core times milliseconds.
-double remainingWork(const Job &job, const Occurrence &occurrence);
-
 /// Steps that may start tasks, in the order in which they get room.
 ///
 /// Answers the peaks, in which a queue asks for more than its pool holds: a job earns only within its objective, so
 /// jobs that can still make it come first, and of these the one with the least work left. Jobs that are late come
 /// after, in the order of their acceptance.
-std::vector<ReadyStep> startOrder(const JobBook &book, const SiteConfig &config, Instant now);
+std::vector<ReadyStep> startOrder(JobBook &book, const SiteConfig &config, Instant now);
+
+/// Workers that may get tasks, by pool, and needs for which a pool is known to have no room.
+class PoolRooms
+{
+public:
+    PoolRooms(WorkerRoster &roster, TimePoint now);
+
+    const std::vector<Worker *> &workers(const PoolId &pool) const;
+    /// Whether a task of @p spec was already found to have no room.
+    bool isFullFor(const PoolId &pool, const StepSpec &spec) const;
+    /// A task of @p spec has found no room.
+    void noteFull(const PoolId &pool, const StepSpec &spec);
+
+private:
+    std::map<PoolId, std::vector<Worker *>> m_workers;
+    std::map<PoolId, Needs> m_refused;
+};
 
 /// The worker for one more task of @p step, or nullptr when none has room.
 ///
 /// Takes the worker with the most processor time left, since tasks on one worker share more than its room tells.
-Worker *chooseWorker(WorkerRoster &roster, const ReadyStep &ready, const StepSpec &spec, const Step &step,
-                     const Task &task, TimePoint now);
+Worker *chooseWorker(const PoolRooms &rooms, const ReadyStep &ready, const StepSpec &spec, const Step &step,
+                     const Task &task);
 
 } // namespace radishvane::cells
