--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -79,7 +79,7 @@
 void CellKeeper::advanceOwnership()
 {
     const TimePoint now = m_outbox.now.steady;
-    if (m_active && m_lease.isKnown() && !m_lease.owns()) {
+    if (m_active && !m_releasing && m_lease.isKnown() && !m_lease.owns()) {
         deactivate(CellDecision::OwnershipLost, m_lease.owner() ? m_lease.owner()->host.name() : "no-owner");
     }
     const bool wants = !m_active && !m_stopping && !m_writer.pending();
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -76,6 +76,8 @@
     TimePoint begunAt;
     /// Time by which the occurrence has to end to earn in full, and what was left to do at @c weighedAt tasks done.
     WallTime objective{};
+    /// Time after which its end is of no use any more.
+    WallTime lastUse{};
     Duration chainLeft{0};
     double workLeft = 0;
     std::uint32_t tasksDone = 0;
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -58,6 +58,7 @@
         m_book.openDue(*m_book.find(id), now);
     }
     see(entries);
+    m_disruptNotBefore = now.steady + m_times.stopGrace + disruptionMargin;
     m_planDue = true;
 }
 
@@ -734,6 +735,9 @@
     if (job == nullptr || spec == nullptr || isFinal(job->state)) {
         return true;
     }
+    if (m_outbox.now.steady < m_disruptNotBefore) {
+        return false;
+    }
     const Step &step = job->open.at(id.occurrence).steps[id.step];
     std::uint32_t away = 0;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
--- a/core/cells/run_keeper.h
+++ b/core/cells/run_keeper.h
@@ -20,6 +20,8 @@
 {
     /// Lease of what runs on a worker, from each hold call.
     Duration hold{5'000};
+    /// Time for a worker to stop a task.
+    Duration stopGrace{1'000};
     /// An ended job can be asked about for this long.
     Duration keepEnded{150'000};
 };
@@ -51,6 +53,8 @@
     static constexpr Duration emptyPatience{1'500};
     /// Jobs for each millisecond that two looks for starts are apart, so that looks take a bounded part of the time.
     static constexpr std::size_t jobsEachMillisecond = 8;
+    /// Beyond the time to stop a task: time for the workers to be asked by a new owner.
+    static constexpr Duration disruptionMargin{1'000};
     /// Most starts that one look gives out.
     static constexpr std::size_t mostStarts = 64;
 
@@ -124,6 +128,8 @@
     std::set<TaskId> m_stopping;
     bool m_planDue = false;
     TimePoint m_nextPlan;
+    /// Stops that the owner before ordered have ended by then.
+    TimePoint m_disruptNotBefore;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -9,17 +9,27 @@
 namespace
 {
 
+/// An end is of some use up to this many times the objective (published by the platform).
+constexpr int lateFactor = 3;
+
+/// What a job can still earn; the order is that of the starts.
+enum class Hope {
+    InTime,
+    Late,
+    TooLate,
+};
+
 struct Rank
 {
     std::uint32_t priority = 0;
     bool finite = false;
-    bool late = false;
+    Hope hope = Hope::TooLate;
     double work = 0;
     WallTime accepted{};
 
     auto key() const
     {
-        return std::tie(priority, finite, late, work, accepted);
+        return std::tie(priority, finite, hope, work, accepted);
     }
 };
 
@@ -77,8 +87,9 @@
     if (!occurrence.weighedAt) {
         const auto whole = longestChain(job, occurrence, false);
         const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
-        occurrence.objective
-            = begin + std::chrono::duration_cast<Duration>(whole * queue.stretch) + queue.targetDuration;
+        const Duration allowed = std::chrono::duration_cast<Duration>(whole * queue.stretch) + queue.targetDuration;
+        occurrence.objective = begin + allowed;
+        occurrence.lastUse = begin + lateFactor * allowed;
     }
     occurrence.chainLeft = longestChain(job, occurrence, true);
     occurrence.workLeft = remainingWork(job, occurrence);
@@ -94,8 +105,14 @@
     if (spec.lasting) {
         return rank;
     }
-    rank.late = now.wall + occurrence.chainLeft > occurrence.objective;
-    rank.work = rank.late ? 0 : occurrence.workLeft;
+    const WallTime soonest = now.wall + occurrence.chainLeft;
+    if (soonest <= occurrence.objective) {
+        rank.hope = Hope::InTime;
+        rank.work = occurrence.workLeft;
+    } else if (soonest <= occurrence.lastUse) {
+        rank.hope = Hope::Late;
+        rank.work = occurrence.workLeft;
+    }
     return rank;
 }
 
--- a/drivers/site_settings.cpp
+++ b/drivers/site_settings.cpp
@@ -42,6 +42,7 @@
     settings.store = fields.endpoint("store");
     settings.hostService = fields.endpoint("host_service");
     settings.mostHold = milliseconds(fields, "most_hold_ms");
+    settings.workerStop = milliseconds(fields, "worker_stop_ms");
     settings.keysWithin = milliseconds(fields, "keys_within_ms");
     settings.stopWithin = seconds(fields, "stop_within_s");
     settings.keepEnded = seconds(fields, "keep_ended_s");
--- a/drivers/site_settings.h
+++ b/drivers/site_settings.h
@@ -30,6 +30,8 @@
     Endpoint hostService;
     /// Longest lease of what runs on a worker.
     Duration mostHold{0};
+    /// Time for a worker to stop a task.
+    Duration workerStop{0};
     /// From a withdrawal of a key to its effect everywhere.
     Duration keysWithin{0};
     /// From SIGTERM to SIGKILL.
