Weigh the work left of a job by what the job earns

Cause: least work left alone puts large jobs last, though they earn up to four times the mean. Change: work left for each unit of worth, by the mean work of the queue as seen.

--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -35,6 +35,7 @@
 void JobBook::clear()
 {
     m_jobs.clear();
+    m_queueWork.clear();
     m_live.clear();
 }
 
@@ -43,6 +44,9 @@
     const JobId id = row.id;
     Job &job = m_jobs[id];
     job.row = std::move(row);
+    QueueWork &queue = m_queueWork[job.row.queue];
+    queue.jobs += 1;
+    queue.work += job.row.spec.work();
     job.seenAt = now;
     m_live.insert(id);
     return job;
@@ -305,6 +309,12 @@
     return row;
 }
 
+double JobBook::meanWork(const QueueId &queue) const
+{
+    const auto found = m_queueWork.find(queue);
+    return found == m_queueWork.end() ? 0 : found->second.work / found->second.jobs;
+}
+
 std::uint64_t JobBook::pending(const QueueId &queue) const
 {
     std::uint64_t count = 0;
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -80,6 +80,8 @@
     WallTime lastUse{};
     Duration chainLeft{0};
     double workLeft = 0;
+    /// What its end in time is worth against the mean of its queue.
+    double worth = 1;
     std::uint32_t tasksDone = 0;
     std::optional<std::uint32_t> weighedAt;
 };
@@ -151,6 +153,8 @@
     void settle(Job &job);
 
     ProgressRow progressRow(const Job &job) const;
+    /// Mean work of the queue's jobs that have come, in thousandths of a core times milliseconds.
+    double meanWork(const QueueId &queue) const;
     /// Jobs of @p queue that have not begun.
     std::uint64_t pending(const QueueId &queue) const;
 
@@ -158,7 +162,14 @@
     Step *step(const TaskId &id);
     void giveBack(Step &step, const TaskId &id);
 
+    struct QueueWork
+    {
+        double jobs = 0;
+        double work = 0;
+    };
+
     std::map<JobId, Job> m_jobs;
+    std::map<QueueId, QueueWork> m_queueWork;
     std::set<JobId> m_live;
 };
 
--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -73,6 +73,16 @@
     return firstDue + occurrence * period;
 }
 
+double GraphSpec::work() const
+{
+    double work = 0;
+    for (const StepSpec &step : steps) {
+        work += static_cast<double>(step.count) * static_cast<double>(step.needs.cpu)
+            * static_cast<double>(step.estimate.count());
+    }
+    return work;
+}
+
 std::string taskName(const TaskId &task)
 {
     return task.job.name() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -91,6 +91,8 @@
 
     std::uint32_t occurrences() const;
     WallTime dueAt(std::uint32_t occurrence) const;
+    /// Declared processor time of one occurrence, in thousandths of a core times milliseconds.
+    double work() const;
 };
 
 struct TaskId
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -77,8 +77,16 @@
     return work;
 }
 
+/// What a job of @p work earns against one of the mean work (published by the platform).
+double worthOf(double work, double mean)
+{
+    constexpr double least = 0.3;
+    constexpr double most = 4;
+    return mean <= 0 ? 1 : std::min(most, least + (1 - least) * work / mean);
+}
+
 /// Weighs an occurrence anew when tasks of it have been done since.
-void weigh(const Job &job, Occurrence &occurrence, std::uint32_t number, const Queue &queue)
+void weigh(const JobBook &book, const Job &job, Occurrence &occurrence, std::uint32_t number, const Queue &queue)
 {
     if (occurrence.weighedAt == occurrence.tasksDone) {
         return;
@@ -90,6 +98,7 @@
         const Duration allowed = std::chrono::duration_cast<Duration>(whole * queue.stretch) + queue.targetDuration;
         occurrence.objective = begin + allowed;
         occurrence.lastUse = begin + lateFactor * allowed;
+        occurrence.worth = worthOf(graph.work(), book.meanWork(job.row.queue));
     }
     occurrence.chainLeft = longestChain(job, occurrence, true);
     occurrence.workLeft = remainingWork(job, occurrence);
@@ -108,10 +117,10 @@
     const WallTime soonest = now.wall + occurrence.chainLeft;
     if (soonest <= occurrence.objective) {
         rank.hope = Hope::InTime;
-        rank.work = occurrence.workLeft;
+        rank.work = occurrence.workLeft / occurrence.worth;
     } else if (soonest <= occurrence.lastUse) {
         rank.hope = Hope::Late;
-        rank.work = occurrence.workLeft;
+        rank.work = occurrence.workLeft / occurrence.worth;
     }
     return rank;
 }
@@ -153,7 +162,7 @@
                 if (!hasWaitingTask(occurrence.steps[index], now.steady) || !JobBook::isReady(job, occurrence, index)) {
                     continue;
                 }
-                weigh(job, occurrence, number, queue->second);
+                weigh(book, job, occurrence, number, queue->second);
                 const StepSpec &spec = job.row.spec.steps[index];
                 ranked.push_back(RankedStep{rankOf(job, occurrence, spec, queue->second, now),
                                             ReadyStep{id, number, index, queue->second.pool}});
