Count what is being stopped as taken, and tasks on silent workers as away

Jobs of the owner before waited ten seconds for a worker that had gone down for maintenance before the takeover. Change: a worker's list tells what it runs beside ours, and that takes its room; silent workers' tasks are away; the recorded list of workers leaves out those whose leases have expired for certain. Conclusion: room is counted by what workers list, not by what the owner remembers.

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -66,7 +66,7 @@
     takeJobs(transaction, book);
     takeProgress(transaction, book);
     if (m_roster) {
-        transaction.roster = roster.row();
+        transaction.roster = roster.row(now);
         m_roster = false;
     }
     for (const auto &[number, wave] : m_waves) {
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -83,9 +83,7 @@
         Worker &worker = *m_roster.find(id);
         endLife(worker, worker.entry->born);
     }
-    const bool isUnrecorded = std::any_of(m_roster.all().begin(), m_roster.all().end(),
-                                          [](const auto &pair) { return !pair.second.recorded; });
-    if (isUnrecorded || m_roster.forgetGone(m_outbox.now.steady)) {
+    if (m_roster.forgetGone(m_outbox.now.steady)) {
         m_writer.changeRoster();
     }
     m_planDue = true;
@@ -102,7 +100,8 @@
     if (done.transaction.roster) {
         for (const KnownWorker &known : done.transaction.roster->workers) {
             Worker *worker = m_roster.find(known.id);
-            if (worker != nullptr && worker->pool == known.pool && worker->endpoint == known.endpoint) {
+            if (worker != nullptr && !worker->gone && worker->pool == known.pool
+                && worker->endpoint == known.endpoint) {
                 worker->recorded = true;
             }
         }
@@ -180,7 +179,7 @@
         const bool isUnknown = (!worker.fenced || worker.silent) && (worker.entry || !worker.isSettled(now));
         const bool hasEnds = worker.processed > worker.noted;
         const bool mayNote = worker.stored == worker.processed;
-        if (isUnknown || (hasEnds && mayNote) || (!hasEnds && !worker.tasks.empty())) {
+        if (isUnknown || (hasEnds && mayNote) || (!hasEnds && !(worker.tasks.empty() && worker.foreign.empty()))) {
             sendHold(worker);
             continue;
         }
@@ -237,6 +236,9 @@
         return;
     }
     worker->silent = false;
+    if (!worker->recorded) {
+        m_writer.changeRoster();
+    }
     worker->nextHold = now + holdPause;
     if (event.report.born > worker->born && worker->born != 0) {
         endLife(*worker, event.report.born);
@@ -289,12 +291,14 @@
 void RunKeeper::takeRunning(Worker &worker, const HoldReport &report, TimePoint sent)
 {
     const TimePoint now = m_outbox.now.steady;
+    clearForeign(worker);
     for (const RunningRow &row : report.running) {
         Task *task = m_book.task(row.task);
         const bool isKnown
             = task != nullptr && task->run && task->run->number == row.run && task->run->worker == worker.id;
         if (!isKnown) {
             if (!adopt(worker, row)) {
+                addForeign(worker, row.task);
                 StopOrder order;
                 order.worker = worker.address();
                 order.task = row.task;
@@ -325,6 +329,29 @@
     }
 }
 
+void RunKeeper::clearForeign(Worker &worker)
+{
+    for (const auto &[task, taken] : worker.foreign) {
+        m_ledger.giveBack(taken.first, taken.second);
+    }
+    worker.foreign.clear();
+    worker.foreignUsed = Needs{};
+}
+
+void RunKeeper::addForeign(Worker &worker, const TaskId &task)
+{
+    const Job *job = m_book.find(task.job);
+    const StepSpec *spec = m_book.spec(task);
+    // A task of which nothing is known may take all that there is.
+    const Needs reserved = spec == nullptr ? worker.room() : spec->reserved();
+    const Needs taken = spec == nullptr ? Needs{} : spec->needs;
+    const TeamId team = job == nullptr ? TeamId() : job->row.team;
+    if (worker.foreign.emplace(task, std::pair{team, taken}).second) {
+        worker.foreignUsed += reserved;
+        m_ledger.take(team, taken);
+    }
+}
+
 bool RunKeeper::adopt(Worker &worker, const RunningRow &row)
 {
     Task *task = m_book.task(row.task);
@@ -394,6 +421,7 @@
     for (const TaskId &id : tasks) {
         endRun(id, RunEnd::LeaseExpired);
     }
+    clearForeign(worker);
     worker.fenced = false;
     if (!tasks.empty()) {
         m_outbox.note(CellDecision::WorkerLost, worker.id.name(), worker.pool.name(), tasks.size(),
@@ -409,6 +437,8 @@
     }
     loseTasks(*worker, CellDecision::HostMaintained);
     worker->gone = true;
+    worker->recorded = false;
+    m_writer.changeRoster();
 }
 
 void RunKeeper::expireLeases()
@@ -418,6 +448,10 @@
         if (worker.fenced && !worker.tasks.empty() && worker.hasLapsed(now)) {
             loseTasks(worker, CellDecision::WorkerLost);
         }
+        if (worker.recorded && worker.isLeaseless(now)) {
+            worker.recorded = false;
+            m_writer.changeRoster();
+        }
     }
 }
 
@@ -742,7 +776,9 @@
     std::uint32_t away = 0;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         const Task &task = step.tasks[index];
-        const bool isAtWork = task.run && !task.run->stopWanted && task.run->percent >= atWork;
+        const Worker *worker = task.run ? m_roster.find(task.run->worker) : nullptr;
+        const bool isAtWork
+            = worker != nullptr && !worker->silent && !task.run->stopWanted && task.run->percent >= atWork;
         away += index != id.index && !isAtWork ? 1 : 0;
     }
     return away < std::max<std::uint32_t>(spec->allowance, 1);
--- a/core/cells/run_keeper.h
+++ b/core/cells/run_keeper.h
@@ -94,6 +94,8 @@
     void takeRunning(Worker &worker, const HoldReport &report, TimePoint sent);
     void takeMissing(Worker &worker, const HoldReport &report, TimePoint sent);
     bool adopt(Worker &worker, const RunningRow &row);
+    void clearForeign(Worker &worker);
+    void addForeign(Worker &worker, const TaskId &task);
     void endLife(Worker &worker, std::int64_t born);
     void loseTasks(Worker &worker, CellDecision why);
     void expireLeases();
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -127,7 +127,7 @@
 
 bool hasRoom(const Worker &worker, const StepSpec &spec, const Step &step)
 {
-    if (!(worker.used + spec.reserved()).fitIn(worker.room())) {
+    if (!(worker.used + worker.foreignUsed + spec.reserved()).fitIn(worker.room())) {
         return false;
     }
     if (spec.mostPerWorker == 0) {
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -51,6 +51,11 @@
     return now >= inheritedUntil && clockAtLeast(now) > leaseDeadline + lapseMarginMs;
 }
 
+bool Worker::isLeaseless(TimePoint now) const
+{
+    return tasks.empty() && (gone || (silent && hasLapsed(now)));
+}
+
 WorkerAddress Worker::address() const
 {
     return WorkerAddress{id, endpoint};
@@ -59,7 +64,6 @@
 void WorkerRoster::reset(const RosterRow &recorded, TimePoint inheritedUntil)
 {
     m_workers.clear();
-    m_inheritedUntil = inheritedUntil;
     for (const KnownWorker &known : recorded.workers) {
         Worker worker;
         worker.id = known.id;
@@ -84,7 +88,6 @@
         if (isNew) {
             worker.id = entry.id;
             worker.born = entry.born;
-            worker.inheritedUntil = m_inheritedUntil;
         } else if (entry.born > worker.born) {
             // Discovery may lag behind the worker's own word, so an earlier birth tells nothing.
             reborn.push_back(entry.id);
@@ -143,10 +146,13 @@
     return false;
 }
 
-RosterRow WorkerRoster::row() const
+RosterRow WorkerRoster::row(TimePoint now) const
 {
     RosterRow row;
     for (const auto &[id, worker] : m_workers) {
+        if (worker.isLeaseless(now)) {
+            continue;
+        }
         row.workers.push_back(KnownWorker{worker.id, worker.pool, worker.endpoint, worker.born});
     }
     return row;
@@ -166,6 +172,8 @@
     worker.processed = 0;
     worker.stored = 0;
     worker.noted = 0;
+    worker.foreign.clear();
+    worker.foreignUsed = Needs{};
     worker.failuresInARow = 0;
     worker.avoidedUntil = TimePoint{};
     worker.nextHold = TimePoint{};
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -57,6 +57,9 @@
     /// Tasks that it runs or may run.
     std::set<TaskId> tasks;
     Needs used;
+    /// What it runs that is not ours to go on with, by its own list: what is being stopped still takes room.
+    std::map<TaskId, std::pair<TeamId, Needs>> foreign;
+    Needs foreignUsed;
     /// Lasting tasks with a bound on their tail.
     std::uint32_t guarded = 0;
     std::uint32_t filling = 0;
@@ -77,6 +80,8 @@
     std::int64_t clockAtLeast(TimePoint now) const;
     /// Whether the lease of all that it runs has expired for certain.
     bool hasLapsed(TimePoint now) const;
+    /// Whether it runs nothing for certain, and gets no new lease, so that a later owner need not ask it.
+    bool isLeaseless(TimePoint now) const;
     WorkerAddress address() const;
 };
 
@@ -100,13 +105,13 @@
     const std::map<WorkerId, Worker> &all() const;
     /// Whether some worker of @p pool may run tasks that an earlier owner started and that are not known yet.
     bool isUnsettled(const PoolId &pool, TimePoint now) const;
-    RosterRow row() const;
+    /// The workers to which orders may have gone whose leases are not known to have expired.
+    RosterRow row(TimePoint now) const;
     /// Starts a new life of a worker, which knows nothing of before.
     void beginLife(Worker &worker, std::int64_t born);
 
 private:
     std::map<WorkerId, Worker> m_workers;
-    TimePoint m_inheritedUntil;
 };
 
 } // namespace radishvane::cells
