Test a cell's decisions in a site of virtual time, under random troubles

Change: tests/support/cell_site: entry hosts with the real decisions, a store with guarded writes, workers with leases, fences, slow clocks and lists; it checks each start for a second run, a noted end, the order of steps, room and ceilings. One failure on the way was the model's own: answers went to a later life of a process.

--- /dev/null
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -0,0 +1,410 @@
+#include "tests/support/cell_site.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+void fill(CellSite &site, std::size_t workers = 4)
+{
+    site.addQueue("plans", "looms");
+    for (std::size_t index = 0; index < workers; ++index) {
+        site.addWorker("w" + std::to_string(index), "looms", 8'000);
+    }
+    site.addNode("a");
+    site.addNode("b");
+    site.run(Duration(2'000));
+}
+
+std::string other(const CellSite &site)
+{
+    return site.owner() == "a" ? "b" : "a";
+}
+
+GraphSpec lastingJob(std::uint32_t count, std::uint32_t allowance)
+{
+    GraphSpec spec = graphOf(1, count, 2'000, Duration(500));
+    spec.steps[0].lasting = true;
+    spec.steps[0].allowance = allowance;
+    return spec;
+}
+
+void expectNothingBroken(const CellSite &site)
+{
+    for (const std::string &what : site.broken) {
+        ADD_FAILURE() << what;
+    }
+}
+
+} // namespace
+
+TEST(CellJobs, RunFromEndToEnd)
+{
+    story("a calm site with two entry hosts and four workers", [] {
+        CellSite site;
+        fill(site);
+        section("one of the hosts owns the cell", [&] { ASSERT_FALSE(site.owner().empty()); });
+        section("a job of two steps is accepted, run in order and completed", [&] {
+            site.submit(site.owner(), "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
+            site.run(Duration(100));
+            ASSERT_EQ(site.answers("j1"), std::vector{CallAnswer::Accepted});
+            site.run(Duration(1'500));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 12);
+        });
+        section("the same job again is the same job", [&] {
+            site.submit(site.owner(), "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.answers("j1").size(), 2);
+            EXPECT_EQ(site.runs("j1"), 12);
+        });
+        section("a host that owns no cell takes no job", [&] {
+            site.submit(other(site), "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Unavailable});
+            EXPECT_EQ(site.runs("j2"), 0);
+        });
+        section("a cancelled job is stopped everywhere", [&] {
+            site.durations[JobId("j3")] = 60'000;
+            site.submit(site.owner(), "j3", "plans", graphOf(1, 8, 1'000, Duration(60'000)));
+            site.run(Duration(1'000));
+            site.cancel(site.owner(), "j3");
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.state("j3"), GraphState::Cancelled);
+            EXPECT_EQ(site.runningOn("w0") + site.runningOn("w1") + site.runningOn("w2") + site.runningOn("w3"), 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellJobs, FailAfterAsManyFailuresAsTheQueueAllows)
+{
+    story("a queue that allows three failures, and workers that fail all that they start", [] {
+        CellSite site;
+        fill(site);
+        for (const char *id : {"w0", "w1", "w2", "w3"}) {
+            site.worker(id).fails = true;
+        }
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(8'000));
+        EXPECT_EQ(site.state("j1"), GraphState::Failed);
+        EXPECT_EQ(site.runs("j1"), 3);
+    });
+}
+
+TEST(CellOwner, IsReplacedWhenItDies)
+{
+    story("an owner is killed while a job runs", [] {
+        CellSite site;
+        fill(site);
+        const std::string first = site.owner();
+        const std::string second = other(site);
+        site.durations[JobId("j1")] = 3'000;
+        site.submit(first, "j1", "plans", graphOf(2, 6, 1'000, Duration(3'000)));
+        site.run(Duration(1'000));
+        site.kill(first);
+        section("the other host takes the cell within a few seconds", [&] {
+            site.run(Duration(3'500));
+            EXPECT_EQ(site.owner(), second);
+        });
+        section("the runs go on, none is started twice, and the job ends", [&] {
+            site.run(Duration(6'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 12);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, HandsOverAtOnceWhenItIsStopped)
+{
+    story("an owner with work at all times is asked to stop", [] {
+        CellSite site;
+        fill(site);
+        const std::string first = site.owner();
+        for (int index = 0; index < 40; ++index) {
+            site.submit(first, "j" + std::to_string(index), "plans", graphOf(2, 6, 1'000, Duration(300)));
+        }
+        site.run(Duration(500));
+        site.stop(first);
+        section("another owns the cell in less than a second", [&] {
+            site.run(Duration(1'000));
+            EXPECT_FALSE(site.owner().empty());
+            EXPECT_NE(site.owner(), first);
+        });
+        section("and every job ends", [&] {
+            site.run(Duration(8'000));
+            for (int index = 0; index < 40; ++index) {
+                EXPECT_EQ(site.state("j" + std::to_string(index)), GraphState::Completed) << index;
+            }
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, StartsNothingAfterAFreeze)
+{
+    story("an owner freezes for longer than its lease, and wakes beside its successor", [] {
+        CellSite site;
+        fill(site);
+        const std::string first = site.owner();
+        site.durations[JobId("j1")] = 2'000;
+        site.submit(first, "j1", "plans", graphOf(3, 6, 1'000, Duration(2'000)));
+        site.run(Duration(500));
+        site.freeze(first);
+        site.run(Duration(4'000));
+        EXPECT_NE(site.owner(), first);
+        site.thaw(first);
+        site.run(Duration(10'000));
+        EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        EXPECT_EQ(site.runs("j1"), 18);
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, GoesOnAfterAnOutageOfTheStore)
+{
+    story("the store is down for less than the lease of what runs", [] {
+        CellSite site;
+        fill(site);
+        const std::string first = site.owner();
+        site.durations[JobId("j1")] = 5'000;
+        site.submit(first, "j1", "plans", graphOf(1, 8, 1'000, Duration(5'000)));
+        site.run(Duration(500));
+        site.storeDown = true;
+        section("nothing is accepted meanwhile", [&] {
+            site.run(Duration(2'500));
+            site.submit(first, "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(100));
+            EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Unavailable});
+        });
+        section("afterwards the job ends with no run lost", [&] {
+            site.storeDown = false;
+            site.run(Duration(8'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 8);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, LoseTheirTasksWhenTheyFallSilent)
+{
+    story("a worker is cut off with tasks on it", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 20'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 8, 1'000, Duration(20'000)));
+        site.run(Duration(1'000));
+        ASSERT_GT(site.runningOn("w0"), 0);
+        site.worker("w0").cut = true;
+        section("its tasks run elsewhere once its lease has run out on its own clock", [&] {
+            site.run(Duration(9'000));
+            EXPECT_EQ(site.runningOn("w1"), 8);
+        });
+        section("it takes tasks again when it answers", [&] {
+            site.worker("w0").cut = false;
+            site.run(Duration(2'000));
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)));
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, AreAskedInVainWithoutForgettingTheirLease)
+{
+    story("looks that cannot be sent follow a lease that was taken", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 30'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(30'000)));
+        for (int round = 0; round < 12; ++round) {
+            site.run(Duration(370));
+            site.worker("w0").cut = !site.worker("w0").cut;
+        }
+        site.worker("w0").cut = true;
+        site.run(Duration(12'000));
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, ThatRestartUnderTheSameIdRunNothingOfBefore)
+{
+    story("a worker crashes and comes back at the same address", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 4'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 8, 1'000, Duration(4'000)));
+        site.run(Duration(1'000));
+        site.crash("w0");
+        site.run(Duration(300));
+        site.revive("w0");
+        site.run(Duration(9'000));
+        EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, ThatStandStillLoseTheirTasks)
+{
+    story("one of two workers starts tasks and makes no progress", [] {
+        CellSite site;
+        fill(site, 2);
+        site.worker("w0").stalls = true;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+        site.run(Duration(8'000));
+        EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        expectNothingBroken(site);
+    });
+    story("an owner that cannot look for a while takes no task for stalled", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 20'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(20'000)));
+        site.run(Duration(1'000));
+        for (const char *id : {"w0", "w1"}) {
+            site.worker(id).cut = true;
+        }
+        site.run(Duration(2'600));
+        for (const char *id : {"w0", "w1"}) {
+            site.worker(id).cut = false;
+        }
+        site.run(Duration(2'000));
+        EXPECT_EQ(site.runs("j1"), 4);
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellRoom, CountsWhatIsBeingStopped)
+{
+    story("a job that fills the workers is cancelled, and its owner is stopped at once", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 60'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 16, 1'000, Duration(60'000)));
+        site.run(Duration(1'000));
+        const std::string first = site.owner();
+        site.submit(first, "j2", "plans", graphOf(1, 16, 1'000, Duration(300)));
+        site.run(Duration(50));
+        site.cancel(first, "j1");
+        site.stop(first);
+        site.run(Duration(6'000));
+        EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellTeams, StayUnderTheirCeiling)
+{
+    story("a team asks for four times its ceiling", [] {
+        CellSite site;
+        site.addTeam("dyers", 4'000);
+        fill(site);
+        for (int index = 0; index < 4; ++index) {
+            site.submit(site.owner(), "j" + std::to_string(index), "plans", graphOf(1, 4, 1'000, Duration(300)),
+                        "dyers");
+        }
+        site.run(Duration(500));
+        site.kill(site.owner());
+        site.run(Duration(12'000));
+        for (int index = 0; index < 4; ++index) {
+            EXPECT_EQ(site.state("j" + std::to_string(index)), GraphState::Completed);
+        }
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellLasting, TasksComeBackAndKeepTheirAllowance)
+{
+    story("a lasting job of four tasks of which one may be away", [] {
+        CellSite site;
+        fill(site, 6);
+        site.submit(site.owner(), "j1", "plans", lastingJob(4, 1));
+        site.run(Duration(2'000));
+        section("a task on a worker that crashed and came back is at work again in seconds", [&] {
+            const std::string worker = site.runningOn("w0") > 0 ? "w0" : "w1";
+            site.crash(worker);
+            site.run(Duration(200));
+            site.revive(worker);
+            site.run(Duration(2'000));
+            std::size_t running = 0;
+            for (int index = 0; index < 6; ++index) {
+                running += site.runningOn("w" + std::to_string(index));
+            }
+            EXPECT_EQ(running, 4);
+        });
+        section("a wave over all hosts maintains each, empty, one after the other", [&] {
+            site.addWave(7, {"w0", "w1", "w2", "w3", "w4", "w5"}, 1);
+            site.run(Duration(40'000));
+            EXPECT_EQ(site.completedWaves.count(7), 1);
+            for (int index = 0; index < 6; ++index) {
+                EXPECT_TRUE(site.isMaintained("w" + std::to_string(index))) << index;
+            }
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellLasting, NoTaskIsEndedWhileTheOwnerBeforeEndsAnother)
+{
+    story("an owner has begun to empty a host, and is replaced within the time that a stop takes", [] {
+        CellSite site;
+        fill(site, 4);
+        site.submit(site.owner(), "j1", "plans", lastingJob(4, 1));
+        site.run(Duration(2'000));
+        site.addWave(1, {"w0", "w1", "w2", "w3"}, 2);
+        // Time for the first stop to be ordered, and not to have ended.
+        std::size_t stopping = 0;
+        while (stopping == 0 && site.time() < 6'000) {
+            site.run(Duration(10));
+            for (int index = 0; index < 4; ++index) {
+                for (const auto &[task, run] : site.worker("w" + std::to_string(index)).running) {
+                    stopping += run.stopsAt ? 1 : 0;
+                }
+            }
+        }
+        ASSERT_EQ(stopping, 1);
+        site.stop(site.owner());
+        for (int step = 0; step < 80; ++step) {
+            site.run(Duration(10));
+            std::size_t away = 0;
+            for (int index = 0; index < 4; ++index) {
+                for (const auto &[task, run] : site.worker("w" + std::to_string(index)).running) {
+                    away += run.stopsAt ? 1 : 0;
+                }
+            }
+            ASSERT_LE(away, 1) << "at " << site.time();
+        }
+    });
+}
+
+TEST(CellPlanning, GivesRoomAwayFromALongBacklog)
+{
+    story("a backlog of 600 jobs on one worker, which runs eight tasks of 300 ms at a time", [] {
+        CellSite site;
+        fill(site, 1);
+        for (int index = 0; index < 600; ++index) {
+            site.submit(site.owner(), "j" + std::to_string(index), "plans", graphOf(2, 4, 1'000, Duration(300)));
+        }
+        site.run(Duration(6'000));
+        section("the owner keeps its lease, and the worker is busy for at least three quarters of the time", [&] {
+            EXPECT_FALSE(site.owner().empty());
+            std::size_t runs = 0;
+            for (int index = 0; index < 600; ++index) {
+                runs += site.runs("j" + std::to_string(index));
+            }
+            EXPECT_GE(runs, 8 * 6'000 / 300 * 3 / 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+} // namespace radishvane::tests
--- /dev/null
+++ b/tests/support/cell_site.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "core/cells/cell_keeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace radishvane::tests
+{
+
+/// One run on a worker of the model.
+struct ModelRun
+{
+    cells::RunNumber number = 0;
+    std::int64_t startedAt = 0;
+    /// Time that the work takes; the run fails when negative.
+    std::int64_t duration = 0;
+    bool lasting = false;
+    bool stalled = false;
+    std::optional<std::int64_t> stopsAt;
+};
+
+/// A worker of the model: leases, fences and lists as the published protocol has them. It guards nothing.
+struct ModelWorker
+{
+    cells::WorkerEntry entry;
+    bool alive = true;
+    bool listed = true;
+    /// Calls from any host get no answer.
+    bool cut = false;
+    /// Tasks that start here make no progress.
+    bool stalls = false;
+    /// Tasks that start here fail.
+    bool fails = false;
+    cells::Epoch fence = 0;
+    std::int64_t deadline = 0;
+    std::int64_t bornAt = 0;
+    std::map<cells::TaskId, ModelRun> running;
+    std::vector<cells::EndedRow> ended;
+    std::uint64_t lastEnd = 0;
+    std::uint64_t noted = 0;
+    /// Highest run of a task that was stopped or has ended here.
+    std::map<cells::TaskId, cells::RunNumber> closed;
+};
+
+struct ModelNode
+{
+    std::unique_ptr<cells::CellKeeper> keeper;
+    HostId host;
+    bool alive = true;
+    bool cutFromStore = false;
+    bool frozen = false;
+    /// Which life of the node this is; answers to an earlier one are lost.
+    std::uint64_t life = 0;
+    std::vector<cells::CellEvent> held;
+};
+
+/// A site in virtual time: entry hosts with the real decisions, and a store and workers that keep the published
+/// protocol.
+///
+/// Checks what must always hold whenever a worker starts a task, and collects what was broken.
+class CellSite
+{
+public:
+    explicit CellSite(std::uint64_t seed = 1);
+
+    /// Chance that a call's answer is lost, and that a lost order is carried out seconds later.
+    double lostAnswers = 0;
+    bool storeDown = false;
+    std::int64_t storeDelay = 6;
+    /// Run time of tasks in milliseconds, by job; 300 when not set.
+    std::map<JobId, std::int64_t> durations;
+
+    ModelNode &addNode(const std::string &name);
+    ModelWorker &addWorker(const std::string &id, const std::string &pool, std::uint64_t cpu);
+    void addQueue(const std::string &name, const std::string &pool, std::uint32_t mostFailures = 3);
+    void addTeam(const std::string &name, std::uint64_t cpuCeiling);
+    /// A wave over the hosts of these workers.
+    void addWave(std::uint64_t number, const std::vector<std::string> &workers, std::uint32_t mostAtOnce);
+
+    /// Hands a job to a node; answers are collected by job.
+    void submit(const std::string &node, const std::string &job, const std::string &queue, cells::GraphSpec spec,
+                const std::string &team = {});
+    void cancel(const std::string &node, const std::string &job);
+    void kill(const std::string &node);
+    /// Starts a killed node anew.
+    void restart(const std::string &node);
+    void stop(const std::string &node);
+    void freeze(const std::string &node);
+    void thaw(const std::string &node);
+    void crash(const std::string &worker);
+    /// A new life of a crashed worker under the same id.
+    void revive(const std::string &worker);
+
+    void run(Duration time);
+
+    ModelNode &node(const std::string &name);
+    ModelWorker &worker(const std::string &id);
+    /// The node that owns the cell for certain, or nothing.
+    std::string owner() const;
+    /// State of a job as its owner shows it; nothing when no owner knows it.
+    std::optional<cells::GraphState> state(const std::string &job) const;
+    /// Answers to submissions by job.
+    const std::vector<cells::CallAnswer> &answers(const std::string &job);
+    std::size_t runs(const std::string &job) const;
+    std::size_t runningOn(const std::string &worker) const;
+    bool isMaintained(const std::string &worker) const;
+    std::int64_t time() const;
+
+    std::vector<std::string> broken;
+    std::set<std::uint64_t> completedWaves;
+    std::uint64_t storeWrites = 0;
+    std::uint64_t holds = 0;
+
+private:
+    /// The life of a node that made a call, and that gets its answer.
+    struct Caller
+    {
+        std::string node;
+        std::uint64_t life = 0;
+    };
+
+    struct Timed
+    {
+        std::int64_t at = 0;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator>(const Timed &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    Instant instant() const;
+    void later(std::int64_t delay, std::function<void()> action);
+    void give(const std::string &node, const cells::CellEvent &event);
+    void give(const Caller &caller, const cells::CellEvent &event);
+    void apply(const std::string &node, const cells::CellEffect &effect);
+    void tickNode(const std::string &name);
+    void tellNode(const std::string &name);
+    void tickWorkers();
+
+    void write(const Caller &caller, const cells::WriteCell &call);
+    cells::CellWritten carryOut(const cells::WriteCell &call);
+    void read(const Caller &caller, const cells::ReadCell &call);
+    void start(const Caller &caller, const cells::StartOrder &order);
+    void stopTask(const Caller &caller, const cells::StopOrder &order);
+    void hold(const Caller &caller, const cells::HoldOrder &order);
+    void answerHold(const Caller &caller, const cells::HoldOrder &order, std::int64_t until);
+    void maintain(const Caller &caller, const cells::MaintainHost &order);
+
+    cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StartOrder &order);
+    cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StopOrder &order);
+    void checkStart(const ModelWorker &worker, const cells::StartOrder &order);
+    void end(ModelWorker &worker, const cells::TaskId &task, cells::RunEnd how);
+    std::int64_t clockOf(const ModelWorker &worker) const;
+    bool chance(double probability);
+    ModelWorker *reach(const cells::WorkerAddress &address);
+
+    std::int64_t m_now = 0;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_incarnations = 0;
+    std::uint64_t m_exchanges = 0;
+    std::vector<Timed> m_queue;
+    std::mt19937_64 m_random;
+    std::map<std::string, ModelNode> m_nodes;
+    std::map<std::string, ModelWorker> m_workers;
+    std::shared_ptr<cells::SiteConfig> m_config;
+    std::vector<cells::Wave> m_waves;
+    std::map<std::string, std::int64_t> m_maintainedUntil;
+    std::set<std::string> m_maintained;
+
+    std::uint64_t m_version = 0;
+    std::uint64_t m_ownerVersion = 0;
+    std::optional<cells::OwnerRow> m_owner;
+    std::map<JobId, cells::JobRow> m_jobs;
+    std::map<JobId, cells::ProgressRow> m_progress;
+    cells::RosterRow m_roster;
+    std::map<std::uint64_t, cells::WaveRow> m_waveRows;
+
+    std::map<ExchangeId, std::string> m_asked;
+    std::map<std::string, std::vector<cells::CallAnswer>> m_answers;
+    std::map<JobId, cells::GraphSpec> m_specs;
+    std::map<cells::TaskId, std::uint64_t> m_doneNoted;
+    std::map<cells::TaskId, bool> m_done;
+    std::map<JobId, std::size_t> m_runs;
+    std::map<JobId, TeamId> m_teams;
+};
+
+/// A job of one step after the other, each of @p count tasks.
+cells::GraphSpec graphOf(std::uint32_t steps, std::uint32_t count, std::uint64_t cpu, Duration estimate);
+
+} // namespace radishvane::tests
