Run gangs, steps that need admission, and filling tasks beside lasting ones

Cause: the deployments to come hold jobs of these kinds, which the first path ran as ordinary tasks. Change: a gang starts whole or not at all, under one run number, and one end as done stands for all; AdmissionDesk asks the site's admission service a few calls at a time and keeps tickets by worker and life; a lasting task with a bound on its tail may stand beside filling tasks, which are stopped for ten seconds when the tail comes near to the bound. Shown by: CellGangs, CellAdmission, CellRepeats, CellFilling; the last failed first, since what was stopped came back at once.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -300,6 +300,11 @@
     m_runs.answered(event);
 }
 
+void CellKeeper::on(const AdmissionAnswered &event)
+{
+    m_runs.answered(event);
+}
+
 // ---- maintenance ----
 
 void CellKeeper::advanceWaves()
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -30,6 +30,8 @@
     std::int64_t deadline = 0;
     Epoch fence = 0;
     std::string checkpoint;
+    /// Ticket of the admission service; empty where none is asked for.
+    std::string ticket;
 };
 
 struct StopOrder
@@ -67,6 +69,8 @@
     /// The order's deadline had passed.
     Late,
     NoRoom,
+    /// The ticket is not good any more.
+    NoTicket,
     /// The worker is not well; nothing was done.
     Unhealthy,
     /// Another life of the worker answered.
@@ -79,8 +83,8 @@
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 10> orderOutcomeNames{
-    "accepted",  "fenced",         "outdated", "late",     "no-room",
+inline constexpr std::array<std::string_view, 11> orderOutcomeNames{
+    "accepted",  "fenced",         "outdated", "late",     "no-room", "no-ticket",
     "unhealthy", "wrong-instance", "invalid",  "not-sent", "unknown",
 };
 
@@ -128,6 +132,27 @@
     HoldReport report;
 };
 
+// ---- the admission service ----
+
+/// Asks which workers may run a step.
+struct AskAdmission
+{
+    CallId call;
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::vector<WorkerId> workers;
+};
+
+struct AdmissionAnswered
+{
+    CallId call;
+    /// Whether the service has decided.
+    bool decided = false;
+    /// Tickets of the workers that may run the step.
+    std::map<WorkerId, std::string> tickets;
+};
+
 // ---- the store ----
 
 struct WriteCell
@@ -394,12 +419,12 @@
     std::string reason;
 };
 
-using CellEvent = std::variant<OrderAnswered, HoldAnswered, CellWritten, CellReadDone, OwnerSeen, StoreContact,
-                               ConfigSeen, WorkersSeen, WavesSeen, HostsListed, HostOrderAnswered, WaveReported,
-                               SubmitJob, AskJob, CancelJob, AskPending, CellTick, CellStop>;
+using CellEvent = std::variant<OrderAnswered, HoldAnswered, AdmissionAnswered, CellWritten, CellReadDone, OwnerSeen,
+                               StoreContact, ConfigSeen, WorkersSeen, WavesSeen, HostsListed, HostOrderAnswered,
+                               WaveReported, SubmitJob, AskJob, CancelJob, AskPending, CellTick, CellStop>;
 
-using CellEffect = std::variant<StartOrder, StopOrder, HoldOrder, WriteCell, ReadCell, ReadOwner, ListHosts,
-                                MaintainHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
+using CellEffect = std::variant<StartOrder, StopOrder, HoldOrder, AskAdmission, WriteCell, ReadCell, ReadOwner,
+                                ListHosts, MaintainHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
 
 using CellEffects = std::vector<CellEffect>;
 
--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -30,6 +30,19 @@
     return occurrence;
 }
 
+/// Failures that count against a task; those of a gang count together.
+std::uint32_t failuresOf(const StepSpec &spec, const Step &step, const Task &task)
+{
+    if (!spec.gang) {
+        return task.progress.failures;
+    }
+    std::uint32_t failures = 0;
+    for (const Task &member : step.tasks) {
+        failures += member.progress.failures;
+    }
+    return failures;
+}
+
 } // namespace
 
 void JobBook::clear()
@@ -222,7 +235,10 @@
     if (isOver) {
         return EndEffect::TaskWaits;
     }
-    if (how == RunEnd::Failed && !lasting && ++task.progress.failures >= mostFailures) {
+    if (how == RunEnd::Failed && !lasting) {
+        ++task.progress.failures;
+    }
+    if (how == RunEnd::Failed && !lasting && failuresOf(job.row.spec.steps[id.step], *place, task) >= mostFailures) {
         finish(job, GraphState::Failed, now);
         return EndEffect::JobEnded;
     }
--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -85,8 +85,12 @@
 
 std::string taskName(const TaskId &task)
 {
-    return task.job.name() + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-        + std::to_string(task.index);
+    return stepName(task.job, task.occurrence, task.step) + '.' + std::to_string(task.index);
+}
+
+std::string stepName(const JobId &job, std::uint32_t occurrence, std::uint32_t step)
+{
+    return job.name() + '.' + std::to_string(occurrence) + '.' + std::to_string(step);
 }
 
 std::optional<TaskId> parseTaskName(std::string_view name)
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -107,6 +107,8 @@
 
 /// Name of a task on the wire and in the log: JOB.OCCURRENCE.STEP.INDEX.
 std::string taskName(const TaskId &task);
+/// Name of a step of one occurrence: JOB.OCCURRENCE.STEP.
+std::string stepName(const JobId &job, std::uint32_t occurrence, std::uint32_t step);
 /// The task of a name, or nothing when the text is no such name.
 std::optional<TaskId> parseTaskName(std::string_view name);
 
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -18,13 +18,15 @@
 constexpr RunNumber runsEachEpoch = 10'000;
 /// Percentage of a lasting task that is at work.
 constexpr double atWork = 100;
+/// Filling tasks are stopped when a lasting task beside them comes that near to the bound on its tail.
+constexpr double tailReserve = 0.7;
 /// Most ends that a worker lists in one answer (published by the platform).
 constexpr std::size_t mostListedEnds = 500;
 
 } // namespace
 
 RunKeeper::RunKeeper(CellOutbox &outbox, CellWriter &writer, CellTimes times)
-    : m_outbox(outbox), m_writer(writer), m_times(times)
+    : m_outbox(outbox), m_writer(writer), m_times(times), m_admission(outbox)
 {
 }
 
@@ -33,6 +35,7 @@
     m_book.clear();
     m_roster = WorkerRoster{};
     m_ledger.clear();
+    m_admission.clear();
     m_starts.clear();
     m_stops.clear();
     m_holds.clear();
@@ -323,6 +326,7 @@
         run.seenAt = now;
         run.percent = row.percent;
         run.load = row.load;
+        guardTail(worker, row);
         if (!row.checkpoint.empty()) {
             task->progress.checkpoint = row.checkpoint;
         }
@@ -496,65 +500,146 @@
             || (job.inherited && m_roster.isUnsettled(ready.pool, now))) {
             continue;
         }
-        const std::set<std::uint32_t> waiting = job.open.at(ready.occurrence).steps[ready.step].waiting;
-        for (const std::uint32_t index : waiting) {
-            if (starts >= mostStarts) {
-                m_planDue = true;
-                m_nextPlan = now;
-                return;
-            }
-            if (!startOne(config, rooms, ready, index)) {
-                break;
-            }
-            ++starts;
+        if (!isAdmitted(config, rooms, ready)) {
+            continue;
+        }
+        starts += job.row.spec.steps[ready.step].gang ? startGang(config, rooms, ready)
+                                                      : startTasks(config, rooms, ready, mostStarts - starts);
+        if (starts >= mostStarts) {
+            m_planDue = true;
+            m_nextPlan = now;
+            return;
         }
     }
 }
 
-bool RunKeeper::startOne(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index)
+bool RunKeeper::isAdmitted(const SiteConfig &config, const PoolRooms &rooms, const ReadyStep &ready)
 {
-    const TimePoint now = m_outbox.now.steady;
-    const TaskId id{ready.job, ready.occurrence, ready.step, index};
-    Job &job = *m_book.find(id.job);
-    const StepSpec &spec = job.row.spec.steps[ready.step];
-    Step &step = job.open.at(ready.occurrence).steps[ready.step];
-    const Task &task = step.tasks[index];
-    if (task.notBefore > now) {
+    const Queue &queue = config.queues.at(m_book.find(ready.job)->row.queue);
+    if (!queue.admission) {
         return true;
     }
-    if (!m_ledger.mayTake(config, job.row.team, spec.needs)) {
-        return false;
+    const std::vector<Worker *> &workers = rooms.workers(ready.pool);
+    const bool hasTicket = std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
+        return !m_admission.ticket(ready, *worker).empty();
+    });
+    if (!hasTicket) {
+        m_admission.want(ready, *queue.admission, workers);
     }
-    Worker *worker = chooseWorker(rooms, ready, spec, step, task);
-    if (worker == nullptr) {
+    return hasTicket;
+}
+
+std::size_t RunKeeper::startTasks(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::size_t most)
+{
+    const Job &job = *m_book.find(ready.job);
+    const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    const std::set<std::uint32_t> waiting = step.waiting;
+    std::size_t starts = 0;
+    for (const std::uint32_t index : waiting) {
+        if (starts >= most) {
+            break;
+        }
+        const Task &task = step.tasks[index];
+        if (task.notBefore > m_outbox.now.steady) {
+            continue;
+        }
+        Worker *worker = chooseFor(config, rooms, ready, index);
+        if (worker == nullptr) {
+            break;
+        }
+        start(ready, index, *worker, nextRun(job, task), task.progress.checkpoint);
+        ++starts;
+    }
+    return starts;
+}
+
+std::size_t RunKeeper::startGang(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready)
+{
+    const Job &job = *m_book.find(ready.job);
+    const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    if (step.waiting.size() < step.tasks.size()) {
+        // Members of the run before have not all ended.
+        return 0;
+    }
+    RunNumber run = 0;
+    std::string checkpoint;
+    for (const Task &task : step.tasks) {
+        run = std::max(run, nextRun(job, task));
+        // The newest of the members' checkpoints is good for all of them.
+        checkpoint = std::max(checkpoint, task.progress.checkpoint);
+    }
+    // Each member is given its place before the next one looks for room; without room for all, none starts.
+    std::vector<Worker *> places;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        Worker *worker = chooseFor(config, rooms, ready, index);
+        if (worker == nullptr) {
+            break;
+        }
+        const TaskId id{ready.job, ready.occurrence, ready.step, index};
+        occupy(*worker, id);
+        places.push_back(worker);
+    }
+    for (std::uint32_t index = 0; index < places.size(); ++index) {
+        leave(*places[index], TaskId{ready.job, ready.occurrence, ready.step, index});
+    }
+    if (places.size() < step.tasks.size()) {
+        return 0;
+    }
+    for (std::uint32_t index = 0; index < places.size(); ++index) {
+        start(ready, index, *places[index], run, checkpoint);
+    }
+    return places.size();
+}
+
+Worker *RunKeeper::chooseFor(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index)
+{
+    const Job &job = *m_book.find(ready.job);
+    const StepSpec &spec = job.row.spec.steps[ready.step];
+    const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    if (!m_ledger.mayTake(config, job.row.team, spec.needs)) {
+        return nullptr;
+    }
+    const bool needsTicket = config.queues.at(job.row.queue).admission.has_value();
+    const auto mayRun = [&](const Worker &worker) {
+        return !needsTicket || !m_admission.ticket(ready, worker).empty();
+    };
+    Worker *worker = chooseWorker(rooms, ready, spec, step, step.tasks[index], mayRun);
+    if (worker == nullptr && !needsTicket) {
         rooms.noteFull(ready.pool, spec);
-        return false;
     }
+    return worker;
+}
+
+void RunKeeper::start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
+                      const std::string &checkpoint)
+{
+    const TimePoint now = m_outbox.now.steady;
+    const TaskId id{ready.job, ready.occurrence, ready.step, index};
     StartOrder order;
-    order.worker = worker->address();
+    order.worker = worker.address();
     order.task = id;
-    order.run = nextRun(job, task);
-    order.payload = job.row.spec.payload;
-    order.deadline = worker->clockNow(now) + startWindow.count();
+    order.run = number;
+    order.payload = m_book.find(ready.job)->row.spec.payload;
+    order.deadline = worker.clockNow(now) + startWindow.count();
     order.fence = m_outbox.epoch;
-    order.checkpoint = task.progress.checkpoint;
-    worker->leaseDeadline = std::max(worker->leaseDeadline, order.deadline);
-    worker->earlierDeadline = std::max(worker->earlierDeadline, order.deadline);
+    order.checkpoint = checkpoint;
+    order.ticket = m_admission.ticket(ready, worker);
+    worker.leaseDeadline = std::max(worker.leaseDeadline, order.deadline);
+    worker.earlierDeadline = std::max(worker.earlierDeadline, order.deadline);
 
     Run run;
     run.number = order.run;
-    run.worker = worker->id;
+    run.worker = worker.id;
     run.startDeadline = order.deadline;
     run.orderedAt = now;
-    occupy(*worker, id);
+    occupy(worker, id);
     m_book.begin(id, std::move(run));
-    m_outbox.note(CellDecision::TaskStarted, taskName(id), worker->id.name(), order.run);
+    m_outbox.note(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
     m_starts[m_outbox.send(std::move(order))] = id;
-    if (worker->hold.value == 0) {
+    if (worker.hold.value == 0) {
         // The lease must outlast the start's own deadline, also when the next look is late.
-        worker->nextHold = std::min(worker->nextHold, now);
+        worker.nextHold = std::min(worker.nextHold, now);
     }
-    return true;
 }
 
 RunNumber RunKeeper::nextRun(const Job &job, const Task &task) const
@@ -581,6 +666,11 @@
     }
 }
 
+void RunKeeper::answered(const AdmissionAnswered &event)
+{
+    m_planDue = m_admission.answered(event) || m_planDue;
+}
+
 void RunKeeper::startAnswered(const TaskId &id, const OrderAnswered &event)
 {
     Task *task = m_book.task(id);
@@ -615,6 +705,10 @@
         }
         withdrawRun(id);
         return;
+    case OrderOutcome::NoTicket:
+        m_admission.refused(id, run.worker);
+        withdrawRun(id);
+        return;
     case OrderOutcome::Fenced:
     case OrderOutcome::Outdated:
     case OrderOutcome::Late:
@@ -634,6 +728,7 @@
     vacate(id);
     m_book.withdraw(id, number);
     m_planDue = true;
+    stopGang(id, "gang-incomplete");
     Job &job = *m_book.find(id.job);
     m_book.settle(job);
 }
@@ -650,6 +745,11 @@
     vacate(id);
     const EndEffect effect = m_book.end(id, number, how, mostFailures(id.job), m_outbox.now.steady);
     m_planDue = true;
+    if (how == RunEnd::Done) {
+        endGang(id, number);
+    } else {
+        stopGang(id, "gang-broken");
+    }
     Job &job = *m_book.find(id.job);
     if (effect == EndEffect::JobEnded) {
         m_outbox.note(CellDecision::JobEnded, id.job.name(), {}, 0, std::string(enumName(graphStateNames, job.state)));
@@ -662,6 +762,40 @@
     m_book.settle(job);
 }
 
+std::vector<TaskId> RunKeeper::gangOf(const TaskId &id) const
+{
+    std::vector<TaskId> members;
+    const StepSpec *spec = m_book.spec(id);
+    if (spec == nullptr || !spec->gang) {
+        return members;
+    }
+    for (std::uint32_t index = 0; index < spec->count; ++index) {
+        if (index != id.index) {
+            members.push_back(TaskId{id.job, id.occurrence, id.step, index});
+        }
+    }
+    return members;
+}
+
+void RunKeeper::endGang(const TaskId &id, RunNumber number)
+{
+    // One end as done stands for all members of the run.
+    for (const TaskId &member : gangOf(id)) {
+        const Task *task = m_book.task(member);
+        if (task != nullptr && task->run && task->run->number == number) {
+            vacate(member);
+            m_book.end(member, number, RunEnd::Done, mostFailures(id.job), m_outbox.now.steady);
+        }
+    }
+}
+
+void RunKeeper::stopGang(const TaskId &id, const std::string &reason)
+{
+    for (const TaskId &member : gangOf(id)) {
+        wantStop(member, reason);
+    }
+}
+
 std::uint32_t RunKeeper::mostFailures(const JobId &id) const
 {
     const Job *job = m_book.find(id);
@@ -739,6 +873,21 @@
     worker.avoidedUntil = std::max(worker.avoidedUntil, now + avoidTime);
 }
 
+void RunKeeper::guardTail(Worker &worker, const RunningRow &row)
+{
+    const StepSpec &spec = *m_book.spec(row.task);
+    const double bound = toMilliseconds(spec.tailTarget) * tailReserve;
+    if (!spec.lasting || spec.tailTarget == Duration{0} || worker.filling == 0 || row.load < bound) {
+        return;
+    }
+    worker.fillNotBefore = m_outbox.now.steady + fillPause;
+    for (const TaskId &id : worker.tasks) {
+        if (m_book.spec(id) != nullptr && m_book.spec(id)->filling) {
+            wantStop(id, "disturbs-lasting-task");
+        }
+    }
+}
+
 void RunKeeper::emptyWorkers()
 {
     const TimePoint now = m_outbox.now.steady;
@@ -796,17 +945,26 @@
 }
 
 void RunKeeper::vacate(const TaskId &id)
+{
+    Worker *worker = m_roster.find(m_book.task(id)->run->worker);
+    if (worker == nullptr) {
+        m_ledger.giveBack(m_book.find(id.job)->row.team, m_book.spec(id)->needs);
+        return;
+    }
+    leave(*worker, id);
+}
+
+void RunKeeper::leave(Worker &worker, const TaskId &id)
 {
     const StepSpec &spec = *m_book.spec(id);
     m_ledger.giveBack(m_book.find(id.job)->row.team, spec.needs);
-    Worker *worker = m_roster.find(m_book.task(id)->run->worker);
-    if (worker == nullptr || worker->tasks.erase(id) == 0) {
+    if (worker.tasks.erase(id) == 0) {
         return;
     }
-    worker->used -= spec.reserved();
-    worker->guarded -= spec.lasting && spec.tailTarget > Duration{0} ? 1 : 0;
-    worker->filling -= spec.filling ? 1 : 0;
-    worker->fillingCpu -= spec.filling ? spec.needs.cpu : 0;
+    worker.used -= spec.reserved();
+    worker.guarded -= spec.lasting && spec.tailTarget > Duration{0} ? 1 : 0;
+    worker.filling -= spec.filling ? 1 : 0;
+    worker.fillingCpu -= spec.filling ? spec.needs.cpu : 0;
 }
 
 } // namespace radishvane::cells
--- a/core/cells/run_keeper.h
+++ b/core/cells/run_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cells/admission_desk.h"
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
 #include "core/cells/job_book.h"
@@ -55,6 +56,8 @@
     static constexpr std::size_t jobsEachMillisecond = 8;
     /// Beyond the time to stop a task: time for the workers to be asked by a new owner.
     static constexpr Duration disruptionMargin{1'000};
+    /// Time without filling tasks on a worker where they came too near to a lasting one.
+    static constexpr Duration fillPause{10'000};
     /// Most starts that one look gives out.
     static constexpr std::size_t mostStarts = 64;
 
@@ -67,6 +70,7 @@
     void see(const std::vector<WorkerEntry> &entries);
     void answered(const OrderAnswered &event);
     void answered(const HoldAnswered &event);
+    void answered(const AdmissionAnswered &event);
     /// A transaction has stored what it held of ends.
     void stored(const CellWriter::Pending &done);
     /// The life of a worker has ended for certain, with all that it ran.
@@ -102,7 +106,13 @@
     void judge(Worker &worker, RunEnd how);
 
     void planStarts(const SiteConfig &config);
-    bool startOne(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index);
+    bool isAdmitted(const SiteConfig &config, const PoolRooms &rooms, const ReadyStep &ready);
+    std::size_t startTasks(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::size_t most);
+    /// Starts all tasks of a gang, or none.
+    std::size_t startGang(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready);
+    Worker *chooseFor(const SiteConfig &config, PoolRooms &rooms, const ReadyStep &ready, std::uint32_t index);
+    void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
+               const std::string &checkpoint);
     void startAnswered(const TaskId &task, const OrderAnswered &event);
     void stopAnswered(const TaskId &task, const OrderAnswered &event);
     void endRun(const TaskId &task, RunEnd how);
@@ -114,6 +124,13 @@
     bool mayDisrupt(const TaskId &task) const;
     void occupy(Worker &worker, const TaskId &task);
     void vacate(const TaskId &task);
+    void leave(Worker &worker, const TaskId &task);
+    /// The other members of a task's gang.
+    std::vector<TaskId> gangOf(const TaskId &task) const;
+    void endGang(const TaskId &task, RunNumber number);
+    void stopGang(const TaskId &task, const std::string &reason);
+    /// Stops what disturbs a lasting task that comes near to the bound on its tail.
+    void guardTail(Worker &worker, const RunningRow &row);
     RunNumber nextRun(const Job &job, const Task &task) const;
     std::uint32_t mostFailures(const JobId &job) const;
 
@@ -123,6 +140,7 @@
     JobBook m_book;
     WorkerRoster m_roster;
     TeamLedger m_ledger;
+    AdmissionDesk m_admission;
     std::map<CallId, TaskId> m_starts;
     std::map<CallId, TaskId> m_stops;
     std::map<CallId, WorkerId> m_holds;
--- a/core/cells/site.h
+++ b/core/cells/site.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,16 @@
 namespace radishvane::cells
 {
 
+/// Times of the site's admission service for one queue.
+struct AdmissionTimes
+{
+    Duration decision{0};
+    /// Beyond that, for each worker asked about.
+    Duration eachWorker{0};
+    /// A ticket is good for so long.
+    Duration validity{0};
+};
+
 /// A queue: the calls that belong to it, and the pool whose workers run its tasks.
 struct Queue
 {
@@ -29,6 +40,8 @@
     Duration targetDuration{0};
     /// Open to callers without a key.
     bool open = false;
+    /// Where it is set, only workers that the admission service names may run a step.
+    std::optional<AdmissionTimes> admission;
 };
 
 struct SitePool
@@ -81,6 +94,8 @@
     WorkerState state = WorkerState::Ready;
     Needs room;
     std::set<std::string> labels;
+    /// The one of the labels that names its rack.
+    RackId rack;
     /// Milliseconds since 1970 of this life's start.
     std::int64_t born = 0;
 
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -141,7 +141,7 @@
     return on == step.onWorker.end() || on->second < spec.mostPerWorker;
 }
 
-/// Filling tasks disturb lasting ones, so the two are kept apart.
+/// Filling tasks disturb lasting ones, so the two are kept apart as far as there is other room.
 bool disturbs(const Worker &worker, const StepSpec &spec)
 {
     if (spec.filling) {
@@ -184,7 +184,7 @@
     return order;
 }
 
-PoolRooms::PoolRooms(WorkerRoster &roster, TimePoint now)
+PoolRooms::PoolRooms(WorkerRoster &roster, TimePoint now) : m_now(now)
 {
     for (auto &[id, worker] : roster.all()) {
         if (worker.takesTasks(now)) {
@@ -200,6 +200,11 @@
     return found == m_workers.end() ? none : found->second;
 }
 
+TimePoint PoolRooms::now() const
+{
+    return m_now;
+}
+
 bool PoolRooms::isFullFor(const PoolId &pool, const StepSpec &spec) const
 {
     const auto found = m_refused.find(pool);
@@ -215,19 +220,20 @@
 }
 
 Worker *chooseWorker(const PoolRooms &rooms, const ReadyStep &ready, const StepSpec &spec, const Step &step,
-                     const Task &task)
+                     const Task &task, const WorkerFilter &mayRun)
 {
     Worker *best = nullptr;
-    std::tuple<bool, bool, double> bestScore;
+    std::tuple<bool, bool, bool, double> bestScore;
     for (Worker *worker : rooms.workers(ready.pool)) {
-        if (!worker->hasLabel(spec.label) || !hasRoom(*worker, spec, step) || disturbs(*worker, spec)) {
+        if (!worker->hasLabel(spec.label) || !hasRoom(*worker, spec, step) || !mayRun(*worker)
+            || (spec.filling && rooms.now() < worker->fillNotBefore)) {
             continue;
         }
         const bool isFar = !worker->hasLabel(spec.rack);
         const bool failedHere = task.failedOn == worker->id;
         const double room = static_cast<double>(std::max<std::uint64_t>(worker->room().cpu, 1));
         const double taken = static_cast<double>(worker->used.cpu + worker->fillingCpu) / room;
-        const std::tuple<bool, bool, double> score{isFar, failedHere, taken};
+        const std::tuple<bool, bool, bool, double> score{disturbs(*worker, spec), isFar, failedHere, taken};
         if (best == nullptr || score < bestScore) {
             best = worker;
             bestScore = score;
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -3,6 +3,7 @@
 #include "core/cells/job_book.h"
 #include "core/cells/site.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -36,16 +37,21 @@
     bool isFullFor(const PoolId &pool, const StepSpec &spec) const;
     /// A task of @p spec has found no room.
     void noteFull(const PoolId &pool, const StepSpec &spec);
+    TimePoint now() const;
 
 private:
     std::map<PoolId, std::vector<Worker *>> m_workers;
     std::map<PoolId, Needs> m_refused;
+    TimePoint m_now;
 };
 
+/// Whether a worker may run a task for reasons other than its room.
+using WorkerFilter = std::function<bool(const Worker &)>;
+
 /// The worker for one more task of @p step, or nullptr when none has room.
 ///
 /// Takes the worker with the most processor time left, since tasks on one worker share more than its room tells.
 Worker *chooseWorker(const PoolRooms &rooms, const ReadyStep &ready, const StepSpec &spec, const Step &step,
-                     const Task &task);
+                     const Task &task, const WorkerFilter &mayRun);
 
 } // namespace radishvane::cells
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -175,6 +175,7 @@
     worker.foreign.clear();
     worker.foreignUsed = Needs{};
     worker.failuresInARow = 0;
+    worker.fillNotBefore = TimePoint{};
     worker.avoidedUntil = TimePoint{};
     worker.nextHold = TimePoint{};
 }
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -64,6 +64,8 @@
     std::uint32_t guarded = 0;
     std::uint32_t filling = 0;
     std::uint64_t fillingCpu = 0;
+    /// Filling tasks have disturbed a lasting one here; none comes before then.
+    TimePoint fillNotBefore;
 
     std::uint32_t failuresInARow = 0;
     TimePoint avoidedUntil;
--- a/drivers/site_settings.cpp
+++ b/drivers/site_settings.cpp
@@ -41,6 +41,7 @@
     settings.metricsListen = fields.endpoint("metrics_listen");
     settings.store = fields.endpoint("store");
     settings.hostService = fields.endpoint("host_service");
+    settings.admission = fields.optionalEndpoint("admission").value_or(Endpoint{});
     settings.mostHold = milliseconds(fields, "most_hold_ms");
     settings.workerStop = milliseconds(fields, "worker_stop_ms");
     settings.keysWithin = milliseconds(fields, "keys_within_ms");
--- a/drivers/site_settings.h
+++ b/drivers/site_settings.h
@@ -28,6 +28,8 @@
     Endpoint store;
     /// The platform's service for hosts.
     Endpoint hostService;
+    /// The service that says which workers may run a step; queues that ask for it need it.
+    Endpoint admission;
     /// Longest lease of what runs on a worker.
     Duration mostHold{0};
     /// Time for a worker to stop a task.
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -7,11 +7,13 @@
 {
 
 CellTask::CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
-                   const HostId &host, std::uint64_t incarnation, const Endpoint &link, cells::CellTimes times)
+                   const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
+                   cells::CellTimes times)
     : m_clock(clock)
     , m_log(log)
     , m_incarnation(incarnation)
     , m_host(host)
+    , m_admission(admission)
     , m_keeper(cell, host, incarnation, link, times)
     , m_http(loop)
     , m_mailbox(
@@ -80,6 +82,13 @@
     });
 }
 
+void CellTask::apply(const cells::AskAdmission &ask)
+{
+    m_http.send(platform::admissionCall(m_admission, ask), [this, id = ask.call](drivers::HttpOutcome &&outcome) {
+        handle(platform::readAdmission(id, outcome));
+    });
+}
+
 void CellTask::apply(const cells::WriteCell &call)
 {
     siteCalled.emit(call);
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -23,7 +23,8 @@
     static constexpr Duration tickInterval{25};
 
     CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
-             const HostId &host, std::uint64_t incarnation, const Endpoint &link, cells::CellTimes times);
+             const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
+             cells::CellTimes times);
 
     void post(Message message);
 
@@ -39,6 +40,7 @@
     void apply(const cells::StartOrder &order);
     void apply(const cells::StopOrder &order);
     void apply(const cells::HoldOrder &order);
+    void apply(const cells::AskAdmission &ask);
     void apply(const cells::WriteCell &call);
     void apply(const cells::ReadCell &call);
     void apply(const cells::ReadOwner &call);
@@ -56,6 +58,7 @@
     drivers::EventLog &m_log;
     std::uint64_t m_incarnation;
     HostId m_host;
+    Endpoint m_admission;
     cells::CellKeeper m_keeper;
     std::optional<cells::OwnerRow> m_toldOwner;
     bool m_stopping = false;
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -386,6 +386,123 @@
     });
 }
 
+TEST(CellGangs, StartWholeOrNotAtAll)
+{
+    story("a gang of six on workers that have room for four", [] {
+        CellSite site;
+        fill(site, 2);
+        site.durations[JobId("j1")] = 3'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 12, 1'000, Duration(3'000)));
+        site.run(Duration(500));
+        GraphSpec gang = graphOf(1, 6, 1'000, Duration(300));
+        gang.steps[0].gang = true;
+        site.submit(site.owner(), "g", "plans", gang);
+        section("none of its tasks starts while there is no room for all", [&] {
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.runs("g"), 0);
+        });
+        section("all start when there is", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("g"), 6);
+            EXPECT_EQ(site.state("g"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+    story("a worker with a member of a gang crashes", [] {
+        CellSite site;
+        fill(site, 3);
+        GraphSpec gang = graphOf(1, 6, 1'000, Duration(3'000));
+        gang.steps[0].gang = true;
+        site.durations[JobId("g")] = 3'000;
+        site.submit(site.owner(), "g", "plans", gang);
+        site.run(Duration(1'000));
+        site.crash("w0");
+        site.run(Duration(300));
+        site.revive("w0");
+        site.run(Duration(10'000));
+        EXPECT_EQ(site.state("g"), GraphState::Completed);
+        EXPECT_EQ(site.runs("g"), 12);
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellAdmission, StartsOnlyWhereTheServiceAllows)
+{
+    story("a queue whose steps may run on one of four workers only", [] {
+        CellSite site;
+        site.addQueue("checked", "looms");
+        site.setAdmission("checked");
+        fill(site, 4);
+        site.admitted = {"w2"};
+        site.submit(site.owner(), "j1", "checked", graphOf(2, 4, 1'000, Duration(300)));
+        section("its tasks run there", [&] {
+            site.run(Duration(400));
+            EXPECT_EQ(site.runningOn("w2"), 4);
+        });
+        section("and nowhere else", [&] {
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runningOn("w0") + site.runningOn("w1") + site.runningOn("w3"), 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellRepeats, BeginWhenTheyAreDue)
+{
+    story("a job of three occurrences, a second apart, the first in a second", [] {
+        CellSite site;
+        fill(site);
+        GraphSpec spec = graphOf(1, 2, 1'000, Duration(300));
+        spec.repeats = 3;
+        spec.firstDue = site.wall() + Duration(1'000);
+        spec.period = Duration(1'000);
+        site.submit(site.owner(), "j1", "plans", spec);
+        section("nothing runs before its time", [&] {
+            site.run(Duration(900));
+            EXPECT_EQ(site.runs("j1"), 0);
+        });
+        section("each occurrence runs in its turn", [&] {
+            site.run(Duration(700));
+            EXPECT_EQ(site.runs("j1"), 2);
+            EXPECT_EQ(site.state("j1"), GraphState::Running);
+        });
+        section("and the job ends with the last", [&] {
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runs("j1"), 6);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellFilling, GivesWayToLastingTasks)
+{
+    story("filling tasks beside a lasting task whose tail comes near to its bound", [] {
+        CellSite site;
+        fill(site, 1);
+        GraphSpec lasting = lastingJob(1, 1);
+        lasting.steps[0].tailTarget = Duration(100);
+        GraphSpec filling = graphOf(1, 2, 6'000, Duration(20'000));
+        filling.steps[0].filling = true;
+        site.durations[JobId("f")] = 20'000;
+        site.submit(site.owner(), "f", "plans", filling);
+        site.run(Duration(500));
+        EXPECT_EQ(site.runningOn("w0"), 2);
+        site.submit(site.owner(), "l", "plans", lasting);
+        section("the lasting task gets its place all the same", [&] {
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.runs("l"), 1);
+        });
+        section("what fills is stopped when the tail rises", [&] {
+            site.worker("w0").load = 90;
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.runningOn("w0"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellPlanning, GivesRoomAwayFromALongBacklog)
 {
     story("a backlog of 600 jobs on one worker, which runs eight tasks of 300 ms at a time", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -86,6 +86,11 @@
     m_config->queues[queue.id] = queue;
 }
 
+void CellSite::setAdmission(const std::string &queue)
+{
+    m_config->queues.at(QueueId(queue)).admission = AdmissionTimes{Duration(20), Duration(2), Duration(3'000)};
+}
+
 void CellSite::addTeam(const std::string &name, std::uint64_t cpuCeiling)
 {
     SiteTeam team;
@@ -247,6 +252,11 @@
     return m_now;
 }
 
+WallTime CellSite::wall() const
+{
+    return instant().wall;
+}
+
 Instant CellSite::instant() const
 {
     // Beyond the start of the clock, so that a time that was never set lies long ago.
@@ -295,6 +305,15 @@
     std::visit(Overloaded{
                    [&](const StartOrder &order) { start(caller, order); },
                    [&](const StopOrder &order) { stopTask(caller, order); },
+                   [&](const AskAdmission &ask) {
+                       AdmissionAnswered answer{ask.call, true, {}};
+                       for (const WorkerId &worker : ask.workers) {
+                           if (admitted.count(worker.name()) > 0) {
+                               answer.tickets[worker] = "t-" + worker.name();
+                           }
+                       }
+                       later(30, [this, caller, answer] { give(caller, answer); });
+                   },
                    [&](const HoldOrder &order) { hold(caller, order); },
                    [&](const WriteCell &call) { write(caller, call); },
                    [&](const ReadCell &call) { read(caller, call); },
@@ -644,6 +663,7 @@
         row.percent = run.stalled ? 0
             : run.lasting         ? (age >= startUp ? atWork : 0)
                           : std::min(99.0, age * 100 / static_cast<double>(std::max<std::int64_t>(run.duration, 1)));
+        row.load = worker->load;
         answer.report.running.push_back(row);
     }
     answer.report.ended = worker->ended;
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -38,6 +38,8 @@
     bool stalls = false;
     /// Tasks that start here fail.
     bool fails = false;
+    /// Reported for each task that runs here.
+    double load = 0;
     cells::Epoch fence = 0;
     std::int64_t deadline = 0;
     std::int64_t bornAt = 0;
@@ -73,6 +75,8 @@
     /// Chance that a call's answer is lost, and that a lost order is carried out seconds later.
     double lostAnswers = 0;
     bool storeDown = false;
+    /// Workers for which the admission service gives tickets.
+    std::set<std::string> admitted;
     std::int64_t storeDelay = 6;
     /// Run time of tasks in milliseconds, by job; 300 when not set.
     std::map<JobId, std::int64_t> durations;
@@ -80,6 +84,8 @@
     ModelNode &addNode(const std::string &name);
     ModelWorker &addWorker(const std::string &id, const std::string &pool, std::uint64_t cpu);
     void addQueue(const std::string &name, const std::string &pool, std::uint32_t mostFailures = 3);
+    /// Lets the admission service decide about the steps of a queue.
+    void setAdmission(const std::string &queue);
     void addTeam(const std::string &name, std::uint64_t cpuCeiling);
     /// A wave over the hosts of these workers.
     void addWave(std::uint64_t number, const std::vector<std::string> &workers, std::uint32_t mostAtOnce);
@@ -112,6 +118,7 @@
     std::size_t runningOn(const std::string &worker) const;
     bool isMaintained(const std::string &worker) const;
     std::int64_t time() const;
+    WallTime wall() const;
 
     std::vector<std::string> broken;
     std::set<std::uint64_t> completedWaves;
