Play a site between real processes against the platform in small

Change: site_stand_in speaks the published protocol (store with conditions and feed, workers with leases and fences, hosts). Taking out the check of the lease before orders is caught by no test yet: fences protect every worker that the next owner reaches.

--- /dev/null
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -0,0 +1,505 @@
+// The users' platform in small, by its published protocol: the store with conditional transactions and a feed, workers
+// with leases and fences, and the service for hosts.
+
+#include "drivers/event_loop.h"
+#include "drivers/http_server.h"
+#include "drivers/system_clock.h"
+#include "drivers/timer.h"
+#include "tests/stand_ins/control.h"
+
+#include <CLI/CLI.hpp>
+
+#include <csignal>
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace
+{
+
+using namespace radishvane;
+using namespace radishvane::drivers;
+using namespace radishvane::stand_ins;
+using nlohmann::json;
+
+constexpr auto loopback = "127.0.0.1";
+constexpr Duration tickInterval{10};
+constexpr std::int64_t stopMilliseconds = 200;
+constexpr std::int64_t maintenanceMilliseconds = 1'000;
+
+/// What the store does with the next transaction.
+enum class StoreMode {
+    Serve,
+    /// It is done, and its answer never comes.
+    LoseNextAnswer,
+    /// Every call is turned away.
+    Down,
+};
+
+constexpr std::array<std::string_view, 3> storeModeNames{"serve", "lose-next-answer", "down"};
+
+std::int64_t milliseconds()
+{
+    static const SystemClock clock;
+    return std::chrono::duration_cast<Duration>(clock.now().time_since_epoch()).count();
+}
+
+std::string toBase64(const std::string &text)
+{
+    static constexpr std::string_view letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string result;
+    for (std::size_t at = 0; at < text.size(); at += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t place = 0; place < 3; ++place) {
+            group = (group << 8) | (at + place < text.size() ? static_cast<unsigned char>(text[at + place]) : 0);
+        }
+        for (std::size_t place = 0; place < 4; ++place) {
+            result += at + place > text.size() ? '=' : letters[(group >> (18 - 6 * place)) & 63];
+        }
+    }
+    return result;
+}
+
+class StoreStandIn
+{
+public:
+    StoreStandIn(EventLoop &loop, std::uint16_t port)
+        : m_port(port)
+        , m_server(
+              loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
+        , m_timer(loop, tickInterval, [this] { answerWaiting(); })
+    {
+    }
+
+    bool listen()
+    {
+        return m_server.listen(Endpoint{loopback, m_port});
+    }
+
+    void put(const std::string &table, const std::string &part, const std::string &key, const json &value)
+    {
+        m_rows[{table, part, key}] = Row{toBase64(value.dump()), ++m_version, false};
+    }
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool removed = false;
+    };
+
+    using Key = std::tuple<std::string, std::string, std::string>;
+
+    struct Waiting
+    {
+        ExchangeId exchange;
+        std::string table;
+        std::uint64_t after = 0;
+        std::int64_t until = 0;
+    };
+
+    static Key keyOf(const json &row)
+    {
+        return Key{row.at("table"), row.at("part"), row.at("key")};
+    }
+
+    json rowJson(const Key &key, const Row &row) const
+    {
+        json result{
+            {"table", std::get<0>(key)}, {"part", std::get<1>(key)}, {"key", std::get<2>(key)}, {"ver", row.version}};
+        if (row.removed) {
+            result["tombstone"] = true;
+        } else {
+            result["value"] = row.value;
+        }
+        return result;
+    }
+
+    json withVersion(json body) const
+    {
+        body["ver"] = m_version;
+        body["nowMs"] = milliseconds();
+        return body;
+    }
+
+    void take(const HttpRequest &request)
+    {
+        if (request.path == "/control") {
+            m_mode = readMode<StoreMode>(storeModeNames, json::parse(request.body)).value_or(StoreMode::Serve);
+            m_server.answer(request.id, jsonAnswer(httpStatus::ok, json::object()));
+            return;
+        }
+        if (m_mode == StoreMode::Down) {
+            m_server.answer(request.id, jsonAnswer(httpStatus::unavailable, json::object()));
+        } else if (request.path == "/-/rows-tx") {
+            transact(request);
+        } else if (request.path == "/-/rows-get") {
+            read(request);
+        } else if (request.path == "/-/rows-feed") {
+            auto query = readQuery(request.query);
+            m_waiting.push_back(Waiting{request.id, query["table"], std::stoull(query["after"]),
+                                        milliseconds() + std::stoll(query["waitMs"])});
+            answerWaiting();
+        } else {
+            m_server.answer(request.id, jsonAnswer(httpStatus::notFound, json::object()));
+        }
+    }
+
+    void transact(const HttpRequest &request)
+    {
+        const json body = json::parse(request.body);
+        for (const json &expected : body.at("expectedRev")) {
+            const auto found = m_rows.find(keyOf(expected));
+            const std::uint64_t version = found == m_rows.end() || found->second.removed ? 0 : found->second.version;
+            if (version == expected.at("ver").get<std::uint64_t>()) {
+                continue;
+            }
+            json rows = json::array();
+            if (version > 0) {
+                rows.push_back(rowJson(found->first, found->second));
+            }
+            constexpr int conditionFailed = 412;
+            m_server.answer(request.id, jsonAnswer(conditionFailed, withVersion({{"rows", rows}})));
+            return;
+        }
+        ++m_version;
+        for (const json &write : body.at("writes")) {
+            m_rows[keyOf(write)] = Row{write.at("value"), m_version, false};
+        }
+        for (const json &removed : body.at("remove")) {
+            m_rows[keyOf(removed)] = Row{{}, m_version, true};
+        }
+        if (m_mode == StoreMode::LoseNextAnswer) {
+            m_mode = StoreMode::Serve;
+            return;
+        }
+        m_server.answer(request.id, jsonAnswer(httpStatus::ok, withVersion(json::object())));
+        answerWaiting();
+    }
+
+    void read(const HttpRequest &request)
+    {
+        auto query = readQuery(request.query);
+        json rows = json::array();
+        for (const auto &[key, row] : m_rows) {
+            if (std::get<0>(key) == query["table"] && std::get<1>(key) == query["part"]
+                && std::get<2>(key) >= query["from"] && !row.removed) {
+                rows.push_back(rowJson(key, row));
+            }
+        }
+        m_server.answer(request.id, jsonAnswer(httpStatus::ok, withVersion({{"rows", rows}, {"hasMore", false}})));
+    }
+
+    void answerWaiting()
+    {
+        for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+            json rows = json::array();
+            for (const auto &[key, row] : m_rows) {
+                if (std::get<0>(key) == waiting->table && row.version > waiting->after) {
+                    rows.push_back(rowJson(key, row));
+                }
+            }
+            if (rows.empty() && milliseconds() < waiting->until) {
+                ++waiting;
+                continue;
+            }
+            m_server.answer(waiting->exchange, jsonAnswer(httpStatus::ok, withVersion({{"rows", rows}})));
+            waiting = m_waiting.erase(waiting);
+        }
+    }
+
+    std::uint16_t m_port;
+    StoreMode m_mode = StoreMode::Serve;
+    std::uint64_t m_version = 0;
+    std::map<Key, Row> m_rows;
+    std::list<Waiting> m_waiting;
+    HttpServer m_server;
+    Timer m_timer;
+};
+
+/// A worker without a guard of its own; a job's text "ms=N" tells how long its tasks take.
+class SiteWorkerStandIn
+{
+public:
+    SiteWorkerStandIn(EventLoop &loop, std::uint16_t port)
+        : m_port(port)
+        , m_born(milliseconds())
+        , m_server(
+              loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
+        , m_timer(loop, tickInterval, [this] { tick(); })
+    {
+    }
+
+    bool listen()
+    {
+        return m_server.listen(Endpoint{loopback, m_port});
+    }
+
+    std::string id() const
+    {
+        return "i-" + std::to_string(m_port);
+    }
+
+    json entry(const std::string &service) const
+    {
+        return json{{"service", service},
+                    {"address", std::string(loopback) + ':' + std::to_string(m_port)},
+                    {"zone", "a"},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", "ready"},
+                    {"coldLeftMs", 0},
+                    {"capacity", {{"cpu", 8'000}, {"memMb", 8'000}, {"gpus", 0}}},
+                    {"labels", {"a", "r1-1"}},
+                    {"clockMs", 0},
+                    {"born", m_born},
+                    {"machine", "m-" + std::to_string(m_port)},
+                    {"seqNo", 1}};
+    }
+
+    /// Ends all that runs, as a host that goes down does.
+    void goDown()
+    {
+        m_running.clear();
+        m_ended.clear();
+        m_lastEnd = 0;
+        m_fence = 0;
+        m_born = milliseconds();
+    }
+
+private:
+    struct Run
+    {
+        std::uint64_t number = 0;
+        std::int64_t endsAt = 0;
+        std::int64_t startedAt = 0;
+        std::string how = "done";
+    };
+
+    struct Waiting
+    {
+        ExchangeId exchange;
+        std::int64_t until = 0;
+    };
+
+    std::int64_t clock() const
+    {
+        return milliseconds() - m_born;
+    }
+
+    void refuse(const HttpRequest &request, const std::string &reason)
+    {
+        m_server.answer(request.id, jsonAnswer(httpStatus::conflict, {{"clockMs", clock()}, {"reason", reason}}));
+    }
+
+    void take(const HttpRequest &request)
+    {
+        constexpr int misdirected = 421;
+        if (headerValue(request.headers, "X-Radishvane-Target-Instance") != id()) {
+            m_server.answer(request.id, jsonAnswer(misdirected, json::object()));
+            return;
+        }
+        const json body = json::parse(request.body);
+        const std::uint64_t fence = body.value("fencingToken", 0);
+        if (fence < m_fence) {
+            refuse(request, "fence");
+            return;
+        }
+        m_fence = fence;
+        if (request.path == "/-/run-start") {
+            start(request, body);
+        } else if (request.path == "/-/run-stop") {
+            stop(request, body);
+        } else {
+            hold(request, body);
+        }
+    }
+
+    void start(const HttpRequest &request, const json &body)
+    {
+        const std::string task = body.at("task");
+        const std::int64_t deadline = body.at("deadlineMs");
+        if (deadline < clock()) {
+            refuse(request, "late");
+            return;
+        }
+        m_deadline = std::max(m_deadline, deadline);
+        const std::string payload = body.at("spec");
+        const std::int64_t duration = std::stoll(payload.substr(payload.find('=') + 1));
+        m_running.try_emplace(task, Run{body.at("runId"), milliseconds() + duration, milliseconds(), "done"});
+        m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"clockMs", clock()}}));
+    }
+
+    void stop(const HttpRequest &request, const json &body)
+    {
+        const auto running = m_running.find(body.at("task"));
+        if (running != m_running.end() && running->second.number == body.at("runId").get<std::uint64_t>()) {
+            running->second.how = "stopped";
+            running->second.endsAt = milliseconds() + stopMilliseconds;
+        }
+        m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"clockMs", clock()}}));
+    }
+
+    void hold(const HttpRequest &request, const json &body)
+    {
+        const std::uint64_t noted = body.at("ackSeq");
+        m_deadline = std::max(m_deadline, body.value("deadlineMs", std::int64_t{0}));
+        std::erase_if(m_ended, [noted](const json &end) { return end[0].get<std::uint64_t>() <= noted; });
+        m_waiting.push_back(Waiting{request.id, milliseconds() + body.value("waitMs", 0)});
+        answerWaiting();
+    }
+
+    void tick()
+    {
+        const bool lapsed = clock() > m_deadline;
+        for (auto running = m_running.begin(); running != m_running.end();) {
+            if (!lapsed && milliseconds() < running->second.endsAt) {
+                ++running;
+                continue;
+            }
+            m_ended.push_back(json{++m_lastEnd, running->first, running->second.number,
+                                   lapsed ? std::string("lapsed") : running->second.how, ""});
+            running = m_running.erase(running);
+        }
+        answerWaiting();
+    }
+
+    void answerWaiting()
+    {
+        for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+            if (m_ended.empty() && milliseconds() < waiting->until) {
+                ++waiting;
+                continue;
+            }
+            json running = json::array();
+            for (const auto &[task, run] : m_running) {
+                const std::int64_t whole = std::max<std::int64_t>(run.endsAt - run.startedAt, 1);
+                running.push_back(json{task, run.number, "", (milliseconds() - run.startedAt) * 100 / whole, 0});
+            }
+            m_server.answer(
+                waiting->exchange,
+                jsonAnswer(httpStatus::ok,
+                           {{"clockMs", clock()}, {"born", m_born}, {"running", running}, {"endedRuns", m_ended}}));
+            waiting = m_waiting.erase(waiting);
+        }
+    }
+
+    std::uint16_t m_port;
+    std::int64_t m_born;
+    std::uint64_t m_fence = 0;
+    std::int64_t m_deadline = 0;
+    std::uint64_t m_lastEnd = 0;
+    std::map<std::string, Run> m_running;
+    std::vector<json> m_ended;
+    std::list<Waiting> m_waiting;
+    HttpServer m_server;
+    Timer m_timer;
+};
+
+class HostServiceStandIn
+{
+public:
+    HostServiceStandIn(EventLoop &loop, std::uint16_t port, std::vector<std::unique_ptr<SiteWorkerStandIn>> &workers,
+                       StoreStandIn &store, std::string service)
+        : m_port(port)
+        , m_workers(workers)
+        , m_store(store)
+        , m_service(std::move(service))
+        , m_server(
+              loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
+    {
+    }
+
+    bool listen()
+    {
+        return m_server.listen(Endpoint{loopback, m_port});
+    }
+
+private:
+    static std::string hostOf(const SiteWorkerStandIn &worker)
+    {
+        return "m-" + worker.id().substr(2);
+    }
+
+    void take(const HttpRequest &request)
+    {
+        if (request.path == "/-/machines") {
+            json machines = json::array();
+            for (const auto &worker : m_workers) {
+                const bool isDown = m_downUntil[worker->id()] > milliseconds();
+                machines.push_back(json{{"machine", hostOf(*worker)},
+                                        {"pool", m_service},
+                                        {"state", isDown ? "upkeep" : "up"},
+                                        {"id", worker->id()}});
+            }
+            m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"machines", machines}, {"nextToken", nullptr}}));
+            return;
+        }
+        const json body = json::parse(request.body);
+        for (const auto &worker : m_workers) {
+            if (hostOf(*worker) == body.at("machine").get<std::string>() && m_downUntil[worker->id()] == 0) {
+                m_downUntil[worker->id()] = milliseconds() + maintenanceMilliseconds;
+                worker->goDown();
+                m_store.put("servers", "", worker->id(), worker->entry(m_service));
+            }
+        }
+        m_server.answer(request.id, jsonAnswer(httpStatus::ok, json::object()));
+    }
+
+    std::uint16_t m_port;
+    std::vector<std::unique_ptr<SiteWorkerStandIn>> &m_workers;
+    StoreStandIn &m_store;
+    std::string m_service;
+    std::map<std::string, std::int64_t> m_downUntil;
+    HttpServer m_server;
+};
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    CLI::App app("The users' platform in small: store, host service and workers.", "site_stand_in");
+    std::uint16_t port = 0;
+    int workerCount = 3;
+    bool hasWave = false;
+    app.add_option("--port", port, "the store's; the host service and the workers follow")->required();
+    app.add_option("--workers", workerCount, "workers of the one pool");
+    app.add_flag("--wave", hasWave, "all hosts are due for maintenance");
+    CLI11_PARSE(app, argumentCount, arguments);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    EventLoop loop;
+    StoreStandIn store(loop, port);
+    std::vector<std::unique_ptr<SiteWorkerStandIn>> workers;
+    std::vector<std::uint16_t> ports;
+    for (int index = 0; index < workerCount; ++index) {
+        ports.push_back(static_cast<std::uint16_t>(port + 2 + index));
+    }
+    HostServiceStandIn hosts(loop, static_cast<std::uint16_t>(port + 1), workers, store, "looms");
+    const auto make = [&loop](std::uint16_t own) {
+        return std::make_unique<SiteWorkerStandIn>(loop, own);
+    };
+    if (!store.listen() || !hosts.listen() || !listenOnEach(ports, workers, make)) {
+        return 1;
+    }
+    json machines = json::array();
+    for (const auto &worker : workers) {
+        store.put("servers", "", worker->id(), worker->entry("looms"));
+        machines.push_back("m-" + worker->id().substr(2));
+    }
+    // Entries of other writers name no worker to use, and end nothing.
+    store.put("servers", "", "i-other", json{{"service", 7}});
+    const json queue{{"name", "q"},      {"host", "site.example"}, {"prefix", "/plans/"},    {"service", "looms"},
+                     {"maxAttempts", 3}, {"stretch", 1.5},         {"targetDurationMs", 500}};
+    store.put("op", "", "config",
+              json{{"version", 3},
+                   {"routes", {queue}},
+                   {"services", {{{"name", "looms"}}}},
+                   {"tenants", {{{"name", "t"}, {"weight", 1}, {"apiKeys", {"key-1"}}}}}});
+    if (hasWave) {
+        store.put("op", "", "wave/1", json{{"wave", 1}, {"machines", machines}, {"durationS", 20}, {"cap", 1}});
+    }
+    loop.run();
+    return 0;
+}
