Make the test of a stop across a takeover see the fault

Change: the wave of the owner before empties another host than the new owner's. Shown: without the pause two tasks are being stopped where one may be; with it, the test passes.

--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -382,7 +382,7 @@
         fill(site, 4);
         site.submit(site.owner(), "j1", "plans", lastingJob(4, 1));
         site.run(Duration(2'000));
-        site.addWave(1, {"w0", "w1", "w2", "w3"}, 2);
+        site.addWave(1, {"w3"}, 1);
         // Time for the first stop to be ordered, and not to have ended.
         std::size_t stopping = 0;
         while (stopping == 0 && site.time() < 6'000) {
@@ -395,6 +395,7 @@
         }
         ASSERT_EQ(stopping, 1);
         site.stop(site.owner());
+        site.addWave(2, {"w0"}, 1);
         for (int step = 0; step < 80; ++step) {
             site.run(Duration(10));
             std::size_t away = 0;
