Metrics of a site's host at an address of their own

Change: MetricsTask: decisions by reason, calls and store writes by outcome with histograms of their times, the age of what is believed, lines that the log dropped; ProcessSite reads them.

--- a/core/cells/call_gate.cpp
+++ b/core/cells/call_gate.cpp
@@ -43,6 +43,11 @@
     return m_config && now - m_contact < m_keysWithin * staleTenths / 10;
 }
 
+TimePoint CallGate::lastContact() const
+{
+    return m_contact;
+}
+
 const SiteConfigPtr &CallGate::config() const
 {
     return m_config;
--- a/core/cells/call_gate.h
+++ b/core/cells/call_gate.h
@@ -71,6 +71,8 @@
 
     GateVerdict check(const GateCall &call, TimePoint now) const;
     bool hasFreshKeys(TimePoint now) const;
+    /// When the last answered question to the operator's table was asked.
+    TimePoint lastContact() const;
     const SiteConfigPtr &config() const;
 
 private:
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -45,6 +45,7 @@
     , m_front(m_loop, m_clock, m_log,
               servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
               settings.keysWithin)
+    , m_metrics(m_loop, settings.metricsListen)
     , m_stop(m_loop, m_clock, std::min(leaveWait, settings.stopWithin / 2),
              std::min(finishWait, settings.stopWithin / 4))
 {
@@ -71,6 +72,10 @@
     m_front.asked.connect([this](const servers::CellQuestion &question) {
         std::visit([this](const auto &ask) { m_cell.post(cells::CellEvent(ask)); }, question);
     });
+    m_front.callMeasured.connect([this](const servers::CallMeasured &measured) { m_metrics.post(measured); });
+    m_front.agesChanged.connect([this](const servers::BeliefAges &ages) { m_metrics.post(ages); });
+    m_cell.decided.connect([this](const cells::DecisionNoted &note) { m_metrics.post(note); });
+    m_cell.writeMeasured.connect([this](const servers::WriteMeasured &measured) { m_metrics.post(measured); });
     m_front.statusChanged.connect([this](const servers::RequestStatus &status) { m_stop.post(status); });
     m_stop.stageChanged.connect([this](servers::StopStage stage) {
         m_front.post(stage);
@@ -94,7 +99,7 @@
 
 std::string SiteHost::listen()
 {
-    return m_front.listen();
+    return m_metrics.listen() ? m_front.listen() : "metrics_listen";
 }
 
 void SiteHost::run()
--- a/main/site_host.h
+++ b/main/site_host.h
@@ -5,6 +5,7 @@
 #include "drivers/site_settings.h"
 #include "drivers/suspend_clock.h"
 #include "servers/cell_task.h"
+#include "servers/metrics_task.h"
 #include "servers/site_front_task.h"
 #include "servers/site_store_task.h"
 #include "servers/stop_task.h"
@@ -40,6 +41,7 @@
     servers::SiteStoreTask m_store;
     servers::CellTask m_cell;
     servers::SiteFrontTask m_front;
+    servers::MetricsTask m_metrics;
     servers::StopTask m_stop;
     event *m_reload = nullptr;
 };
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -36,6 +36,9 @@
 void CellTask::handle(const cells::CellEvent &event)
 {
     m_stopping = m_stopping || std::holds_alternative<cells::CellStop>(event);
+    if (const auto *written = std::get_if<cells::CellWritten>(&event)) {
+        writeMeasured.emit(WriteMeasured{written->outcome, toMilliseconds(m_clock.now() - m_writeSent)});
+    }
     for (const cells::CellEffect &effect : m_keeper.handle(event, m_clock.instant())) {
         std::visit([this](const auto &alternative) { apply(alternative); }, effect);
     }
@@ -91,6 +94,7 @@
 
 void CellTask::apply(const cells::WriteCell &call)
 {
+    m_writeSent = m_clock.now();
     siteCalled.emit(call);
 }
 
@@ -132,6 +136,7 @@
 
 void CellTask::apply(const cells::DecisionNoted &note)
 {
+    decided.emit(note);
     m_log.line(drivers::LogLevel::Info, enumName(cells::cellDecisionNames, note.decision),
                {{"subject", note.subject},
                 {"worker", note.worker},
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -33,6 +33,8 @@
     sigc::signal<void(const OwnerKnown &)> ownerChanged;
     /// The cell is not this process's any more, or never was.
     sigc::signal<void()> released;
+    sigc::signal<void(const cells::DecisionNoted &)> decided;
+    sigc::signal<void(const WriteMeasured &)> writeMeasured;
 
 private:
     void on(const cells::CellEvent &event);
@@ -61,6 +63,7 @@
     Endpoint m_admission;
     cells::CellKeeper m_keeper;
     std::optional<cells::OwnerRow> m_toldOwner;
+    TimePoint m_writeSent;
     bool m_stopping = false;
     bool m_owns = false;
     bool m_toldReleased = false;
--- /dev/null
+++ b/servers/metrics_task.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/cells/cell_messages.h"
+#include "drivers/http_server.h"
+#include "drivers/mailbox.h"
+#include "drivers/metrics_page.h"
+#include "servers/site_messages.h"
+
+#include <variant>
+
+namespace radishvane::servers
+{
+
+/// Owns the metrics of the process and the port at which they are fetched.
+class MetricsTask
+{
+public:
+    using Message = std::variant<cells::DecisionNoted, CallMeasured, WriteMeasured, BeliefAges>;
+
+    MetricsTask(drivers::EventLoop &loop, Endpoint listen);
+
+    bool listen();
+    void post(Message message);
+
+private:
+    void on(const cells::DecisionNoted &message);
+    void on(const CallMeasured &message);
+    void on(const WriteMeasured &message);
+    void on(const BeliefAges &message);
+
+    Endpoint m_listen;
+    drivers::MetricsPage m_page;
+    drivers::HttpServer m_server;
+    drivers::Mailbox<Message> m_mailbox;
+};
+
+} // namespace radishvane::servers
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -223,6 +223,7 @@
     m_open.erase(found);
     switch (open.source) {
     case Source::Caller:
+        callMeasured.emit(CallMeasured{answer.answer, toMilliseconds(m_clock.now() - open.since)});
         m_log.line(drivers::LogLevel::Info, "call-answered",
                    {{"subject", open.subject},
                     {"outcome", std::string(enumName(cells::callAnswerNames, answer.answer))},
@@ -240,6 +241,12 @@
     RequestStatus status;
     status.running = m_callers.open();
     statusChanged.emit(status);
+    const TimePoint now = m_clock.now();
+    if (now >= m_nextAges) {
+        m_nextAges = now + agesInterval;
+        agesChanged.emit(BeliefAges{m_gate.config() ? m_gate.config()->version : 0,
+                                    toMilliseconds(now - m_gate.lastContact()), m_owner.isSelf, m_log.dropped()});
+    }
     const bool ready = isReady();
     if (ready != m_wasReady) {
         m_wasReady = ready;
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -35,6 +35,8 @@
     static constexpr Duration retryAfter{1'000};
     /// Interval at which the number of open requests is told.
     static constexpr Duration statusInterval{100};
+    /// Interval at which the age of what is believed is told.
+    static constexpr Duration agesInterval{1'000};
 
     SiteFrontTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Ports ports,
                   Duration keysWithin);
@@ -45,6 +47,8 @@
 
     sigc::signal<void(const CellQuestion &)> asked;
     sigc::signal<void(const RequestStatus &)> statusChanged;
+    sigc::signal<void(const CallMeasured &)> callMeasured;
+    sigc::signal<void(const BeliefAges &)> agesChanged;
 
 private:
     /// Where a question came from, and so where its answer goes.
@@ -83,6 +87,7 @@
     OwnerKnown m_owner;
     bool m_stopping = false;
     bool m_wasReady = false;
+    TimePoint m_nextAges;
     std::uint64_t m_lastId = 0;
     std::map<ExchangeId, Open> m_open;
     drivers::HttpServer m_callers;
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -28,6 +28,29 @@
     bool isSelf = false;
 };
 
+/// A caller's call that was answered.
+struct CallMeasured
+{
+    cells::CallAnswer outcome = cells::CallAnswer::Unavailable;
+    double milliseconds = 0;
+};
+
+/// A write of a cell's rows that has ended.
+struct WriteMeasured
+{
+    cells::CellWriteOutcome outcome = cells::CellWriteOutcome::Unknown;
+    double milliseconds = 0;
+};
+
+/// How old what the process believes is.
+struct BeliefAges
+{
+    std::uint64_t configVersion = 0;
+    double operatorContact = 0;
+    bool ownsCell = false;
+    std::uint64_t logLinesDropped = 0;
+};
+
 /// A caller's question for the cell of this process.
 using CellQuestion = std::variant<cells::SubmitJob, cells::AskJob, cells::CancelJob, cells::AskPending>;
 
--- a/tests/servers/site_test.cpp
+++ b/tests/servers/site_test.cpp
@@ -237,6 +237,17 @@
                       400);
             EXPECT_NE(site.body().find("steps[0].count"), std::string::npos) << site.body();
         });
+        section("the metrics tell of calls by outcome, of writes and of the configuration's version", [&] {
+            std::string pages;
+            for (int index = 0; index < entryCount; ++index) {
+                EXPECT_EQ(site.ask(site.port(index, 3), drivers::HttpMethod::Get, "/metrics", {}, {}), 200);
+                pages += site.body();
+            }
+            for (const char *line : {"radishvane_calls_total{outcome=\"accepted\"} 1", "radishvane_config_version 3",
+                                     "radishvane_store_write_milliseconds_count", "radishvane_owns_cell 1"}) {
+                EXPECT_NE(pages.find(line), std::string::npos) << line << " in\n" << pages;
+            }
+        });
         section("the queue's count of waiting jobs is 0", [&] {
             EXPECT_EQ(site.ask(site.port(1, 0), drivers::HttpMethod::Get, "/plans/", {}, "key-1"), 200);
             EXPECT_EQ(json::parse(site.body()).at("pending"), 0);
