Take no room for known where a worker runs what nobody knows

A worker that had been cut off still ran a task of a job that the next owner had cancelled and whose needs it had forgotten; the room that was set aside for it was read from discovery, where the worker did not stand yet, and so was nothing. Ruled out: the order of answers (one look at a time to each worker), a lease that outlasts its time (it had not run out). Change: the needs of ended jobs are kept; a worker that runs something unknown takes no tasks.

--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -299,7 +299,8 @@
         return;
     }
     job.open.clear();
-    job.row.spec = GraphSpec{};
+    // What the steps need is kept, since a worker that was cut off may still run a task of the job.
+    job.row.spec.payload.clear();
     m_live.erase(job.row.id);
 }
 
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -182,7 +182,8 @@
         const bool isUnknown = (!worker.fenced || worker.silent) && (worker.entry || !worker.isSettled(now));
         const bool hasEnds = worker.processed > worker.noted;
         const bool mayNote = worker.stored == worker.processed;
-        if (isUnknown || (hasEnds && mayNote) || (!hasEnds && !(worker.tasks.empty() && worker.foreign.empty()))) {
+        if (isUnknown || (hasEnds && mayNote)
+            || (!hasEnds && !(worker.tasks.empty() && worker.foreign.empty() && !worker.runsUnknown))) {
             sendHold(worker);
             continue;
         }
@@ -340,19 +341,20 @@
     }
     worker.foreign.clear();
     worker.foreignUsed = Needs{};
+    worker.runsUnknown = false;
 }
 
 void RunKeeper::addForeign(Worker &worker, const TaskId &task)
 {
     const Job *job = m_book.find(task.job);
     const StepSpec *spec = m_book.spec(task);
-    // A task of which nothing is known may take all that there is.
-    const Needs reserved = spec == nullptr ? worker.room() : spec->reserved();
-    const Needs taken = spec == nullptr ? Needs{} : spec->needs;
-    const TeamId team = job == nullptr ? TeamId() : job->row.team;
-    if (worker.foreign.emplace(task, std::pair{team, taken}).second) {
-        worker.foreignUsed += reserved;
-        m_ledger.take(team, taken);
+    if (job == nullptr || spec == nullptr) {
+        worker.runsUnknown = true;
+        return;
+    }
+    if (worker.foreign.emplace(task, std::pair{job->row.team, spec->needs}).second) {
+        worker.foreignUsed += spec->reserved();
+        m_ledger.take(job->row.team, spec->needs);
     }
 }
 
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -22,8 +22,8 @@
 
 bool Worker::takesTasks(TimePoint now) const
 {
-    return fenced && recorded && !cordoned && !silent && !gone && entry && entry->state == WorkerState::Ready
-        && now >= avoidedUntil;
+    return fenced && recorded && !cordoned && !silent && !gone && !runsUnknown && entry
+        && entry->state == WorkerState::Ready && now >= avoidedUntil;
 }
 
 bool Worker::hasLabel(const std::string &label) const
@@ -174,6 +174,7 @@
     worker.noted = 0;
     worker.foreign.clear();
     worker.foreignUsed = Needs{};
+    worker.runsUnknown = false;
     worker.failuresInARow = 0;
     worker.fillNotBefore = TimePoint{};
     worker.avoidedUntil = TimePoint{};
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -60,6 +60,8 @@
     /// What it runs that is not ours to go on with, by its own list: what is being stopped still takes room.
     std::map<TaskId, std::pair<TeamId, Needs>> foreign;
     Needs foreignUsed;
+    /// It runs something of which not even the needs are known, so that its room cannot be told.
+    bool runsUnknown = false;
     /// Lasting tasks with a bound on their tail.
     std::uint32_t guarded = 0;
     std::uint32_t filling = 0;
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -324,6 +324,36 @@
     });
 }
 
+TEST(CellRoom, CountsWhatRunsOnAfterItsJobWasForgotten)
+{
+    story("a worker is cut off from the next owner with a task of a job that is cancelled meanwhile", [] {
+        CellSite site;
+        fill(site, 1);
+        GraphSpec lasting = lastingJob(1, 1);
+        lasting.steps[0].needs.cpu = 6'000;
+        site.submit(site.owner(), "l", "plans", lasting);
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runningOn("w0"), 1);
+        site.worker("w0").cut = true;
+        site.worker("w0").listed = false;
+        const std::string first = site.owner();
+        site.stop(first);
+        site.run(Duration(600));
+        site.cancel(site.owner(), "l");
+        site.submit(site.owner(), "j", "plans", graphOf(1, 8, 1'000, Duration(300)));
+        site.run(Duration(1'200));
+        EXPECT_EQ(site.state("l"), GraphState::Cancelled);
+        section("it answers again before discovery shows it again", [&] {
+            site.worker("w0").cut = false;
+            site.run(Duration(100));
+            site.worker("w0").listed = true;
+            site.run(Duration(6'000));
+            EXPECT_EQ(site.state("j"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellTeams, StayUnderTheirCeiling)
 {
     story("a team asks for four times its ceiling", [] {
