Tell a caller soon when the store does not answer

Change: a submission or a cancellation that is not stored after 1.2 s is answered as in doubt; the caller's retry joins the same job. Conclusion: no question waits longer than the owner's own bound.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -12,6 +12,8 @@
 
 /// Interval between two looks for ended jobs that may go.
 constexpr Duration dropInterval{5'000};
+/// Interval between two looks for callers who wait for the store.
+constexpr Duration answerInterval{200};
 
 } // namespace
 
@@ -73,6 +75,7 @@
     } else if (!m_stopping) {
         m_runs.advanceStarts(*m_config, m_lease.valid(now));
     }
+    answerWaiting();
     advanceWrites();
 }
 
@@ -490,6 +493,24 @@
     exchanges.clear();
 }
 
+void CellKeeper::answerWaiting()
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (now < m_nextAnswer) {
+        return;
+    }
+    m_nextAnswer = now + answerInterval;
+    for (const JobId &id : m_runs.book().live()) {
+        Job &job = *m_runs.book().find(id);
+        if (!job.stored && now - job.seenAt > storeWait) {
+            answerAll(job.submitters, CallAnswer::InDoubt);
+        }
+        if (isFinal(job.state) && !job.endStored && now - job.endedAt > storeWait) {
+            answerAll(job.cancellers, CallAnswer::InDoubt);
+        }
+    }
+}
+
 void CellKeeper::dropOldJobs()
 {
     const TimePoint now = m_outbox.now.steady;
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -22,6 +22,8 @@
     static constexpr std::size_t mostLiveJobs = 4'000;
     /// When a refused caller had best come back.
     static constexpr Duration retryAfter{1'000};
+    /// A caller whose job is not stored by then is told that it may or may not have been accepted.
+    static constexpr Duration storeWait{1'200};
     /// Pause after a read that the store did not answer.
     static constexpr Duration readRetry{150};
 
@@ -62,6 +64,7 @@
     void advanceWrites();
     void advanceWaves();
     void dropOldJobs();
+    void answerWaiting();
     void activate();
     void deactivate(CellDecision why, const std::string &reason);
     void write(CellTransaction transaction);
@@ -89,6 +92,7 @@
     CallId m_read;
     TimePoint m_readNotBefore;
     TimePoint m_nextDrop;
+    TimePoint m_nextAnswer;
 
     SiteConfigPtr m_config;
     std::vector<WorkerEntry> m_entries;
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -194,6 +194,29 @@
     });
 }
 
+TEST(CellOwner, TellsCallersSoonThatTheStoreDoesNotAnswer)
+{
+    story("the store goes down with a job on its way to it", [] {
+        CellSite site;
+        fill(site);
+        site.storeDown = true;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+        section("the caller is told within two seconds that the job may have been accepted", [&] {
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.answers("j1"), std::vector{CallAnswer::InDoubt});
+        });
+        section("the same job again is accepted once the store is back, and runs once", [&] {
+            site.storeDown = false;
+            site.run(Duration(3'000));
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.answers("j1").back(), CallAnswer::Accepted);
+            EXPECT_EQ(site.runs("j1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, WritesAgainWhatMayYetBeWritten)
 {
     story("the answer to a write is lost, and the store carries it out seconds later", [] {
