--- /dev/null
+++ b/tests/core/cells/call_gate_test.cpp
@@ -0,0 +1,86 @@
+#include "core/cells/call_gate.h"
+
+#include "core/base/enum_names.h"
+
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+constexpr TimePoint begin{std::chrono::hours(1)};
+
+SiteConfigPtr configOf(std::uint64_t version, const std::vector<std::string> &keys)
+{
+    auto config = std::make_shared<SiteConfig>();
+    config->version = version;
+    for (const char *name : {"short", "long"}) {
+        Queue queue;
+        queue.id = QueueId(name);
+        queue.host = "site.example";
+        queue.prefix = std::string(name) == "long" ? "/plans/late/" : "/plans/";
+        queue.open = std::string(name) == "long";
+        config->queues[queue.id] = queue;
+    }
+    for (const std::string &key : keys) {
+        config->keys[key] = TeamId("team-of-" + key);
+    }
+    return config;
+}
+
+GateCall callOf(const std::string &path, const std::string &key)
+{
+    return GateCall{GateCallKind::Submit, "site.example:8340", path, key};
+}
+
+std::string outcome(const GateVerdict &verdict)
+{
+    if (const auto *refusal = std::get_if<GateRefusal>(&verdict)) {
+        return std::string(enumName(gateRefusalNames, *refusal));
+    }
+    const auto &pass = std::get<GatePass>(verdict);
+    return pass.queue.name() + '/' + pass.job.name() + '/' + pass.team.name();
+}
+
+} // namespace
+
+TEST(CallGate, TakesKeysOnlyWhileItCanHearOfWithdrawals)
+{
+    story("a host whose keys must be withdrawn within five seconds", [] {
+        CallGate gate(Duration(5'000));
+        const GateCall call = callOf("/plans/0123456789abcdef", "k1");
+        section("without a configuration nothing passes, and nothing is said to be unknown",
+                [&] { EXPECT_EQ(outcome(gate.check(call, begin)), "no-config"); });
+        gate.see(configOf(4, {"k1"}));
+        gate.contact(begin);
+        section("the longest prefix selects the queue, and the key the team", [&] {
+            EXPECT_EQ(outcome(gate.check(call, begin)), "short/0123456789abcdef/team-of-k1");
+            EXPECT_EQ(outcome(gate.check(callOf("/plans/late/0123456789abcdef", ""), begin)), "long/0123456789abcdef/");
+            EXPECT_EQ(outcome(gate.check(callOf("/other/0123456789abcdef", "k1"), begin)), "unknown-queue");
+            EXPECT_EQ(outcome(gate.check(callOf("/plans/0123", "k1"), begin)), "bad-job-id");
+        });
+        section("cut off, it takes keys for less than the bound, and open queues go on", [&] {
+            EXPECT_EQ(outcome(gate.check(call, begin + Duration(2'900))), "short/0123456789abcdef/team-of-k1");
+            EXPECT_EQ(outcome(gate.check(call, begin + Duration(3'100))), "stale-keys");
+            EXPECT_EQ(outcome(gate.check(callOf("/plans/late/0123456789abcdef", ""), begin + Duration(3'100))),
+                      "long/0123456789abcdef/");
+        });
+        section("a withdrawn key is refused from the version on that drops it", [&] {
+            gate.see(configOf(9, {"k2"}));
+            gate.contact(begin + Duration(3'200));
+            EXPECT_EQ(outcome(gate.check(call, begin + Duration(3'200))), "unknown-key");
+        });
+        section("an older configuration that arrives late brings it back no more", [&] {
+            gate.see(configOf(4, {"k1"}));
+            EXPECT_EQ(outcome(gate.check(call, begin + Duration(3'200))), "unknown-key");
+        });
+    });
+}
+
+} // namespace radishvane::tests
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -298,6 +298,32 @@
     });
 }
 
+TEST(CellWorkers, ThatLeaveGetNoMoreTasksAndGiveLastingOnesBack)
+{
+    story("a worker says that it leaves soon", [] {
+        CellSite site;
+        fill(site, 2);
+        site.submit(site.owner(), "l", "plans", lastingJob(2, 1));
+        site.run(Duration(1'000));
+        ASSERT_GT(site.runningOn("w0"), 0);
+        site.worker("w0").entry.state = WorkerState::Draining;
+        section("its lasting tasks are at work elsewhere within seconds", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runningOn("w0"), 0);
+            EXPECT_EQ(site.runningOn("w1"), 2);
+        });
+        section("and it gets no other", [&] {
+            site.submit(site.owner(), "j", "plans", graphOf(2, 6, 100, Duration(300)));
+            for (int step = 0; step < 200; ++step) {
+                site.run(Duration(20));
+                ASSERT_EQ(site.runningOn("w0"), 0);
+            }
+            EXPECT_EQ(site.state("j"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellWorkers, ThatStandStillLoseTheirTasks)
 {
     story("one of two workers starts tasks and makes no progress", [] {
