Split the keeper of runs by what it decides: ledger, holds, starts, stops

Change: RunLedger keeps jobs, workers and what runs where in step; HoldKeeper renews leases and reads lists; StartKeeper and StopKeeper give orders; RunKeeper ties them. Behaviour as before.

--- /dev/null
+++ b/core/cells/run_ledger.cpp
@@ -0,0 +1,278 @@
+#include "core/cells/run_ledger.h"
+
+#include "core/base/enum_names.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// Failures of a task that fail its job, while the queue's configuration is not known.
+constexpr std::uint32_t unknownMostFailures = 1'000'000;
+
+} // namespace
+
+RunLedger::RunLedger(CellOutbox &outbox, CellWriter &writer) : m_outbox(outbox), m_writer(writer)
+{
+}
+
+void RunLedger::clear()
+{
+    m_book.clear();
+    m_roster = WorkerRoster{};
+    m_teams.clear();
+    m_stopping.clear();
+}
+
+JobBook &RunLedger::book()
+{
+    return m_book;
+}
+
+WorkerRoster &RunLedger::roster()
+{
+    return m_roster;
+}
+
+const TeamLedger &RunLedger::teams() const
+{
+    return m_teams;
+}
+
+std::set<TaskId> &RunLedger::stopping()
+{
+    return m_stopping;
+}
+
+void RunLedger::lookAgain()
+{
+    m_planDue = true;
+}
+
+bool RunLedger::takePlanDue()
+{
+    return std::exchange(m_planDue, false);
+}
+
+void RunLedger::occupy(Worker &worker, const TaskId &id)
+{
+    const StepSpec &spec = *m_book.spec(id);
+    worker.tasks.insert(id);
+    worker.used += spec.reserved();
+    worker.guarded += spec.lasting && spec.tailTarget > Duration{0} ? 1 : 0;
+    worker.filling += spec.filling ? 1 : 0;
+    worker.fillingCpu += spec.filling ? spec.needs.cpu : 0;
+    m_teams.take(m_book.find(id.job)->row.team, spec.needs);
+}
+
+void RunLedger::vacate(const TaskId &id)
+{
+    Worker *worker = m_roster.find(m_book.task(id)->run->worker);
+    if (worker == nullptr) {
+        m_teams.giveBack(m_book.find(id.job)->row.team, m_book.spec(id)->needs);
+        return;
+    }
+    leave(*worker, id);
+}
+
+void RunLedger::leave(Worker &worker, const TaskId &id)
+{
+    const StepSpec &spec = *m_book.spec(id);
+    m_teams.giveBack(m_book.find(id.job)->row.team, spec.needs);
+    if (worker.tasks.erase(id) == 0) {
+        return;
+    }
+    worker.used -= spec.reserved();
+    worker.guarded -= spec.lasting && spec.tailTarget > Duration{0} ? 1 : 0;
+    worker.filling -= spec.filling ? 1 : 0;
+    worker.fillingCpu -= spec.filling ? spec.needs.cpu : 0;
+}
+
+void RunLedger::endRun(const TaskId &id, RunEnd how)
+{
+    Task *task = m_book.task(id);
+    if (task == nullptr || !task->run) {
+        return;
+    }
+    const RunNumber number = task->run->number;
+    m_outbox.note(CellDecision::TaskEnded, taskName(id), task->run->worker.name(), number,
+                  std::string(enumName(runEndNames, how)));
+    vacate(id);
+    const EndEffect effect = m_book.end(id, number, how, mostFailures(id.job), m_outbox.now.steady);
+    m_planDue = true;
+    if (how == RunEnd::Done) {
+        endGang(id, number);
+    } else {
+        stopGang(id, "gang-broken");
+    }
+    Job &job = *m_book.find(id.job);
+    if (effect == EndEffect::JobEnded) {
+        m_outbox.note(CellDecision::JobEnded, id.job.name(), {}, 0, std::string(enumName(graphStateNames, job.state)));
+        jobEnded(id.job, "job-ended");
+    }
+    const bool lasting = m_book.spec(id) != nullptr && m_book.spec(id)->lasting;
+    if (effect != EndEffect::Ignored && !job.endStored && !(lasting && effect == EndEffect::TaskWaits)) {
+        m_writer.changeJob(id.job);
+    }
+    m_book.settle(job);
+}
+
+void RunLedger::withdrawRun(const TaskId &id)
+{
+    const RunNumber number = m_book.task(id)->run->number;
+    vacate(id);
+    m_book.withdraw(id, number);
+    m_planDue = true;
+    stopGang(id, "gang-incomplete");
+    Job &job = *m_book.find(id.job);
+    m_book.settle(job);
+}
+
+void RunLedger::wantStop(const TaskId &id, const std::string &reason)
+{
+    Task *task = m_book.task(id);
+    if (task == nullptr || !task->run || task->run->stopWanted) {
+        return;
+    }
+    task->run->stopWanted = true;
+    m_stopping.insert(id);
+    m_outbox.note(CellDecision::TaskStopped, taskName(id), task->run->worker.name(), task->run->number, reason);
+}
+
+void RunLedger::jobEnded(const JobId &id, const std::string &reason)
+{
+    const Job *job = m_book.find(id);
+    if (job == nullptr) {
+        return;
+    }
+    std::vector<TaskId> running;
+    for (const auto &[number, occurrence] : job->open) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task> &tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].run) {
+                    running.push_back(TaskId{id, number, step, index});
+                }
+            }
+        }
+    }
+    for (const TaskId &task : running) {
+        wantStop(task, reason);
+    }
+}
+
+std::vector<TaskId> RunLedger::gangOf(const TaskId &id) const
+{
+    std::vector<TaskId> members;
+    const StepSpec *spec = m_book.spec(id);
+    if (spec == nullptr || !spec->gang) {
+        return members;
+    }
+    for (std::uint32_t index = 0; index < spec->count; ++index) {
+        if (index != id.index) {
+            members.push_back(TaskId{id.job, id.occurrence, id.step, index});
+        }
+    }
+    return members;
+}
+
+void RunLedger::endGang(const TaskId &id, RunNumber number)
+{
+    // One end as done stands for all members of the run.
+    for (const TaskId &member : gangOf(id)) {
+        const Task *task = m_book.task(member);
+        if (task != nullptr && task->run && task->run->number == number) {
+            vacate(member);
+            m_book.end(member, number, RunEnd::Done, mostFailures(id.job), m_outbox.now.steady);
+        }
+    }
+}
+
+void RunLedger::stopGang(const TaskId &id, const std::string &reason)
+{
+    for (const TaskId &member : gangOf(id)) {
+        wantStop(member, reason);
+    }
+}
+
+void RunLedger::loseTasks(Worker &worker, CellDecision why)
+{
+    const std::set<TaskId> tasks = worker.tasks;
+    for (const TaskId &id : tasks) {
+        endRun(id, RunEnd::LeaseExpired);
+    }
+    clearForeign(worker);
+    worker.fenced = false;
+    if (!tasks.empty()) {
+        m_outbox.note(CellDecision::WorkerLost, worker.id.name(), worker.pool.name(), tasks.size(),
+                      std::string(enumName(cellDecisionNames, why)));
+    }
+}
+
+void RunLedger::endLife(Worker &worker, std::int64_t born)
+{
+    m_outbox.note(CellDecision::WorkerReborn, worker.id.name(), worker.pool.name(), static_cast<std::uint64_t>(born));
+    loseTasks(worker, CellDecision::WorkerReborn);
+    m_roster.beginLife(worker, born);
+    worker.recorded = false;
+    m_writer.changeRoster();
+}
+
+void RunLedger::clearForeign(Worker &worker)
+{
+    for (const auto &[task, taken] : worker.foreign) {
+        m_teams.giveBack(taken.first, taken.second);
+    }
+    worker.foreign.clear();
+    worker.foreignUsed = Needs{};
+    worker.runsUnknown = false;
+}
+
+void RunLedger::addForeign(Worker &worker, const TaskId &task)
+{
+    const Job *job = m_book.find(task.job);
+    const StepSpec *spec = m_book.spec(task);
+    if (job == nullptr || spec == nullptr) {
+        worker.runsUnknown = true;
+        return;
+    }
+    if (worker.foreign.emplace(task, std::pair{job->row.team, spec->needs}).second) {
+        worker.foreignUsed += spec->reserved();
+        m_teams.take(job->row.team, spec->needs);
+    }
+}
+
+void RunLedger::judge(Worker &worker, RunEnd how)
+{
+    if (how == RunEnd::Done) {
+        worker.failuresInARow = 0;
+    }
+    if (how != RunEnd::Failed || ++worker.failuresInARow < suspectFailures) {
+        return;
+    }
+    const TimePoint now = m_outbox.now.steady;
+    std::size_t workers = 0;
+    std::size_t avoided = 0;
+    for (const auto &[id, other] : m_roster.all()) {
+        workers += other.pool == worker.pool ? 1 : 0;
+        avoided += other.pool == worker.pool && other.avoidedUntil > now ? 1 : 0;
+    }
+    if ((avoided + 1) * mostAvoided > workers) {
+        return;
+    }
+    worker.avoidedUntil = now + avoidTime;
+    m_outbox.note(CellDecision::WorkerAvoided, worker.id.name(), worker.pool.name(), worker.failuresInARow,
+                  "failures-in-a-row");
+}
+
+std::uint32_t RunLedger::mostFailures(const JobId &id) const
+{
+    const Job *job = m_book.find(id);
+    return job == nullptr || job->mostFailures == 0 ? unknownMostFailures : job->mostFailures;
+}
+
+} // namespace radishvane::cells
--- /dev/null
+++ b/core/cells/stop_keeper.cpp
@@ -0,0 +1,130 @@
+#include "core/cells/stop_keeper.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// Interval between two tries of a stop.
+constexpr Duration stopRetry{400};
+
+} // namespace
+
+StopKeeper::StopKeeper(CellOutbox &outbox, RunLedger &runs)
+    : m_outbox(outbox), m_runs(runs), m_book(runs.book()), m_roster(runs.roster())
+{
+}
+
+void StopKeeper::clear()
+{
+    m_stops.clear();
+}
+
+void StopKeeper::disruptNotBefore(TimePoint time)
+{
+    m_disruptNotBefore = time;
+}
+
+void StopKeeper::advanceStops()
+{
+    const TimePoint now = m_outbox.now.steady;
+    std::vector<TaskId> over;
+    for (const TaskId &id : m_runs.stopping()) {
+        Task *task = m_book.task(id);
+        if (task == nullptr || !task->run || !task->run->stopWanted || task->run->stopAccepted) {
+            over.push_back(id);
+            continue;
+        }
+        Run &run = *task->run;
+        const Worker *worker = m_roster.find(run.worker);
+        if (run.stop.value != 0 || now < run.stopNotBefore || worker == nullptr || !worker->fenced) {
+            continue;
+        }
+        StopOrder order;
+        order.worker = worker->address();
+        order.task = id;
+        order.run = run.number;
+        order.fence = m_outbox.epoch;
+        run.stop = m_outbox.send(order);
+        m_stops[run.stop] = id;
+    }
+    for (const TaskId &id : over) {
+        m_runs.stopping().erase(id);
+    }
+}
+
+void StopKeeper::answered(const OrderAnswered &event)
+{
+    const auto found = m_stops.find(event.call);
+    if (found == m_stops.end()) {
+        return;
+    }
+    const TaskId task = found->second;
+    m_stops.erase(found);
+    stopAnswered(task, event);
+}
+
+void StopKeeper::stopAnswered(const TaskId &id, const OrderAnswered &event)
+{
+    Task *task = m_book.task(id);
+    if (task == nullptr || !task->run || task->run->stop != event.call) {
+        return;
+    }
+    Run &run = *task->run;
+    run.stop = CallId{};
+    run.stopNotBefore = m_outbox.now.steady + stopRetry;
+    if (event.outcome != OrderOutcome::Accepted) {
+        return;
+    }
+    run.stopAccepted = true;
+}
+
+void StopKeeper::emptyWorkers()
+{
+    const TimePoint now = m_outbox.now.steady;
+    for (auto &[id, worker] : m_roster.all()) {
+        const bool isLeaving = worker.entry && worker.entry->state == WorkerState::Draining;
+        if (!worker.cordoned && !isLeaving) {
+            worker.cordonedAt = now;
+            continue;
+        }
+        for (const TaskId &taskId : worker.tasks) {
+            const StepSpec *spec = m_book.spec(taskId);
+            const Task *task = m_book.task(taskId);
+            if (spec == nullptr || task == nullptr || !task->run || task->run->stopWanted) {
+                continue;
+            }
+            const bool isOverdue = !spec->lasting && now - worker.cordonedAt > emptyPatience;
+            if ((spec->lasting && (isLeaving || mayDisrupt(taskId))) || (isOverdue && !isLeaving)) {
+                m_runs.wantStop(taskId, isLeaving ? "worker-leaves" : "worker-emptied");
+            }
+        }
+    }
+}
+
+bool StopKeeper::mayDisrupt(const TaskId &id) const
+{
+    const Job *job = m_book.find(id.job);
+    const StepSpec *spec = m_book.spec(id);
+    if (job == nullptr || spec == nullptr || isFinal(job->state)) {
+        return true;
+    }
+    if (m_outbox.now.steady < m_disruptNotBefore) {
+        return false;
+    }
+    const Step &step = job->open.at(id.occurrence).steps[id.step];
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const Task &task = step.tasks[index];
+        const Worker *worker = task.run ? m_roster.find(task.run->worker) : nullptr;
+        const bool isAtWork
+            = worker != nullptr && !worker->silent && !task.run->stopWanted && task.run->percent >= atWork;
+        away += index != id.index && !isAtWork ? 1 : 0;
+    }
+    return away < std::max<std::uint32_t>(spec->allowance, 1);
+}
+
+} // namespace radishvane::cells
