Give the calls of maintenance waves a class of their own, and plan nothing without certain ownership

Cause, found by reading: while the owner's lease was not certain, a wave's plan was made and its orders were dropped, so that a host could stand as ordered for ever, and a report as sent. Not shown: CellWaves.GoOnAfterAnOutageOfTheStore passes with and without the change; it stays as a story of outages in a wave.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -23,6 +23,7 @@
     , m_times(times)
     , m_lease(std::move(host), incarnation, std::move(link))
     , m_runs(m_outbox, m_writer, times)
+    , m_waves(m_outbox, m_writer, m_host)
     , m_config(std::make_shared<SiteConfig>())
 {
 }
@@ -69,7 +70,7 @@
             m_read = m_outbox.send(ReadCell{{}, m_cell});
         }
     } else if (!m_stopping && isTick) {
-        advanceWaves();
+        m_runs.cordon(m_waves.advance(m_runs.roster(), m_lease.valid(m_outbox.now.steady)));
         m_runs.advance(*m_config, m_lease.valid(now));
         dropOldJobs();
     } else if (!m_stopping) {
@@ -310,78 +311,22 @@
 
 // ---- maintenance ----
 
-void CellKeeper::advanceWaves()
-{
-    const TimePoint now = m_outbox.now.steady;
-    if (!m_waves.isActive()) {
-        m_runs.cordon({});
-        return;
-    }
-    const WavePlan plan = m_waves.plan(m_runs.roster(), now);
-    m_runs.cordon(plan.cordoned);
-    for (const WaveRow &row : plan.changed) {
-        m_writer.changeWave(row);
-        if (row.completed) {
-            m_outbox.note(CellDecision::WaveCompleted, std::to_string(row.number), {}, row.ordered.size());
-        }
-    }
-    if (!m_lease.valid(now)) {
-        return;
-    }
-    if (plan.listHosts) {
-        m_hostLists[m_outbox.send(ListHosts{})] = now;
-    }
-    for (const auto &[host, wave] : plan.maintain) {
-        MaintainHost order;
-        order.host = host;
-        order.wave = wave;
-        order.holder = m_host;
-        order.fence = m_outbox.epoch;
-        m_hostOrders[m_outbox.send(order)] = {host, wave};
-        m_outbox.note(CellDecision::HostMaintained, host.name(), {}, wave, "ordered");
-    }
-    for (const auto &[wave, completed] : plan.reports) {
-        m_reports[m_outbox.send(ReportWave{{}, wave, completed})] = wave;
-    }
-}
-
 void CellKeeper::on(const HostsListed &event)
 {
-    const auto found = m_hostLists.find(event.call);
-    if (found == m_hostLists.end()) {
-        return;
-    }
-    const TimePoint asked = found->second;
-    m_hostLists.erase(found);
-    if (event.hosts) {
-        m_waves.see(*event.hosts, asked);
-    }
+    m_waves.answered(event);
 }
 
 void CellKeeper::on(const HostOrderAnswered &event)
 {
-    const auto found = m_hostOrders.find(event.call);
-    if (found == m_hostOrders.end()) {
-        return;
-    }
-    const auto [host, wave] = found->second;
-    m_hostOrders.erase(found);
-    m_outbox.note(CellDecision::HostMaintained, host.name(), {}, wave,
-                  std::string(enumName(hostOrderOutcomeNames, event.outcome)));
-    const WorkerId worker = m_waves.ordered(host, wave, event.outcome, m_outbox.now.steady);
-    if (event.outcome == HostOrderOutcome::Accepted) {
-        m_runs.endWorker(worker);
+    const std::optional<WorkerId> ended = m_waves.answered(event);
+    if (ended) {
+        m_runs.endWorker(*ended);
     }
 }
 
 void CellKeeper::on(const WaveReported &event)
 {
-    const auto found = m_reports.find(event.call);
-    if (found == m_reports.end()) {
-        return;
-    }
-    m_waves.reported(found->second, event.written);
-    m_reports.erase(found);
+    m_waves.answered(event);
 }
 
 // ---- callers ----
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -4,7 +4,7 @@
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
 #include "core/cells/run_keeper.h"
-#include "core/cells/wave_keeper.h"
+#include "core/cells/wave_desk.h"
 
 #include <map>
 #include <optional>
@@ -62,7 +62,6 @@
     void advance(bool isTick);
     void advanceOwnership();
     void advanceWrites();
-    void advanceWaves();
     void dropOldJobs();
     void answerWaiting();
     void activate();
@@ -82,7 +81,7 @@
     CellLease m_lease;
     CellWriter m_writer;
     RunKeeper m_runs;
-    WaveKeeper m_waves;
+    WaveDesk m_waves;
 
     bool m_active = false;
     bool m_rebuilt = false;
@@ -97,9 +96,6 @@
     SiteConfigPtr m_config;
     std::vector<WorkerEntry> m_entries;
     std::vector<Wave> m_waveList;
-    std::map<CallId, TimePoint> m_hostLists;
-    std::map<CallId, std::pair<HostId, std::uint64_t>> m_hostOrders;
-    std::map<CallId, std::uint64_t> m_reports;
 };
 
 } // namespace radishvane::cells
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -454,6 +454,29 @@
     });
 }
 
+TEST(CellWaves, GoOnAfterAnOutageOfTheStore)
+{
+    story("the store is down again and again for longer than the owner's lease, while hosts are due", [] {
+        CellSite site;
+        fill(site, 6);
+        // A second host would take the cell, and begin the wave's plan anew.
+        site.kill(other(site));
+        site.addWave(3, {"w0", "w1", "w2", "w3", "w4", "w5"}, 1);
+        for (int outage = 0; outage < 4; ++outage) {
+            site.run(Duration(1'700));
+            site.storeDown = true;
+            site.run(Duration(3'000));
+            site.storeDown = false;
+        }
+        site.run(Duration(25'000));
+        EXPECT_EQ(site.completedWaves.count(3), 1);
+        for (int index = 0; index < 6; ++index) {
+            EXPECT_TRUE(site.isMaintained("w" + std::to_string(index))) << index;
+        }
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellLasting, NoTaskIsEndedWhileTheOwnerBeforeEndsAnother)
 {
     story("an owner has begun to empty a host, and is replaced within the time that a stop takes", [] {
