Take out what nothing uses

Ruled out: making the shared shapes of messages and of the two settings readers one, which differ in what they hold. Conclusion: behaviour as before.

--- a/core/cells/cell_lease.cpp
+++ b/core/cells/cell_lease.cpp
@@ -43,11 +43,6 @@
     m_unchangedSince = sent;
 }
 
-void CellLease::release()
-{
-    m_renewedAt = TimePoint{};
-}
-
 bool CellLease::mayTake(TimePoint now) const
 {
     if (!m_known || now - m_lastContact > contactGap) {
--- a/core/cells/cell_lease.h
+++ b/core/cells/cell_lease.h
@@ -32,8 +32,6 @@
     void contact(TimePoint asked, TimePoint now);
     /// A write of @p row that was sent at @p sent has succeeded.
     void wrote(const OwnerRow &row, std::uint64_t version, TimePoint sent);
-    /// The row may have changed without our knowledge; the next look decides.
-    void release();
 
     /// Whether the row may be taken now.
     bool mayTake(TimePoint now) const;
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -198,13 +198,6 @@
     std::optional<CellContents> contents;
 };
 
-/// Reads a cell's owner row.
-struct ReadOwner
-{
-    CallId call;
-    CellId cell;
-};
-
 /// The owner's row as the store shows it; no owner when there is no row.
 struct OwnerSeen
 {
@@ -392,19 +385,17 @@
     WorkerReborn,
     WorkerLost,
     WorkerAvoided,
-    HostEmptied,
     HostMaintained,
-    WaveBegun,
     WaveCompleted,
     StoreWriteFailed,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 20> cellDecisionNames{
-    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt",   "job-accepted",
-    "job-refused",     "job-ended",       "task-started",       "task-ended",     "task-stopped",
-    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",    "worker-avoided",
-    "host-emptied",    "host-maintained", "wave-begun",         "wave-completed", "store-write-failed",
+inline constexpr std::array<std::string_view, 18> cellDecisionNames{
+    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt", "job-accepted",
+    "job-refused",     "job-ended",       "task-started",       "task-ended",   "task-stopped",
+    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",  "worker-avoided",
+    "host-maintained", "wave-completed",  "store-write-failed",
 };
 
 /// One line of the log: a decision, what it is about, and what decided it.
@@ -423,8 +414,8 @@
                                StoreContact, ConfigSeen, WorkersSeen, WavesSeen, HostsListed, HostOrderAnswered,
                                WaveReported, SubmitJob, AskJob, CancelJob, AskPending, CellTick, CellStop>;
 
-using CellEffect = std::variant<StartOrder, StopOrder, HoldOrder, AskAdmission, WriteCell, ReadCell, ReadOwner,
-                                ListHosts, MaintainHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
+using CellEffect = std::variant<StartOrder, StopOrder, HoldOrder, AskAdmission, WriteCell, ReadCell, ListHosts,
+                                MaintainHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
 
 using CellEffects = std::vector<CellEffect>;
 
--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -12,10 +12,9 @@
 /// lists.
 constexpr Duration lastingPause{100};
 
-Occurrence newOccurrence(const GraphSpec &spec, TimePoint now)
+Occurrence newOccurrence(const GraphSpec &spec)
 {
     Occurrence occurrence;
-    occurrence.begunAt = now;
     occurrence.steps.resize(spec.steps.size());
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         Step &step = occurrence.steps[index];
@@ -82,7 +81,7 @@
         return;
     }
     for (const auto &[number, progress] : row.open) {
-        Occurrence occurrence = newOccurrence(job->row.spec, now.steady);
+        Occurrence occurrence = newOccurrence(job->row.spec);
         for (std::size_t index = 0; index < std::min(progress.size(), occurrence.steps.size()); ++index) {
             Step &step = occurrence.steps[index];
             for (std::uint32_t place = 0; place < std::min(progress[index].size(), step.tasks.size()); ++place) {
@@ -108,7 +107,7 @@
     const GraphSpec &spec = job.row.spec;
     std::uint32_t next = job.open.empty() ? job.firstOpen : job.open.rbegin()->first + 1;
     while (next < spec.occurrences() && (spec.repeats == 0 || now.wall >= spec.dueAt(next))) {
-        job.open[next] = newOccurrence(spec, now.steady);
+        job.open[next] = newOccurrence(spec);
         ++next;
     }
 }
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -31,7 +31,6 @@
     RunPhase phase = RunPhase::Ordered;
     /// On the worker's clock: carried out later than that, the start is refused.
     std::int64_t startDeadline = 0;
-    TimePoint orderedAt;
     /// When the worker was known to have it.
     TimePoint confirmedAt;
     double percent = 0;
@@ -73,7 +72,6 @@
 {
     std::vector<Step> steps;
     std::uint32_t stepsDone = 0;
-    TimePoint begunAt;
     /// Time by which the occurrence has to end to earn in full, and what was left to do at @c weighedAt tasks done.
     WallTime objective{};
     /// Time after which its end is of no use any more.
--- a/core/cells/start_keeper.cpp
+++ b/core/cells/start_keeper.cpp
@@ -175,7 +175,6 @@
     run.number = order.run;
     run.worker = worker.id;
     run.startDeadline = order.deadline;
-    run.orderedAt = now;
     m_runs.occupy(worker, id);
     m_book.begin(id, std::move(run));
     m_outbox.note(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
--- a/core/cells/team_ledger.cpp
+++ b/core/cells/team_ledger.cpp
@@ -1,7 +1,5 @@
 #include "core/cells/team_ledger.h"
 
-#include <algorithm>
-
 namespace radishvane::cells
 {
 
@@ -43,15 +41,4 @@
         && isWithin(use.accelerators, ceiling.accelerators);
 }
 
-double TeamLedger::useForWeight(const SiteConfig &config, const TeamId &team) const
-{
-    const auto used = m_used.find(team);
-    if (used == m_used.end()) {
-        return 0;
-    }
-    const auto known = config.teams.find(team);
-    const std::uint64_t weight = known == config.teams.end() ? 1 : std::max<std::uint64_t>(known->second.weight, 1);
-    return static_cast<double>(used->second.cpu) / static_cast<double>(weight);
-}
-
 } // namespace radishvane::cells
--- a/core/cells/team_ledger.h
+++ b/core/cells/team_ledger.h
@@ -16,8 +16,6 @@
     void giveBack(const TeamId &team, const Needs &needs);
     /// Whether @p team stays at or under its ceiling with @p needs more. Jobs without a team have no ceiling.
     bool mayTake(const SiteConfig &config, const TeamId &team, const Needs &needs) const;
-    /// Use of processor time for the team's weight; less comes first when all is full.
-    double useForWeight(const SiteConfig &config, const TeamId &team) const;
 
 private:
     std::map<TeamId, Needs> m_used;
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -103,11 +103,6 @@
     siteCalled.emit(call);
 }
 
-void CellTask::apply(const cells::ReadOwner &call)
-{
-    siteCalled.emit(call);
-}
-
 void CellTask::apply(const cells::ListHosts &call)
 {
     siteCalled.emit(call);
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -45,7 +45,6 @@
     void apply(const cells::AskAdmission &ask);
     void apply(const cells::WriteCell &call);
     void apply(const cells::ReadCell &call);
-    void apply(const cells::ReadOwner &call);
     void apply(const cells::ListHosts &call);
     void apply(const cells::MaintainHost &call);
     void apply(const cells::ReportWave &call);
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -11,8 +11,8 @@
 {
 
 /// Calls of a cell to the platform's store and host service.
-using SiteCall = std::variant<cells::WriteCell, cells::ReadCell, cells::ReadOwner, cells::ListHosts,
-                              cells::MaintainHost, cells::ReportWave, cells::OwnershipChanged>;
+using SiteCall = std::variant<cells::WriteCell, cells::ReadCell, cells::ListHosts, cells::MaintainHost,
+                              cells::ReportWave, cells::OwnershipChanged>;
 
 /// The operator's table has answered a question sent at @c asked.
 struct OperatorContact
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -76,11 +76,6 @@
     m_cellStore.send(call);
 }
 
-void SiteStoreTask::send(const cells::ReadOwner &)
-{
-    m_owners.restart();
-}
-
 void SiteStoreTask::send(const cells::ListHosts &call)
 {
     m_hosts.send(call);
--- a/servers/site_store_task.h
+++ b/servers/site_store_task.h
@@ -40,7 +40,6 @@
     void on(const SiteCall &message);
     void send(const cells::WriteCell &call);
     void send(const cells::ReadCell &call);
-    void send(const cells::ReadOwner &call);
     void send(const cells::ListHosts &call);
     void send(const cells::MaintainHost &call);
     void send(const cells::ReportWave &call);
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -317,7 +317,6 @@
                    [&](const HoldOrder &order) { hold(caller, order); },
                    [&](const WriteCell &call) { write(caller, call); },
                    [&](const ReadCell &call) { read(caller, call); },
-                   [](const ReadOwner &) {},
                    [&](const ListHosts &call) {
                        std::vector<SiteHost> hosts;
                        for (const auto &[id, model] : m_workers) {
