--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -23,7 +23,7 @@
     , m_times(times)
     , m_lease(std::move(host), incarnation, std::move(link))
     , m_runs(m_outbox, m_writer, times)
-    , m_waves(m_outbox, m_writer, m_host)
+    , m_hosts(m_outbox, m_writer, m_host)
     , m_config(std::make_shared<SiteConfig>())
 {
 }
@@ -70,7 +70,7 @@
             m_read = m_outbox.send(ReadCell{{}, m_cell});
         }
     } else if (!m_stopping && isTick) {
-        m_runs.cordon(m_waves.advance(m_runs.roster(), m_lease.valid(m_outbox.now.steady)));
+        m_runs.cordon(m_hosts.advance(m_runs.book(), *m_config, m_runs.roster(), m_lease.valid(now)));
         m_runs.advance(*m_config, m_lease.valid(now));
         dropOldJobs();
     } else if (!m_stopping) {
@@ -106,7 +106,7 @@
     m_outbox.epoch = m_lease.epoch();
     m_writer.clear();
     m_runs.clear();
-    m_waves.clear();
+    m_hosts.clear();
     m_outbox.add(OwnershipChanged{true, m_outbox.epoch});
     m_outbox.note(CellDecision::OwnershipTaken, m_cell.name(), m_host.name(), m_lease.version());
 }
@@ -122,7 +122,7 @@
     m_releasing = false;
     m_runs.clear();
     m_writer.clear();
-    m_waves.clear();
+    m_hosts.clear();
     m_outbox.add(OwnershipChanged{false, m_outbox.epoch});
     m_outbox.note(why, m_cell.name(), m_host.name(), m_lease.version(), reason);
 }
@@ -229,8 +229,8 @@
     for (auto &[id, job] : m_runs.book().jobs()) {
         applyConfig(job);
     }
-    m_waves.restore(event.contents->waves);
-    m_waves.see(m_waveList);
+    m_hosts.restore(event.contents->waves);
+    m_hosts.see(m_waveList);
     m_rebuilt = true;
     m_outbox.note(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
 }
@@ -290,7 +290,7 @@
 {
     m_waveList = event.waves;
     if (m_active && m_rebuilt) {
-        m_waves.see(m_waveList);
+        m_hosts.see(m_waveList);
     }
 }
 
@@ -309,16 +309,16 @@
     m_runs.answered(event);
 }
 
-// ---- maintenance ----
+// ---- hosts ----
 
 void CellKeeper::on(const HostsListed &event)
 {
-    m_waves.answered(event);
+    m_hosts.answered(event);
 }
 
 void CellKeeper::on(const HostOrderAnswered &event)
 {
-    const std::optional<WorkerId> ended = m_waves.answered(event);
+    const std::optional<WorkerId> ended = m_hosts.answered(event);
     if (ended) {
         m_runs.endWorker(*ended);
     }
@@ -326,7 +326,7 @@
 
 void CellKeeper::on(const WaveReported &event)
 {
-    m_waves.answered(event);
+    m_hosts.answered(event);
 }
 
 // ---- callers ----
@@ -364,6 +364,10 @@
     book.openDue(job, m_outbox.now);
     job.submitters.push_back(event.exchange);
     m_writer.addJob(event.id);
+    const auto queue = m_config->queues.find(event.queue);
+    if (queue != m_config->queues.end()) {
+        m_hosts.accepted(queue->second.pool, event.spec);
+    }
     m_outbox.note(CellDecision::JobAccepted, event.id.name(), event.queue.name(), event.spec.steps.size());
 }
 
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -3,8 +3,8 @@
 #include "core/cells/cell_lease.h"
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
+#include "core/cells/host_desk.h"
 #include "core/cells/run_keeper.h"
-#include "core/cells/wave_desk.h"
 
 #include <map>
 #include <optional>
@@ -81,7 +81,7 @@
     CellLease m_lease;
     CellWriter m_writer;
     RunKeeper m_runs;
-    WaveDesk m_waves;
+    HostDesk m_hosts;
 
     bool m_active = false;
     bool m_rebuilt = false;
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -250,6 +250,16 @@
     Epoch fence = 0;
 };
 
+/// Sends a host to another pool, which ends all that runs on it.
+struct MoveHost
+{
+    CallId call;
+    HostId host;
+    PoolId pool;
+    HostId holder;
+    Epoch fence = 0;
+};
+
 /// What the host service said to an order for a host.
 enum class HostOrderOutcome {
     Accepted,
@@ -386,16 +396,17 @@
     WorkerLost,
     WorkerAvoided,
     HostMaintained,
+    HostMoved,
     WaveCompleted,
     StoreWriteFailed,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 18> cellDecisionNames{
-    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt", "job-accepted",
-    "job-refused",     "job-ended",       "task-started",       "task-ended",   "task-stopped",
-    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",  "worker-avoided",
-    "host-maintained", "wave-completed",  "store-write-failed",
+inline constexpr std::array<std::string_view, 19> cellDecisionNames{
+    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt",       "job-accepted",
+    "job-refused",     "job-ended",       "task-started",       "task-ended",         "task-stopped",
+    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",        "worker-avoided",
+    "host-maintained", "host-moved",      "wave-completed",     "store-write-failed",
 };
 
 /// One line of the log: a decision, what it is about, and what decided it.
@@ -415,7 +426,7 @@
                                WaveReported, SubmitJob, AskJob, CancelJob, AskPending, CellTick, CellStop>;
 
 using CellEffect = std::variant<StartOrder, StopOrder, HoldOrder, AskAdmission, WriteCell, ReadCell, ListHosts,
-                                MaintainHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
+                                MaintainHost, MoveHost, ReportWave, AnswerCall, OwnershipChanged, DecisionNoted>;
 
 using CellEffects = std::vector<CellEffect>;
 
--- a/core/cells/cell_outbox.h
+++ b/core/cells/cell_outbox.h
@@ -34,6 +34,16 @@
             DecisionNoted{decision, std::move(subject), std::move(worker), epoch, number, std::move(reason)});
     }
 
+    /// Fencing token of the next order for a host.
+    ///
+    /// It rises with each order, so that an earlier one that is carried out late is refused.
+    Epoch nextHostFence()
+    {
+        // Room for the orders of one epoch; the sum stays exact in a double of JSON for 2^20 epochs.
+        constexpr unsigned ordersEachEpochBits = 32;
+        return (epoch << ordersEachEpochBits) + ++m_hostOrders;
+    }
+
     CellEffects take()
     {
         CellEffects effects;
@@ -43,6 +53,7 @@
 
 private:
     std::uint64_t m_lastCall = 0;
+    std::uint64_t m_hostOrders = 0;
     CellEffects m_effects;
 };
 
--- /dev/null
+++ b/core/cells/host_mover.cpp
@@ -0,0 +1,209 @@
+#include "core/cells/host_mover.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// The worker in discovery that runs on @p host, or nullptr.
+const Worker *workerOn(const WorkerRoster &roster, const HostId &host)
+{
+    for (const auto &[id, worker] : roster.all()) {
+        if (worker.entry && worker.entry->host == host && !worker.gone) {
+            return &worker;
+        }
+    }
+    return nullptr;
+}
+
+/// Whether a worker takes tasks, or may once it has answered under this epoch.
+bool serves(const Worker &worker, TimePoint now)
+{
+    const bool isReady = worker.entry && worker.entry->state == WorkerState::Ready && !worker.gone && !worker.cordoned;
+    return isReady && !worker.silent && (worker.fenced || !worker.isSettled(now) || !worker.recorded);
+}
+
+bool isIdle(const Worker &worker)
+{
+    return worker.fenced && !worker.silent && worker.tasks.empty() && worker.foreign.empty() && !worker.runsUnknown;
+}
+
+} // namespace
+
+void HostMover::clear(TimePoint now)
+{
+    *this = HostMover{};
+    m_begun = now;
+}
+
+bool HostMover::isReady(const HostList &list, TimePoint now) const
+{
+    return now >= m_begun + settleTime && list.askedAt && *list.askedAt > m_begun;
+}
+
+std::vector<PlannedMove> HostMover::plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
+                                         const HostList &list, const WorkerRoster &roster,
+                                         const std::set<HostId> &inWaves, TimePoint now)
+{
+    settle(config, list, roster, now);
+    std::vector<PlannedMove> orders;
+    for (auto &[id, move] : m_moves) {
+        if (move.stage == MoveStage::InDoubt && now >= move.since + retryInterval) {
+            move.stage = MoveStage::Ordered;
+            orders.push_back(move.plan);
+        }
+    }
+    for (PlannedMove &planned : MovePlanner::plan(demands, config, hosts(list, roster, inWaves, now))) {
+        Move move;
+        move.plan = planned;
+        move.since = now;
+        const Worker *worker = workerOn(roster, planned.host);
+        move.worker = worker == nullptr ? WorkerId() : worker->id;
+        m_moves[planned.host] = move;
+        orders.push_back(std::move(planned));
+    }
+    return orders;
+}
+
+void HostMover::settle(const SiteConfig &config, const HostList &list, const WorkerRoster &roster, TimePoint now)
+{
+    std::erase_if(m_moves, [&](const auto &pair) {
+        const Move &move = pair.second;
+        if (list.hosts.count(pair.first) == 0) {
+            return true;
+        }
+        return move.stage == MoveStage::Travelling
+            && (hasArrived(move, config, list, roster) || now - move.since > mostTravel);
+    });
+}
+
+bool HostMover::hasArrived(const Move &move, const SiteConfig &config, const HostList &list, const WorkerRoster &roster)
+{
+    const SiteHost &host = list.hosts.at(move.plan.host);
+    if (*list.askedAt <= move.since || host.state != SiteHostState::Up || host.pool != move.plan.to) {
+        return false;
+    }
+    const auto pool = config.pools.find(move.plan.to);
+    if (pool != config.pools.end() && pool->second.standby) {
+        return true;
+    }
+    const Worker *worker = workerOn(roster, host.id);
+    return worker != nullptr && worker->fenced && worker->recorded && worker->pool == move.plan.to;
+}
+
+std::vector<MovableHost> HostMover::hosts(const HostList &list, const WorkerRoster &roster,
+                                          const std::set<HostId> &inWaves, TimePoint now)
+{
+    std::map<HostId, const Worker *> workers;
+    std::map<WorkerId, TimePoint> lastBusy;
+    for (const auto &[id, worker] : roster.all()) {
+        if (!worker.entry || worker.gone) {
+            continue;
+        }
+        workers[worker.entry->host] = &worker;
+        const auto known = m_lastBusy.find(id);
+        lastBusy[id] = known == m_lastBusy.end() || !isIdle(worker) ? now : known->second;
+    }
+    m_lastBusy = std::move(lastBusy);
+    std::vector<MovableHost> views;
+    for (const auto &[id, host] : list.hosts) {
+        const auto worker = workers.find(id);
+        views.push_back(viewOf(host, worker == workers.end() ? nullptr : worker->second, inWaves.count(id) > 0, now));
+    }
+    return views;
+}
+
+MovableHost HostMover::viewOf(const SiteHost &host, const Worker *worker, bool inWave, TimePoint now) const
+{
+    MovableHost view;
+    view.id = host.id;
+    view.pool = host.pool;
+    view.room = host.room;
+    view.labels = host.labels;
+    view.rack = host.rack;
+    const auto refused = m_refusedBy.find(host.id);
+    if (refused != m_refusedBy.end()) {
+        view.refusedBy = refused->second;
+    }
+    const auto move = m_moves.find(host.id);
+    if (move != m_moves.end()) {
+        view.pool = move->second.plan.to;
+        view.serves = true;
+        return view;
+    }
+    const auto notBefore = m_notBefore.find(host.id);
+    const bool isLeftAlone = notBefore != m_notBefore.end() && now < notBefore->second;
+    if (inWave || isLeftAlone || host.state != SiteHostState::Up) {
+        return view;
+    }
+    if (worker == nullptr) {
+        // Only a host in standby runs no worker for long; the planner knows which pools are.
+        view.idleFor = host.worker.empty() ? std::optional(Duration{0}) : std::nullopt;
+        return view;
+    }
+    if (worker->pool != host.pool) {
+        return view;
+    }
+    view.serves = serves(*worker, now);
+    if (view.serves && isIdle(*worker)) {
+        view.idleFor = std::chrono::duration_cast<Duration>(now - m_lastBusy.at(worker->id));
+    }
+    return view;
+}
+
+WorkerId HostMover::ordered(const HostId &host, HostOrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_moves.find(host);
+    if (found == m_moves.end()) {
+        return WorkerId();
+    }
+    Move &move = found->second;
+    const WorkerId worker = move.worker;
+    move.since = now;
+    switch (outcome) {
+    case HostOrderOutcome::Accepted:
+        move.stage = MoveStage::Travelling;
+        break;
+    case HostOrderOutcome::Unknown:
+        // It may be carried out at any time, so the host takes no tasks until an answer says that it was.
+        move.stage = MoveStage::InDoubt;
+        break;
+    case HostOrderOutcome::Invalid:
+    case HostOrderOutcome::NotInWave:
+        m_refusedBy[host].insert(move.plan.to);
+        m_moves.erase(found);
+        break;
+    case HostOrderOutcome::Fenced:
+    case HostOrderOutcome::Busy:
+    case HostOrderOutcome::Refused:
+        m_notBefore[host] = now + retryInterval;
+        m_moves.erase(found);
+        break;
+    }
+    return worker;
+}
+
+std::set<WorkerId> HostMover::cordoned() const
+{
+    std::set<WorkerId> workers;
+    for (const auto &[id, move] : m_moves) {
+        if (!move.worker.empty()) {
+            workers.insert(move.worker);
+        }
+    }
+    return workers;
+}
+
+std::set<HostId> HostMover::moving() const
+{
+    std::set<HostId> hosts;
+    for (const auto &[id, move] : m_moves) {
+        hosts.insert(id);
+    }
+    return hosts;
+}
+
+} // namespace radishvane::cells
--- a/core/cells/site.h
+++ b/core/cells/site.h
@@ -133,6 +133,17 @@
     SiteHostState state = SiteHostState::Up;
     /// Empty when no worker runs on it.
     WorkerId worker;
+    Needs room;
+    std::set<std::string> labels;
+    RackId rack;
+};
+
+/// All hosts by the newest list of the platform.
+struct HostList
+{
+    std::map<HostId, SiteHost> hosts;
+    /// When the list was asked for; nothing while there is none.
+    std::optional<TimePoint> askedAt;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -50,7 +50,8 @@
 
 /// The worker for one more task of @p step, or nullptr when none has room.
 ///
-/// Takes the worker with the most processor time left, since tasks on one worker share more than its room tells.
+/// Takes the worker with the least room left, so that hosts that are not needed stay idle and may be moved. Tasks that
+/// disturb each other beyond what their needs tell go where the most is left.
 Worker *chooseWorker(const PoolRooms &rooms, const ReadyStep &ready, const StepSpec &spec, const Step &step,
                      const Task &task, const WorkerFilter &mayRun);
 
--- a/core/cells/wave_keeper.cpp
+++ b/core/cells/wave_keeper.cpp
@@ -46,16 +46,6 @@
     }
 }
 
-void WaveKeeper::see(const std::vector<SiteHost> &hosts, TimePoint asked)
-{
-    m_hosts.clear();
-    for (const SiteHost &host : hosts) {
-        m_hosts[host.id] = host;
-    }
-    m_listedAt = asked;
-    m_listed = true;
-}
-
 WorkerId WaveKeeper::ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now)
 {
     const auto found = m_waves.find(wave);
@@ -98,24 +88,49 @@
     found->second.reportedCompleted = false;
 }
 
-bool WaveKeeper::isActive() const
+bool WaveKeeper::isOpen() const
 {
-    return std::any_of(m_waves.begin(), m_waves.end(),
-                       [](const auto &pair) { return !pair.second.completed || !pair.second.reportedCompleted; });
+    return std::any_of(m_waves.begin(), m_waves.end(), [](const auto &pair) { return !pair.second.completed; });
 }
 
-WavePlan WaveKeeper::plan(const WorkerRoster &roster, TimePoint now)
+bool WaveKeeper::isTaken(const WaveHost &host)
 {
-    WavePlan plan;
-    const bool isOpen
-        = std::any_of(m_waves.begin(), m_waves.end(), [](const auto &pair) { return !pair.second.completed; });
-    if (isOpen && now >= m_nextList) {
-        m_nextList = now + listInterval;
-        plan.listHosts = true;
+    return host.stage == HostStage::Emptying || host.stage == HostStage::Ordered || host.stage == HostStage::Down;
+}
+
+std::set<HostId> WaveKeeper::busy() const
+{
+    std::set<HostId> hosts;
+    for (const auto &[number, state] : m_waves) {
+        for (const auto &[id, host] : state.hosts) {
+            if (!state.completed && isTaken(host)) {
+                hosts.insert(id);
+            }
+        }
     }
+    return hosts;
+}
+
+const SiteHost *WaveKeeper::View::find(const HostId &host) const
+{
+    const auto found = list.hosts.find(host);
+    return found == list.hosts.end() ? nullptr : &found->second;
+}
+
+bool WaveKeeper::View::isUp(const HostId &host) const
+{
+    const SiteHost *found = find(host);
+    return found != nullptr && found->state == SiteHostState::Up;
+}
+
+WavePlan WaveKeeper::plan(const HostList &list, const WorkerRoster &roster, const std::set<HostId> &moving,
+                          TimePoint now)
+{
+    const View view{list, roster, moving, now};
+    WavePlan plan;
     for (auto &[number, state] : m_waves) {
-        if (!state.completed && m_listed) {
-            planWave(state, roster, plan, now);
+        if (!state.completed && list.askedAt) {
+            planWave(state, view, plan);
         }
         const bool isUntold = state.completed ? !state.reportedCompleted : state.begun && !state.reportedRunning;
         if (isUntold) {
@@ -131,28 +146,25 @@
 {
     return std::any_of(m_waves.begin(), m_waves.end(), [&](const auto &pair) {
         const auto found = pair.second.hosts.find(host);
-        return pair.first != wave && found != pair.second.hosts.end()
-            && (found->second.stage == HostStage::Ordered || found->second.stage == HostStage::Down
-                || found->second.stage == HostStage::Emptying);
+        return pair.first != wave && found != pair.second.hosts.end() && isTaken(found->second);
     });
 }
 
-void WaveKeeper::advance(WaveState &state, TimePoint now, WavePlan &plan)
+void WaveKeeper::advance(WaveState &state, const View &view, WavePlan &plan)
 {
     bool changed = false;
     for (auto &[host, entry] : state.hosts) {
-        const auto listed = m_hosts.find(host);
-        if (listed == m_hosts.end()) {
+        if (view.find(host) == nullptr) {
             // A host that has gone for good needs no maintenance.
             changed = changed || entry.stage != HostStage::Done;
             entry.stage = HostStage::Done;
             continue;
         }
-        const bool isFresh = m_listedAt > entry.since + settleTime;
-        if (entry.stage != HostStage::Down || !isFresh || listed->second.state != SiteHostState::Up) {
+        const bool isFresh = *view.list.askedAt > entry.since + settleTime;
+        if (entry.stage != HostStage::Down || !isFresh || !view.isUp(host)) {
             continue;
         }
-        entry.since = now;
+        entry.since = view.now;
         if (!entry.accepted) {
             // The order may yet be carried out, so the host keeps its place and is ordered again.
             entry.stage = HostStage::Ordered;
@@ -173,46 +185,47 @@
     }
 }
 
-void WaveKeeper::planWave(WaveState &state, const WorkerRoster &roster, WavePlan &plan, TimePoint now)
+void WaveKeeper::chooseNext(WaveState &state, const View &view, std::size_t most)
+{
+    std::vector<std::tuple<double, HostId>> waiting;
+    for (auto &[host, entry] : state.hosts) {
+        if (entry.stage != HostStage::Waiting || !view.isUp(host) || view.moving.count(host) > 0
+            || isBusyElsewhere(host, state.wave.number)) {
+            continue;
+        }
+        const Worker *worker = view.roster.find(view.find(host)->worker);
+        waiting.emplace_back(worker == nullptr ? 0.0 : static_cast<double>(worker->used.cpu), host);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    waiting.resize(std::min(waiting.size(), most));
+    for (const auto &[load, host] : waiting) {
+        state.hosts[host].stage = HostStage::Emptying;
+        state.hosts[host].since = view.now;
+    }
+}
+
+void WaveKeeper::planWave(WaveState &state, const View &view, WavePlan &plan)
 {
     if (!state.begun) {
         state.begun = true;
         plan.changed.push_back(rowOf(state));
     }
-    advance(state, now, plan);
+    advance(state, view, plan);
     if (state.completed) {
         return;
     }
     std::size_t down = 0;
     std::size_t emptying = 0;
     for (const auto &[host, entry] : state.hosts) {
-        const auto listed = m_hosts.find(host);
-        const bool isListedDown = listed != m_hosts.end() && listed->second.state == SiteHostState::Maintained;
+        const SiteHost *listed = view.find(host);
+        const bool isListedDown = listed != nullptr && listed->state == SiteHostState::Maintained;
         const bool isOrdered = entry.stage == HostStage::Down || entry.stage == HostStage::Ordered;
         down += isOrdered || (isListedDown && entry.stage != HostStage::Done) ? 1 : 0;
         emptying += entry.stage == HostStage::Emptying ? 1 : 0;
     }
     const std::size_t mostEmptying
         = state.wave.mostAtOnce * (1 + emptiedAhead) - std::min<std::size_t>(down, state.wave.mostAtOnce);
-    std::vector<std::tuple<double, HostId>> waiting;
-    for (auto &[host, entry] : state.hosts) {
-        const auto listed = m_hosts.find(host);
-        if (entry.stage != HostStage::Waiting || listed == m_hosts.end() || listed->second.state != SiteHostState::Up
-            || isBusyElsewhere(host, state.wave.number)) {
-            continue;
-        }
-        const Worker *worker = roster.find(listed->second.worker);
-        waiting.emplace_back(worker == nullptr ? 0.0 : static_cast<double>(worker->used.cpu), host);
-    }
-    std::sort(waiting.begin(), waiting.end());
-    for (const auto &[load, host] : waiting) {
-        if (emptying >= mostEmptying) {
-            break;
-        }
-        state.hosts[host].stage = HostStage::Emptying;
-        state.hosts[host].since = now;
-        ++emptying;
-    }
+    chooseNext(state, view, mostEmptying - std::min(emptying, mostEmptying));
     for (auto &[host, entry] : state.hosts) {
         if (entry.stage == HostStage::Ordered || entry.stage == HostStage::Down) {
             plan.cordoned.insert(entry.worker);
@@ -220,17 +233,17 @@
         if (entry.stage != HostStage::Emptying) {
             continue;
         }
-        const SiteHost &listed = m_hosts.at(host);
-        const Worker *worker = roster.find(listed.worker);
+        const SiteHost &listed = *view.find(host);
+        const Worker *worker = view.roster.find(listed.worker);
         if (worker != nullptr) {
             plan.cordoned.insert(listed.worker);
         }
         const bool isEmpty = worker == nullptr || worker->tasks.empty();
-        if (!isEmpty || listed.state != SiteHostState::Up || down >= state.wave.mostAtOnce || now < entry.notBefore) {
+        if (!isEmpty || !view.isUp(host) || down >= state.wave.mostAtOnce || view.now < entry.notBefore) {
             continue;
         }
         entry.stage = HostStage::Ordered;
-        entry.since = now;
+        entry.since = view.now;
         entry.worker = listed.worker;
         ++down;
         plan.maintain.emplace_back(host, state.wave.number);
--- a/core/cells/wave_keeper.h
+++ b/core/cells/wave_keeper.h
@@ -22,15 +22,12 @@
     std::vector<WaveRow> changed;
     /// Waves of which the operator is told.
     std::vector<std::pair<std::uint64_t, bool>> reports;
-    bool listHosts = false;
 };
 
 /// Maintenance waves: which host is emptied, and which is maintained, with at most as many down as the wave allows.
 class WaveKeeper
 {
 public:
-    /// Interval between two looks at the hosts while a wave is under way.
-    static constexpr Duration listInterval{400};
     /// Hosts that are emptied ahead, for each that may be down.
     static constexpr std::size_t emptiedAhead = 1;
     /// A host that was ordered down is not expected back sooner.
@@ -41,13 +38,16 @@
     void clear();
     void restore(const std::vector<WaveRow> &rows);
     void see(const std::vector<Wave> &waves);
-    void see(const std::vector<SiteHost> &hosts, TimePoint asked);
     /// @return the worker that ran on the host when it was ordered; empty when none was known.
     WorkerId ordered(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now);
     void reported(std::uint64_t wave, bool written);
 
-    WavePlan plan(const WorkerRoster &roster, TimePoint now);
-    bool isActive() const;
+    /// @param moving hosts that are on their way to another pool.
+    WavePlan plan(const HostList &list, const WorkerRoster &roster, const std::set<HostId> &moving, TimePoint now);
+    /// Whether a wave has hosts to maintain.
+    bool isOpen() const;
+    /// Hosts that a wave empties or has ordered down.
+    std::set<HostId> busy() const;
 
 private:
     enum class HostStage {
@@ -81,17 +81,27 @@
         bool reportedCompleted = false;
     };
 
-    void planWave(WaveState &state, const WorkerRoster &roster, WavePlan &plan, TimePoint now);
-    void advance(WaveState &state, TimePoint now, WavePlan &plan);
+    /// What the plan of a wave goes by.
+    struct View
+    {
+        const HostList &list;
+        const WorkerRoster &roster;
+        const std::set<HostId> &moving;
+        TimePoint now;
+
+        const SiteHost *find(const HostId &host) const;
+        bool isUp(const HostId &host) const;
+    };
+
+    void planWave(WaveState &state, const View &view, WavePlan &plan);
+    void advance(WaveState &state, const View &view, WavePlan &plan);
+    void chooseNext(WaveState &state, const View &view, std::size_t most);
+    static bool isTaken(const WaveHost &host);
     WaveRow rowOf(const WaveState &state) const;
     bool isBusyElsewhere(const HostId &host, std::uint64_t wave) const;
 
     std::map<std::uint64_t, WaveState> m_waves;
     std::map<std::uint64_t, WaveRow> m_restored;
-    std::map<HostId, SiteHost> m_hosts;
-    TimePoint m_listedAt;
-    bool m_listed = false;
-    TimePoint m_nextList;
 };
 
 } // namespace radishvane::cells
--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 namespace radishvane::drivers
@@ -80,7 +81,9 @@
         line(LogLevel::Warning, "log-lines-dropped", {{"count", std::to_string(m_dropped)}});
     }
     while (!m_buffer.empty()) {
-        const ssize_t written = write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
+        // Whole lines, in pieces that a pipe takes at once or not at all.
+        const std::size_t end = m_buffer.size() <= PIPE_BUF ? m_buffer.size() : m_buffer.rfind('\n', PIPE_BUF - 1) + 1;
+        const ssize_t written = write(STDOUT_FILENO, m_buffer.data(), end == 0 ? m_buffer.size() : end);
         if (written <= 0) {
             return;
         }
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -113,6 +113,11 @@
     siteCalled.emit(call);
 }
 
+void CellTask::apply(const cells::MoveHost &call)
+{
+    siteCalled.emit(call);
+}
+
 void CellTask::apply(const cells::ReportWave &call)
 {
     siteCalled.emit(call);
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -47,6 +47,7 @@
     void apply(const cells::ReadCell &call);
     void apply(const cells::ListHosts &call);
     void apply(const cells::MaintainHost &call);
+    void apply(const cells::MoveHost &call);
     void apply(const cells::ReportWave &call);
     void apply(const cells::AnswerCall &answer);
     void apply(const cells::OwnershipChanged &change);
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -11,7 +11,7 @@
 {
 
 /// Calls of a cell to the platform's store and host service.
-using SiteCall = std::variant<cells::WriteCell, cells::ReadCell, cells::ListHosts, cells::MaintainHost,
+using SiteCall = std::variant<cells::WriteCell, cells::ReadCell, cells::ListHosts, cells::MaintainHost, cells::MoveHost,
                               cells::ReportWave, cells::OwnershipChanged>;
 
 /// The operator's table has answered a question sent at @c asked.
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -86,6 +86,11 @@
     m_hosts.send(call);
 }
 
+void SiteStoreTask::send(const cells::MoveHost &call)
+{
+    m_hosts.send(call);
+}
+
 void SiteStoreTask::send(const cells::ReportWave &call)
 {
     m_cellStore.send(call);
--- a/servers/site_store_task.h
+++ b/servers/site_store_task.h
@@ -42,6 +42,7 @@
     void send(const cells::ReadCell &call);
     void send(const cells::ListHosts &call);
     void send(const cells::MaintainHost &call);
+    void send(const cells::MoveHost &call);
     void send(const cells::ReportWave &call);
     void send(const cells::OwnershipChanged &call);
     void takeOperatorRows(const std::map<std::string, platform::StoredRow> &rows);
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -35,6 +35,14 @@
     return spec;
 }
 
+/// A lasting job with one task on each worker.
+GraphSpec spreadLastingJob(std::uint32_t count, std::uint32_t allowance)
+{
+    GraphSpec spec = lastingJob(count, allowance);
+    spec.steps[0].mostPerWorker = 1;
+    return spec;
+}
+
 void expectNothingBroken(const CellSite &site)
 {
     for (const std::string &what : site.broken) {
@@ -428,7 +436,7 @@
     story("a lasting job of four tasks of which one may be away", [] {
         CellSite site;
         fill(site, 6);
-        site.submit(site.owner(), "j1", "plans", lastingJob(4, 1));
+        site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
         site.run(Duration(2'000));
         section("a task on a worker that crashed and came back is at work again in seconds", [&] {
             const std::string worker = site.runningOn("w0") > 0 ? "w0" : "w1";
@@ -482,7 +490,7 @@
     story("an owner has begun to empty a host, and is replaced within the time that a stop takes", [] {
         CellSite site;
         fill(site, 4);
-        site.submit(site.owner(), "j1", "plans", lastingJob(4, 1));
+        site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
         site.run(Duration(2'000));
         site.addWave(1, {"w3"}, 1);
         // Time for the first stop to be ordered, and not to have ended.
--- a/tests/core/cells/cell_property_test.cpp
+++ b/tests/core/cells/cell_property_test.cpp
@@ -16,6 +16,7 @@
 
 constexpr int nodes = 3;
 constexpr int workers = 5;
+constexpr int idleWorkers = 2;
 constexpr int jobs = 14;
 
 /// What may happen to a site at any moment.
@@ -155,6 +156,13 @@
     for (int index = 0; index < nodes; ++index) {
         site.addNode(nodeName(index));
     }
+    // A second pool without demand and one in standby, so that hosts move under the same troubles.
+    site.addQueue("weaves", "frames", 1'000);
+    for (int index = 0; index < idleWorkers; ++index) {
+        site.addWorker("f" + std::to_string(index), "frames", 5'000);
+    }
+    site.addStandby("spare", idleWorkers, 5'000);
+    site.lostHostOrders = *rc::gen::element(0.0, 0.3);
     site.lostAnswers = *rc::gen::element(0.0, 0.02, 0.2);
     site.run(Duration(2'000));
     const std::vector<Moment> moments = drawMoments();
@@ -163,6 +171,8 @@
         for (int node = 0; node < nodes; ++node) {
             site.submit(nodeName(node), jobName(index), "plans",
                         graphOf(1 + index % 3, 1 + index % 5, 1'000, Duration(400)), index % 2 == 0 ? "dyers" : "");
+            site.submit(nodeName(node), "v" + jobName(index), "weaves",
+                        graphOf(1, 1 + index % 5, 1'000, Duration(400)));
         }
     }
     for (const Moment &moment : moments) {
--- /dev/null
+++ b/tests/core/cells/host_moves_test.cpp
@@ -0,0 +1,220 @@
+#include "tests/support/cell_site.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+/// Two pools of four hosts, four more in standby, and a queue for each pool.
+void fill(CellSite &site)
+{
+    site.addQueue("plans", "looms");
+    site.addQueue("quotes", "frames");
+    for (int index = 0; index < 4; ++index) {
+        site.addWorker("l" + std::to_string(index), "looms", 4'000);
+        site.addWorker("f" + std::to_string(index), "frames", 4'000);
+    }
+    site.addStandby("spare", 4, 4'000);
+    site.addNode("a");
+    site.addNode("b");
+    site.run(Duration(2'000));
+}
+
+/// A peak: jobs of eight tasks, @p gap milliseconds apart, which ask for 8 cores x 0.4 s each.
+std::vector<std::string> peak(CellSite &site, const std::string &queue, int jobs, int gap)
+{
+    std::vector<std::string> names;
+    for (int index = 0; index < jobs; ++index) {
+        names.push_back(queue + std::to_string(index));
+        site.durations[JobId(names.back())] = 400;
+        site.submit(site.owner(), names.back(), queue, graphOf(1, 8, 1'000, Duration(400)));
+        site.run(Duration(gap));
+    }
+    return names;
+}
+
+/// Lasting tasks that keep four hosts in the pool of "plans".
+void submitLasting(CellSite &site)
+{
+    GraphSpec lasting = graphOf(1, 4, 500, Duration(0));
+    lasting.steps[0].lasting = true;
+    lasting.steps[0].mostPerWorker = 1;
+    site.submit(site.owner(), "lasting", "plans", lasting);
+    site.run(Duration(4'000));
+}
+
+/// Share of jobs that end within twice their run time, in a peak whose rate rises over four seconds and falls again.
+double shareInTime(CellSite &site, const std::string &queue)
+{
+    constexpr int length = 8'000;
+    constexpr int objective = 800;
+    // Jobs a second at the top; the pool's own hosts hold ten.
+    constexpr double most = 24;
+    constexpr int step = 20;
+    std::map<std::string, int> due;
+    int total = 0;
+    int inTime = 0;
+    double owed = 0;
+    for (int time = 0; time < length + objective; time += step) {
+        const double rate = time >= length ? 0 : most * (1 - std::abs(time - length / 2) / (length / 2.0));
+        for (owed += rate * step / 1'000; owed >= 1; owed -= 1) {
+            const std::string name = queue + std::to_string(total++);
+            site.durations[JobId(name)] = 400;
+            site.submit(site.owner(), name, queue, graphOf(1, 4, 1'000, Duration(400)));
+            due[name] = time + objective;
+        }
+        site.run(Duration(step));
+        std::erase_if(due, [&](const auto &pair) {
+            const bool isDone = site.state(pair.first) == GraphState::Completed;
+            inTime += isDone ? 1 : 0;
+            return isDone || time + step >= pair.second;
+        });
+    }
+    return static_cast<double>(inTime) / total;
+}
+
+std::size_t completed(const CellSite &site, const std::vector<std::string> &jobs)
+{
+    std::size_t count = 0;
+    for (const std::string &job : jobs) {
+        count += site.state(job) == GraphState::Completed ? 1 : 0;
+    }
+    return count;
+}
+
+void expectNothingBroken(const CellSite &site)
+{
+    for (const std::string &what : site.broken) {
+        ADD_FAILURE() << what;
+    }
+}
+
+} // namespace
+
+TEST(CellMoves, FollowTheWork)
+{
+    story("queues of two pools that peak one after the other", [] {
+        CellSite site;
+        fill(site);
+        section("while nothing is to do, all hosts are switched off", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.hostsIn("spare"), 12);
+        });
+        section("a peak of twice the pool's room is served within seconds of its begin", [&] {
+            const auto jobs = peak(site, "plans", 60, 100);
+            EXPECT_GE(site.hostsIn("looms"), 8);
+            site.run(Duration(1'000));
+            EXPECT_EQ(completed(site, jobs), jobs.size());
+        });
+        section("the next peak finds its hosts as well", [&] {
+            const auto jobs = peak(site, "quotes", 60, 100);
+            EXPECT_GE(site.hostsIn("frames"), 8);
+            site.run(Duration(1'000));
+            EXPECT_EQ(completed(site, jobs), jobs.size());
+        });
+        section("and afterwards all are switched off again", [&] {
+            site.run(Duration(8'000));
+            EXPECT_EQ(site.hostsIn("spare"), 12);
+        });
+        section("at a bounded price in moves: each host out and back once for each peak, and some more",
+                [&] { EXPECT_LE(site.moves, 60); });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellMoves, BringHostsAheadOfARisingPeak)
+{
+    story("a queue that rises over four seconds to more than twice what its pool holds", [] {
+        CellSite moving;
+        fill(moving);
+        submitLasting(moving);
+        CellSite fixed;
+        fixed.addQueue("plans", "looms");
+        for (int index = 0; index < 12; ++index) {
+            fixed.addWorker("l" + std::to_string(index), "looms", 4'000);
+        }
+        fixed.addNode("a");
+        fixed.run(Duration(2'000));
+        submitLasting(fixed);
+        section("nine of ten jobs are in time that are so where all hosts serve the pool all day",
+                [&] { EXPECT_GE(shareInTime(moving, "plans"), 0.9 * shareInTime(fixed, "plans")); });
+        expectNothingBroken(moving);
+        expectNothingBroken(fixed);
+    });
+}
+
+TEST(CellMoves, EndNoWorkWhenTheirOrdersAreLost)
+{
+    story("half of the orders for hosts have no answer, and are carried out seconds later", [] {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            CellSite site(seed);
+            fill(site);
+            site.lostHostOrders = 0.5;
+            site.hostOrderDelay = seed % 2 == 0 ? 3'000 : 7'000;
+            GraphSpec lasting = graphOf(1, 3, 1'000, Duration(0));
+            lasting.steps[0].lasting = true;
+            site.submit(site.owner(), "lasting", "plans", lasting);
+            auto jobs = peak(site, "quotes", 30, 100);
+            site.run(Duration(3'000));
+            const auto more = peak(site, "plans", 30, 100);
+            for (int round = 0; round < 5; ++round) {
+                site.run(Duration(1'000));
+                const std::string name = "last" + std::to_string(round);
+                site.submit(site.owner(), name, "quotes", graphOf(1, 8, 1'000, Duration(400)));
+                jobs.push_back(name);
+            }
+            site.run(Duration(12'000));
+            EXPECT_EQ(completed(site, jobs) + completed(site, more), 65) << "seed " << seed;
+            expectNothingBroken(site);
+        }
+    });
+}
+
+TEST(CellMoves, GoOnUnderTheNextOwner)
+{
+    story("the owner is killed while hosts are on their way", [] {
+        CellSite site;
+        fill(site);
+        site.run(Duration(4'000));
+        peak(site, "plans", 12, 100);
+        const std::string first = site.owner();
+        site.kill(first);
+        site.run(Duration(4'000));
+        ASSERT_FALSE(site.owner().empty());
+        section("it counts the hosts that have come since, and serves the next peak", [&] {
+            const auto jobs = peak(site, "quotes", 60, 100);
+            site.run(Duration(2'000));
+            EXPECT_EQ(completed(site, jobs), jobs.size());
+        });
+        section("and switches off what is not needed", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.hostsIn("spare"), 12);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellMoves, LeaveHostsOfAWaveAlone)
+{
+    story("a wave over all hosts while a queue peaks", [] {
+        CellSite site;
+        fill(site);
+        site.addWave(1, {"l0", "l1", "l2", "l3", "f0", "f1", "f2", "f3", "spare0", "spare1"}, 2);
+        const auto jobs = peak(site, "plans", 100, 100);
+        site.run(Duration(20'000));
+        EXPECT_EQ(completed(site, jobs), jobs.size());
+        EXPECT_EQ(site.completedWaves.count(1), 1);
+        expectNothingBroken(site);
+    });
+}
+
+} // namespace radishvane::tests
--- /dev/null
+++ b/tests/core/cells/move_planner_test.cpp
@@ -0,0 +1,144 @@
+#include "core/cells/move_planner.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+const PoolId looms("looms");
+const PoolId frames("frames");
+const PoolId spare("spare");
+
+constexpr std::uint64_t hostCpu = 10'000;
+
+SiteConfig threePools()
+{
+    SiteConfig config;
+    config.pools[looms] = SitePool{looms, false};
+    config.pools[frames] = SitePool{frames, false};
+    config.pools[spare] = SitePool{spare, true};
+    return config;
+}
+
+/// @p count hosts of a pool; those of standby are switched off.
+void addHosts(std::vector<MovableHost> &hosts, const PoolId &pool, std::size_t count, std::optional<Duration> idleFor)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        MovableHost host;
+        host.id = HostId(pool.name() + std::to_string(hosts.size()));
+        host.pool = pool;
+        host.room = Needs{hostCpu, 100'000, 0};
+        host.rack = RackId("r" + std::to_string(index / 2));
+        host.labels = {"common", host.rack.name()};
+        host.serves = pool != spare;
+        host.idleFor = idleFor;
+        hosts.push_back(host);
+    }
+}
+
+std::map<PoolId, PoolDemand> demandOf(const PoolId &pool, std::uint64_t hosts)
+{
+    std::map<PoolId, PoolDemand> demands;
+    demands[pool].present.cpu
+        = static_cast<std::uint64_t>(static_cast<double>(hosts * hostCpu) * MovePlanner::usableRoom);
+    return demands;
+}
+
+std::size_t movesTo(const std::vector<PlannedMove> &moves, const PoolId &pool)
+{
+    return static_cast<std::size_t>(
+        std::count_if(moves.begin(), moves.end(), [&](const PlannedMove &move) { return move.to == pool; }));
+}
+
+std::size_t movesFrom(const std::vector<PlannedMove> &moves, const PoolId &pool)
+{
+    return static_cast<std::size_t>(
+        std::count_if(moves.begin(), moves.end(), [&](const PlannedMove &move) { return move.from == pool; }));
+}
+
+} // namespace
+
+TEST(MovePlanner, SendsHostsWhereTheWorkIs)
+{
+    story("a pool of two hosts whose queue asks for five", [] {
+        std::vector<MovableHost> hosts;
+        addHosts(hosts, looms, 2, std::nullopt);
+        section("idle hosts of another pool come first, since they cost while they wait", [&] {
+            std::vector<MovableHost> all = hosts;
+            addHosts(all, frames, 2, Duration(100));
+            addHosts(all, spare, 4, Duration(0));
+            const std::vector<PlannedMove> moves = MovePlanner::plan(demandOf(looms, 5), threePools(), all);
+            EXPECT_EQ(moves.size(), 3);
+            EXPECT_EQ(movesTo(moves, looms), 3);
+            EXPECT_EQ(movesFrom(moves, frames), 2);
+            EXPECT_EQ(movesFrom(moves, spare), 1);
+        });
+        section("a host that runs tasks is never moved", [&] {
+            std::vector<MovableHost> all = hosts;
+            addHosts(all, frames, 4, std::nullopt);
+            EXPECT_TRUE(MovePlanner::plan(demandOf(looms, 5), threePools(), all).empty());
+        });
+        section("no pool gives a host away that it needs itself", [&] {
+            std::vector<MovableHost> all = hosts;
+            addHosts(all, frames, 2, Duration(5'000));
+            std::map<PoolId, PoolDemand> demands = demandOf(looms, 5);
+            demands[frames].leastHosts = 2;
+            EXPECT_TRUE(MovePlanner::plan(demands, threePools(), all).empty());
+        });
+        section("a pool that refused a host is not asked again", [&] {
+            std::vector<MovableHost> all = hosts;
+            addHosts(all, spare, 2, Duration(0));
+            all.back().refusedBy = {looms};
+            EXPECT_EQ(MovePlanner::plan(demandOf(looms, 5), threePools(), all).size(), 1);
+        });
+        section("hosts of racks that the pool has least of come first", [&] {
+            std::vector<MovableHost> all = hosts;
+            addHosts(all, spare, 4, Duration(0));
+            const std::vector<PlannedMove> moves = MovePlanner::plan(demandOf(looms, 3), threePools(), all);
+            ASSERT_EQ(moves.size(), 1);
+            EXPECT_TRUE(moves[0].host == all[4].id || moves[0].host == all[5].id);
+        });
+    });
+}
+
+TEST(MovePlanner, SwitchesOffWhatIsNotNeeded)
+{
+    story("a pool of four hosts whose work needs one", [] {
+        std::vector<MovableHost> hosts;
+        addHosts(hosts, looms, 4, Duration(MovePlanner::idlePatience));
+        section("the others go to standby", [&] {
+            const std::vector<PlannedMove> moves = MovePlanner::plan(demandOf(looms, 1), threePools(), hosts);
+            EXPECT_EQ(moves.size(), 3);
+            EXPECT_EQ(movesTo(moves, spare), 3);
+        });
+        section("but not one that has just become idle", [&] {
+            for (MovableHost &host : hosts) {
+                host.idleFor = MovePlanner::idlePatience - Duration(1);
+            }
+            EXPECT_TRUE(MovePlanner::plan(demandOf(looms, 1), threePools(), hosts).empty());
+        });
+        section("nor one with a label that a step of the pool's jobs names", [&] {
+            for (MovableHost &host : hosts) {
+                host.idleFor = Duration(60'000);
+            }
+            std::map<PoolId, PoolDemand> demands = demandOf(looms, 1);
+            demands[looms].labels = {"common"};
+            EXPECT_TRUE(MovePlanner::plan(demands, threePools(), hosts).empty());
+        });
+        section("and without a standby pool they stay", [&] {
+            SiteConfig config = threePools();
+            config.pools[spare].standby = false;
+            EXPECT_TRUE(MovePlanner::plan(demandOf(looms, 1), config, hosts).empty());
+        });
+    });
+}
+
+} // namespace radishvane::tests
--- /dev/null
+++ b/tests/core/cells/pool_demand_test.cpp
@@ -0,0 +1,106 @@
+#include "core/cells/pool_demand.h"
+#include "tests/support/cell_site.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+const PoolId looms("looms");
+
+Instant at(int milliseconds)
+{
+    constexpr std::chrono::hours begin{1'000};
+    return Instant{TimePoint(begin) + Duration(milliseconds), WallTime(begin + Duration(milliseconds))};
+}
+
+SiteConfig configOfLooms()
+{
+    SiteConfig config;
+    Queue queue;
+    queue.id = QueueId("plans");
+    queue.pool = looms;
+    queue.stretch = 2;
+    config.queues[queue.id] = queue;
+    config.pools[looms] = SitePool{looms, false};
+    return config;
+}
+
+Job &add(JobBook &book, const std::string &id, GraphSpec spec, Instant now)
+{
+    JobRow row;
+    row.id = JobId(id);
+    row.queue = QueueId("plans");
+    row.accepted = now.wall;
+    row.spec = std::move(spec);
+    Job &job = book.add(std::move(row), now.steady);
+    job.stored = true;
+    book.openDue(job, now);
+    return job;
+}
+
+} // namespace
+
+TEST(PoolDemand, CountsWhatRunsAndWhatCanStillBeInTime)
+{
+    story("a pool with a job of two steps, a lasting job, and a job that comes too late", [] {
+        JobBook book;
+        const SiteConfig config = configOfLooms();
+        const DemandForecast forecast;
+        add(book, "steps", graphOf(2, 4, 1'000, Duration(300)), at(0));
+        section("only the step whose turn has come counts",
+                [&] { EXPECT_EQ(demandOfPools(book, config, forecast, at(0)).at(looms).present.cpu, 4'000); });
+        section("lasting tasks count, and the hosts that their bound for each worker asks for", [&] {
+            GraphSpec lasting = graphOf(1, 5, 2'000, Duration(0));
+            lasting.steps[0].lasting = true;
+            lasting.steps[0].mostPerWorker = 2;
+            lasting.steps[0].label = "flax";
+            add(book, "lasting", lasting, at(0));
+            const PoolDemand demand = demandOfPools(book, config, forecast, at(0)).at(looms);
+            EXPECT_EQ(demand.present.cpu, 14'000);
+            EXPECT_EQ(demand.lasting.cpu, 10'000);
+            EXPECT_EQ(demand.leastHosts, 3);
+            EXPECT_EQ(demand.labels, std::set<std::string>{"flax"});
+        });
+        section("tasks of a job that can no longer be in time ask for no host", [&] {
+            Job &late = add(book, "late", graphOf(1, 8, 1'000, Duration(300)), at(0));
+            Occurrence &occurrence = late.open.at(0);
+            occurrence.weighedAt = 0;
+            occurrence.chainLeft = Duration(300);
+            occurrence.objective = at(600).wall;
+            EXPECT_EQ(demandOfPools(book, config, forecast, at(200)).at(looms).present.cpu, 22'000);
+            EXPECT_EQ(demandOfPools(book, config, forecast, at(400)).at(looms).present.cpu, 14'000);
+        });
+    });
+}
+
+TEST(DemandForecast, FollowsARiseAheadOfItAndAFallWhenItHasCome)
+{
+    story("jobs of one task of a core and a second, ten in the first second and twenty in the next", [] {
+        DemandForecast forecast;
+        for (int index = 0; index < 10; ++index) {
+            forecast.add(looms, graphOf(1, 1, 1'000, Duration(1'000)), at(100 * index).steady);
+        }
+        section("before there is a second to compare with, the rise is taken from nothing",
+                [&] { EXPECT_EQ(forecast.expected(looms, at(999).steady).cpu, 35'000); });
+        for (int index = 0; index < 20; ++index) {
+            forecast.add(looms, graphOf(1, 1, 1'000, Duration(1'000)), at(1'000 + 50 * index).steady);
+        }
+        section("a rise goes on for the time that a host takes to come",
+                [&] { EXPECT_EQ(forecast.expected(looms, at(1'999).steady).cpu, 45'000); });
+        section("without new jobs the demand is gone after the span", [&] {
+            EXPECT_LT(forecast.expected(looms, at(2'800).steady).cpu, 20'000);
+            EXPECT_EQ(forecast.expected(looms, at(4'100).steady).cpu, 0);
+        });
+        section("a pool without jobs asks for nothing",
+                [&] { EXPECT_EQ(forecast.expected(PoolId("frames"), at(2'000).steady), Needs{}); });
+    });
+}
+
+} // namespace radishvane::tests
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t mostHold = 10'000;
 constexpr std::int64_t stopTime = 900;
 constexpr std::int64_t maintenanceTime = 2'000;
+constexpr std::int64_t moveTime = 1'500;
 constexpr std::int64_t startUp = 150;
 constexpr double atWork = 100;
 
@@ -83,6 +84,7 @@
     queue.pool = PoolId(pool);
     queue.mostFailures = mostFailures;
     queue.stretch = 2;
+    m_config->pools.try_emplace(queue.pool, SitePool{queue.pool, false});
     m_config->queues[queue.id] = queue;
 }
 
@@ -99,6 +101,16 @@
     m_config->teams[team.id] = team;
 }
 
+void CellSite::addStandby(const std::string &pool, std::size_t hosts, std::uint64_t cpu)
+{
+    m_config->pools[PoolId(pool)] = SitePool{PoolId(pool), true};
+    for (std::size_t index = 0; index < hosts; ++index) {
+        ModelWorker &host = addWorker(pool + std::to_string(index), pool, cpu);
+        host.alive = false;
+        host.listed = false;
+    }
+}
+
 void CellSite::addWave(std::uint64_t number, const std::vector<std::string> &workers, std::uint32_t mostAtOnce)
 {
     Wave wave;
@@ -174,6 +186,13 @@
 }
 
 void CellSite::revive(const std::string &id)
+{
+    if (m_movingUntil.count(id) == 0 && m_maintainedUntil.count(id) == 0 && !isStandby(id)) {
+        beginLife(id);
+    }
+}
+
+void CellSite::beginLife(const std::string &id)
 {
     ModelWorker &old = worker(id);
     WorkerEntry entry = old.entry;
@@ -183,6 +202,15 @@
     old.bornAt = m_now;
 }
 
+void CellSite::comeBack(const std::string &id)
+{
+    beginLife(id);
+    if (isStandby(id)) {
+        worker(id).alive = false;
+        worker(id).listed = false;
+    }
+}
+
 void CellSite::run(Duration time)
 {
     const std::int64_t until = m_now + time.count();
@@ -247,6 +275,12 @@
     return m_maintained.count(id) > 0;
 }
 
+std::size_t CellSite::hostsIn(const std::string &pool) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_workers.begin(), m_workers.end(), [&](const auto &pair) { return pair.second.entry.pool == PoolId(pool); }));
+}
+
 std::int64_t CellSite::time() const
 {
     return m_now;
@@ -302,48 +336,49 @@
 void CellSite::apply(const std::string &name, const CellEffect &effect)
 {
     const Caller caller{name, node(name).life};
-    std::visit(Overloaded{
-                   [&](const StartOrder &order) { start(caller, order); },
-                   [&](const StopOrder &order) { stopTask(caller, order); },
-                   [&](const AskAdmission &ask) {
-                       AdmissionAnswered answer{ask.call, true, {}};
-                       for (const WorkerId &worker : ask.workers) {
-                           if (admitted.count(worker.name()) > 0) {
-                               answer.tickets[worker] = "t-" + worker.name();
-                           }
-                       }
-                       later(30, [this, caller, answer] { give(caller, answer); });
-                   },
-                   [&](const HoldOrder &order) { hold(caller, order); },
-                   [&](const WriteCell &call) { write(caller, call); },
-                   [&](const ReadCell &call) { read(caller, call); },
-                   [&](const ListHosts &call) {
-                       std::vector<SiteHost> hosts;
-                       for (const auto &[id, model] : m_workers) {
-                           const bool isDown = m_maintainedUntil.count(id) > 0;
-                           hosts.push_back(SiteHost{hostOf(id), model.entry.pool,
-                                                    isDown ? SiteHostState::Maintained : SiteHostState::Up,
-                                                    isDown ? WorkerId() : model.entry.id});
-                       }
-                       later(4, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
-                   },
-                   [&](const MaintainHost &order) { maintain(caller, order); },
-                   [&](const ReportWave &report) {
-                       if (report.completed) {
-                           completedWaves.insert(report.wave);
-                       }
-                       later(4, [this, caller, report] { give(caller, WaveReported{report.call, true}); });
-                   },
-                   [&](const AnswerCall &answer) {
-                       const auto asked = m_asked.find(answer.exchange);
-                       if (asked != m_asked.end()) {
-                           m_answers[asked->second].push_back(answer.answer);
-                       }
-                   },
-                   [](const OwnershipChanged &) {},
-                   [](const DecisionNoted &) {},
-               },
-               effect);
+    std::visit(
+        Overloaded{
+            [&](const StartOrder &order) { start(caller, order); },
+            [&](const StopOrder &order) { stopTask(caller, order); },
+            [&](const AskAdmission &ask) {
+                AdmissionAnswered answer{ask.call, true, {}};
+                for (const WorkerId &worker : ask.workers) {
+                    if (admitted.count(worker.name()) > 0) {
+                        answer.tickets[worker] = "t-" + worker.name();
+                    }
+                }
+                later(30, [this, caller, answer] { give(caller, answer); });
+            },
+            [&](const HoldOrder &order) { hold(caller, order); },
+            [&](const WriteCell &call) { write(caller, call); },
+            [&](const ReadCell &call) { read(caller, call); },
+            [&](const ListHosts &call) {
+                std::vector<SiteHost> hosts;
+                for (const auto &[id, model] : m_workers) {
+                    hosts.push_back(listed(model));
+                }
+                later(4, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
+            },
+            [&](const MaintainHost &order) {
+                orderHost(caller, order.call, [this, order] { return carryOut(order); });
+            },
+            [&](const MoveHost &order) { orderHost(caller, order.call, [this, order] { return carryOut(order); }); },
+            [&](const ReportWave &report) {
+                if (report.completed) {
+                    completedWaves.insert(report.wave);
+                }
+                later(4, [this, caller, report] { give(caller, WaveReported{report.call, true}); });
+            },
+            [&](const AnswerCall &answer) {
+                const auto asked = m_asked.find(answer.exchange);
+                if (asked != m_asked.end()) {
+                    m_answers[asked->second].push_back(answer.answer);
+                }
+            },
+            [](const OwnershipChanged &) {},
+            [](const DecisionNoted &) {},
+        },
+        effect);
 }
 
 void CellSite::tickNode(const std::string &name)
@@ -692,7 +727,12 @@
         const auto maintained = m_maintainedUntil.find(id);
         if (maintained != m_maintainedUntil.end() && m_now >= maintained->second) {
             m_maintainedUntil.erase(maintained);
-            revive(id);
+            comeBack(id);
+        }
+        const auto moving = m_movingUntil.find(id);
+        if (moving != m_movingUntil.end() && m_now >= moving->second) {
+            m_movingUntil.erase(moving);
+            comeBack(id);
         }
         if (!worker.alive) {
             continue;
@@ -714,9 +754,77 @@
     }
 }
 
-void CellSite::maintain(const Caller &caller, const MaintainHost &order)
+// ---- hosts ----
+
+bool CellSite::isStandby(const std::string &id) const
+{
+    const auto pool = m_config->pools.find(m_workers.at(id).entry.pool);
+    return pool != m_config->pools.end() && pool->second.standby;
+}
+
+SiteHost CellSite::listed(const ModelWorker &model) const
+{
+    const std::string id = model.entry.id.name();
+    SiteHost host;
+    host.id = model.entry.host;
+    host.pool = model.entry.pool;
+    host.room = model.entry.room;
+    host.state = m_maintainedUntil.count(id) > 0 ? SiteHostState::Maintained
+        : m_movingUntil.count(id) > 0            ? SiteHostState::Moving
+                                                 : SiteHostState::Up;
+    if (host.state == SiteHostState::Up && !isStandby(id)) {
+        host.worker = model.entry.id;
+    }
+    return host;
+}
+
+void CellSite::orderHost(const Caller &caller, CallId call, std::function<HostOrderOutcome()> carryOut)
+{
+    if (chance(lostHostOrders)) {
+        later(hostOrderDelay, [carryOut] { carryOut(); });
+        later(callTimeout, [this, caller, call] { give(caller, HostOrderAnswered{call, HostOrderOutcome::Unknown}); });
+        return;
+    }
+    const HostOrderOutcome outcome = carryOut();
+    later(4, [this, caller, call, outcome] { give(caller, HostOrderAnswered{call, outcome}); });
+}
+
+HostOrderOutcome CellSite::carryOut(const MoveHost &order)
 {
     const std::string id = order.host.name().substr(2);
+    ModelWorker &moved = worker(id);
+    if (order.fence < m_hostFences[order.host]) {
+        return HostOrderOutcome::Fenced;
+    }
+    m_hostFences[order.host] = order.fence;
+    if (moved.entry.pool == order.pool) {
+        return HostOrderOutcome::Accepted;
+    }
+    if (m_maintainedUntil.count(id) > 0 || m_movingUntil.count(id) > 0) {
+        return HostOrderOutcome::Busy;
+    }
+    // An order of a former owner that is held up may meet tasks of the next one, which cannot know of it.
+    const bool isOfPresentOwner = m_owner && order.fence >> 32 == m_owner->epoch;
+    if (!moved.running.empty() && isOfPresentOwner) {
+        broken.push_back("a host is moved with tasks on it: " + id);
+    }
+    ++moves;
+    crash(id);
+    moved.entry.pool = order.pool;
+    m_movingUntil[id] = m_now + moveTime;
+    return HostOrderOutcome::Accepted;
+}
+
+HostOrderOutcome CellSite::carryOut(const MaintainHost &order)
+{
+    const std::string id = order.host.name().substr(2);
+    if (order.fence < m_hostFences[order.host]) {
+        return HostOrderOutcome::Fenced;
+    }
+    m_hostFences[order.host] = order.fence;
+    if (m_movingUntil.count(id) > 0) {
+        return HostOrderOutcome::Busy;
+    }
     const Wave &wave = *std::find_if(m_waves.begin(), m_waves.end(),
                                      [&order](const Wave &candidate) { return candidate.number == order.wave; });
     if (m_maintained.insert(id).second) {
@@ -729,7 +837,7 @@
         crash(id);
         m_maintainedUntil[id] = m_now + maintenanceTime;
     }
-    later(4, [this, caller, order] { give(caller, HostOrderAnswered{order.call, HostOrderOutcome::Accepted}); });
+    return HostOrderOutcome::Accepted;
 }
 
 } // namespace radishvane::tests
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -91,6 +91,8 @@
     /// Lets the admission service decide about the steps of a queue.
     void setAdmission(const std::string &queue);
     void addTeam(const std::string &name, std::uint64_t cpuCeiling);
+    /// A pool whose hosts are switched off, with so many hosts; their workers are named after the pool.
+    void addStandby(const std::string &pool, std::size_t hosts, std::uint64_t cpu);
     /// A wave over the hosts of these workers.
     void addWave(std::uint64_t number, const std::vector<std::string> &workers, std::uint32_t mostAtOnce);
 
@@ -121,6 +123,8 @@
     std::size_t runs(const std::string &job) const;
     std::size_t runningOn(const std::string &worker) const;
     bool isMaintained(const std::string &worker) const;
+    /// Hosts that are in @p pool, or on their way to it.
+    std::size_t hostsIn(const std::string &pool) const;
     std::int64_t time() const;
     WallTime wall() const;
 
@@ -128,6 +132,11 @@
     std::set<std::uint64_t> completedWaves;
     std::uint64_t storeWrites = 0;
     std::uint64_t holds = 0;
+    std::uint64_t moves = 0;
+    /// Chance that an order for a host has no answer, and is carried out seconds later.
+    double lostHostOrders = 0;
+    /// Milliseconds after which such an order is carried out.
+    std::int64_t hostOrderDelay = 3'000;
 
 private:
     /// The life of a node that made a call, and that gets its answer.
@@ -157,6 +166,9 @@
     void tickNode(const std::string &name);
     void tellNode(const std::string &name);
     void tickWorkers();
+    /// A host that was moved or maintained is up again, in its pool of now.
+    void comeBack(const std::string &worker);
+    void beginLife(const std::string &worker);
 
     void write(const Caller &caller, const cells::WriteCell &call);
     cells::CellWritten carryOut(const cells::WriteCell &call);
@@ -165,7 +177,12 @@
     void stopTask(const Caller &caller, const cells::StopOrder &order);
     void hold(const Caller &caller, const cells::HoldOrder &order);
     void answerHold(const Caller &caller, const cells::HoldOrder &order, std::int64_t until);
-    void maintain(const Caller &caller, const cells::MaintainHost &order);
+    /// Carries out an order for a host, or a part of the orders late and without an answer.
+    void orderHost(const Caller &caller, cells::CallId call, std::function<cells::HostOrderOutcome()> carryOut);
+    cells::HostOrderOutcome carryOut(const cells::MaintainHost &order);
+    cells::HostOrderOutcome carryOut(const cells::MoveHost &order);
+    bool isStandby(const std::string &worker) const;
+    cells::SiteHost listed(const ModelWorker &worker) const;
 
     cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StartOrder &order);
     cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StopOrder &order);
@@ -186,6 +203,9 @@
     std::shared_ptr<cells::SiteConfig> m_config;
     std::vector<cells::Wave> m_waves;
     std::map<std::string, std::int64_t> m_maintainedUntil;
+    std::map<std::string, std::int64_t> m_movingUntil;
+    /// Highest fencing token that was seen for each host.
+    std::map<HostId, cells::Epoch> m_hostFences;
     std::set<std::string> m_maintained;
 
     std::uint64_t m_version = 0;
