Ask a worker for its list every 60 ms at most

Ruled out: longer waits in the call, since an answer comes at the first end anyway. Change: holdPause 60 ms (25).

--- a/core/cells/hold_keeper.h
+++ b/core/cells/hold_keeper.h
@@ -25,7 +25,7 @@
     /// A hold call waits so long for an end.
     static constexpr Duration holdWait{1'000};
     /// Pause between two hold calls to a worker, so that ends come together.
-    static constexpr Duration holdPause{25};
+    static constexpr Duration holdPause{60};
     /// Pause after a hold call that had no answer.
     static constexpr Duration holdRetry{250};
     /// A task whose percentage has not risen for that long stands still.
