Note ends only where a call has said so, and put what a team sends beyond its share behind the others' work

Cause, shares: teams' weights decided nothing. A team's weight is the jobs a second that it may count on when all is full (published); what it sent beyond that stood in the same order as all other work. Ruled out, shares: shares of running room, since a short job that waits behind a burst is late before room is shared out. Change: a hold call remembers what it notes.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -107,6 +107,7 @@
     m_writer.clear();
     m_runs.clear();
     m_hosts.clear();
+    m_shares.clear();
     m_outbox.add(OwnershipChanged{true, m_outbox.epoch});
     m_outbox.note(CellDecision::OwnershipTaken, m_cell.name(), m_host.name(), m_lease.version());
 }
@@ -364,11 +365,13 @@
     book.openDue(job, m_outbox.now);
     job.submitters.push_back(event.exchange);
     m_writer.addJob(event.id);
+    job.withinShare = m_shares.take(*m_config, event.team, m_outbox.now.steady);
     const auto queue = m_config->queues.find(event.queue);
-    if (queue != m_config->queues.end()) {
+    if (queue != m_config->queues.end() && job.withinShare) {
         m_hosts.accepted(queue->second.pool, event.spec);
     }
-    m_outbox.note(CellDecision::JobAccepted, event.id.name(), event.queue.name(), event.spec.steps.size());
+    m_outbox.note(CellDecision::JobAccepted, event.id.name(), event.queue.name(), event.spec.steps.size(),
+                  job.withinShare ? std::string() : "beyond-share");
 }
 
 void CellKeeper::on(const AskJob &event)
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -5,6 +5,7 @@
 #include "core/cells/cell_writer.h"
 #include "core/cells/host_desk.h"
 #include "core/cells/run_keeper.h"
+#include "core/cells/team_shares.h"
 
 #include <map>
 #include <optional>
@@ -82,6 +83,7 @@
     CellWriter m_writer;
     RunKeeper m_runs;
     HostDesk m_hosts;
+    TeamShares m_shares;
 
     bool m_active = false;
     bool m_rebuilt = false;
--- a/core/cells/hold_keeper.cpp
+++ b/core/cells/hold_keeper.cpp
@@ -57,6 +57,7 @@
     order.worker = worker.address();
     order.fence = m_outbox.epoch;
     order.noted = worker.stored;
+    worker.holdNotes = order.noted;
     worker.earlierDeadline = worker.leaseDeadline;
     // A silent worker is only asked: a lease that it may or may not get would never be known to have expired.
     if (worker.fenced && !worker.silent && !worker.tasks.empty()) {
@@ -112,7 +113,7 @@
     takeEnds(*worker, event.report);
     takeRunning(*worker, event.report, worker->holdSent);
     takeMissing(*worker, event.report, worker->holdSent);
-    worker->noted = std::max(worker->noted, std::min(worker->stored, worker->processed));
+    worker->noted = std::max(worker->noted, worker->holdNotes);
     m_runs.lookAgain();
 }
 
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -95,6 +95,8 @@
     bool endStored = false;
     /// Came from an earlier owner, so that runs may be unknown.
     bool inherited = false;
+    /// Not beyond what its team may count on.
+    bool withinShare = true;
     /// Failures of a task that fail the job, by the newest configuration that named its queue.
     std::uint32_t mostFailures = 0;
     TimePoint seenAt;
--- a/core/cells/site.h
+++ b/core/cells/site.h
@@ -54,7 +54,8 @@
 struct SiteTeam
 {
     TeamId id;
-    std::uint64_t weight = 1;
+    /// Jobs a second that it may count on when all is full.
+    double weight = 1;
     /// Most that its tasks may take of all workers together; 0 in a resource is no bound.
     Needs ceiling;
 };
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -20,6 +20,8 @@
 enum class Hope {
     InTime,
     Late,
+    /// Its team has sent more than it may count on.
+    BeyondShare,
     TooLate,
 };
 
@@ -119,13 +121,12 @@
         return rank;
     }
     const WallTime soonest = now.wall + occurrence.chainLeft;
-    if (soonest <= occurrence.objective) {
-        rank.hope = Hope::InTime;
-        rank.work = occurrence.workLeft / std::pow(occurrence.worth, sizeFavour);
-    } else if (soonest <= occurrence.lastUse) {
-        rank.hope = Hope::Late;
-        rank.work = occurrence.workLeft / std::pow(occurrence.worth, sizeFavour);
+    if (soonest > occurrence.lastUse) {
+        return rank;
     }
+    const Hope hope = soonest <= occurrence.objective ? Hope::InTime : Hope::Late;
+    rank.hope = job.withinShare ? hope : Hope::BeyondShare;
+    rank.work = occurrence.workLeft / std::pow(occurrence.worth, sizeFavour);
     return rank;
 }
 
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -22,8 +22,8 @@
 /// Steps that may start tasks, in the order in which they get room.
 ///
 /// Answers the peaks, in which a queue asks for more than its pool holds: a job earns only within its objective, so
-/// jobs that can still make it come first, and of these the one with the least work left. Jobs that are late come
-/// after, in the order of their acceptance.
+/// jobs that can still make it come first, then late ones of some use, then what a team sends beyond its share, then
+/// the rest; within each of these, by the work left for what the job is worth.
 std::vector<ReadyStep> startOrder(JobBook &book, const SiteConfig &config, Instant now);
 
 /// Workers that may get tasks, by pool, and needs for which a pool is known to have no room.
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -172,6 +172,7 @@
     worker.processed = 0;
     worker.stored = 0;
     worker.noted = 0;
+    worker.holdNotes = 0;
     worker.foreign.clear();
     worker.foreignUsed = Needs{};
     worker.runsUnknown = false;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -53,6 +53,8 @@
     std::uint64_t stored = 0;
     /// Ends up to here have been noted at the worker.
     std::uint64_t noted = 0;
+    /// Ends up to here are noted by the hold call under way.
+    std::uint64_t holdNotes = 0;
 
     /// Tasks that it runs or may run.
     std::set<TaskId> tasks;
--- /dev/null
+++ b/tests/core/cells/hold_keeper_test.cpp
@@ -0,0 +1,82 @@
+#include "core/cells/hold_keeper.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+constexpr std::int64_t born = 7;
+
+/// The hold order among @p effects, or nothing.
+std::optional<HoldOrder> holdOf(const CellEffects &effects)
+{
+    for (const CellEffect &effect : effects) {
+        if (const auto *hold = std::get_if<HoldOrder>(&effect)) {
+            return *hold;
+        }
+    }
+    return std::nullopt;
+}
+
+HoldAnswered answerTo(const HoldOrder &order, std::uint64_t ends)
+{
+    HoldAnswered answer{order.call, OrderOutcome::Accepted, {}};
+    answer.report.born = born;
+    for (std::uint64_t number = order.noted + 1; number <= ends; ++number) {
+        answer.report.ended.push_back(EndedRow{number, TaskId{JobId("j"), 0, 0, 0}, 1, RunEnd::Done, {}});
+    }
+    return answer;
+}
+
+} // namespace
+
+TEST(HoldKeeper, NotesEndsOnlyWhereACallHasSaidSo)
+{
+    story("an end is stored while a call that does not note it yet is under way", [] {
+        CellOutbox outbox;
+        CellWriter writer;
+        RunLedger runs(outbox, writer);
+        HoldKeeper holds(outbox, writer, runs, CellTimes{});
+        outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
+        WorkerEntry entry;
+        entry.id = WorkerId("w");
+        entry.born = born;
+        runs.roster().see({entry});
+        Worker &worker = *runs.roster().find(entry.id);
+        const auto next = [&] {
+            outbox.now.steady += HoldKeeper::holdRetry;
+            holds.advanceHolds();
+            return holdOf(outbox.take());
+        };
+
+        const auto first = next();
+        ASSERT_TRUE(first);
+        holds.answered(answerTo(*first, 1));
+        ASSERT_EQ(worker.processed, 1);
+        section("a start without an answer has the worker asked once more, before the end is stored", [&] {
+            worker.silent = true;
+            const auto second = next();
+            ASSERT_TRUE(second);
+            EXPECT_EQ(second->noted, 0);
+            worker.stored = 1;
+            holds.answered(answerTo(*second, 1));
+        });
+        section("so that another call has to note it, though nothing runs there", [&] {
+            const auto third = next();
+            ASSERT_TRUE(third);
+            EXPECT_EQ(third->noted, 1);
+            holds.answered(answerTo(*third, 1));
+        });
+        section("and then the worker is left alone", [&] { EXPECT_FALSE(next()); });
+    });
+}
+
+} // namespace radishvane::tests
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -93,11 +93,12 @@
     m_config->queues.at(QueueId(queue)).admission = AdmissionTimes{Duration(20), Duration(2), Duration(3'000)};
 }
 
-void CellSite::addTeam(const std::string &name, std::uint64_t cpuCeiling)
+void CellSite::addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight)
 {
     SiteTeam team;
     team.id = TeamId(name);
     team.ceiling.cpu = cpuCeiling;
+    team.weight = weight;
     m_config->teams[team.id] = team;
 }
 
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -90,7 +90,7 @@
     void addQueue(const std::string &name, const std::string &pool, std::uint32_t mostFailures = 3);
     /// Lets the admission service decide about the steps of a queue.
     void setAdmission(const std::string &queue);
-    void addTeam(const std::string &name, std::uint64_t cpuCeiling);
+    void addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight = 1'000);
     /// A pool whose hosts are switched off, with so many hosts; their workers are named after the pool.
     void addStandby(const std::string &pool, std::size_t hosts, std::uint64_t cpu);
     /// A wave over the hosts of these workers.
