Count failures of runs that a former owner could not store, in whatever order they are heard of

The store refused the owner, which went on for its lease: run 1 of a task failed, run 2 was started and failed. The next owner heard of run 2 first, took all lower runs for known, and did not count run 1's failure, so that a third run came after two failures of two allowed. Change: JobBook keeps up to which run former owners have counted; a failed end above that counts when it is heard of, also for a run that was given up as lapsed. Left open: an owner that stores run 2's end before it hears of run 1's, and is lost right then, leaves run 1's failure uncounted. Conclusion: an old fault that needs two failures within one lease of an owner without the store.

--- a/core/cells/hold_keeper.cpp
+++ b/core/cells/hold_keeper.cpp
@@ -138,6 +138,9 @@
             task = m_book.task(row.task);
         }
         if (task == nullptr || !task->run || task->run->number != row.run || task->run->worker != worker.id) {
+            if (task != nullptr && row.how == RunEnd::Failed) {
+                m_runs.countFailure(row.task, row.run);
+            }
             continue;
         }
         if (!row.checkpoint.empty()) {
--- a/core/cells/job_book.cpp
+++ b/core/cells/job_book.cpp
@@ -86,6 +86,7 @@
             Step &step = occurrence.steps[index];
             for (std::uint32_t place = 0; place < std::min(progress[index].size(), step.tasks.size()); ++place) {
                 step.tasks[place].progress = progress[index][place];
+                step.tasks[place].countedRun = progress[index][place].endedRun;
                 if (progress[index][place].done) {
                     step.waiting.erase(place);
                     ++step.done;
@@ -265,6 +266,26 @@
     return EndEffect::JobEnded;
 }
 
+EndEffect JobBook::countFailure(const TaskId &id, RunNumber run, std::uint32_t mostFailures, TimePoint now)
+{
+    Step *place = step(id);
+    if (place == nullptr) {
+        return EndEffect::Ignored;
+    }
+    Task &task = place->tasks[id.index];
+    Job &job = *find(id.job);
+    const StepSpec &spec = job.row.spec.steps[id.step];
+    if (isFinal(job.state) || spec.lasting || task.progress.done || run <= task.countedRun) {
+        return EndEffect::Ignored;
+    }
+    ++task.progress.failures;
+    if (failuresOf(spec, *place, task) < mostFailures) {
+        return EndEffect::TaskWaits;
+    }
+    finish(job, GraphState::Failed, now);
+    return EndEffect::JobEnded;
+}
+
 void JobBook::withdraw(const TaskId &id, RunNumber run)
 {
     Step *place = step(id);
--- a/core/cells/job_book.h
+++ b/core/cells/job_book.h
@@ -51,6 +51,8 @@
     TaskProgress progress;
     /// Highest run that this owner has ordered.
     RunNumber startedRun = 0;
+    /// Failures of runs up to this one were counted by owners before.
+    RunNumber countedRun = 0;
     std::optional<Run> run;
     /// Not started again before then.
     TimePoint notBefore;
@@ -144,6 +146,8 @@
     Run &begin(const TaskId &id, Run run);
     /// A run has ended; @p mostFailures bounds the failures of a task.
     EndEffect end(const TaskId &id, RunNumber run, RunEnd how, std::uint32_t mostFailures, TimePoint now);
+    /// A run that is not the task's present one turns out to have failed; its failure counts like any other.
+    EndEffect countFailure(const TaskId &id, RunNumber run, std::uint32_t mostFailures, TimePoint now);
     /// A run never took place.
     void withdraw(const TaskId &id, RunNumber run);
     void finish(Job &job, GraphState state, TimePoint now);
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -109,6 +109,20 @@
     } else {
         stopGang(id, "gang-broken");
     }
+    takeEffect(id, effect);
+}
+
+void RunLedger::countFailure(const TaskId &id, RunNumber run)
+{
+    const EndEffect effect = m_book.countFailure(id, run, mostFailures(id.job), m_outbox.now.steady);
+    if (effect != EndEffect::Ignored) {
+        m_outbox.note(CellDecision::TaskEnded, taskName(id), {}, run, "failed-earlier");
+        takeEffect(id, effect);
+    }
+}
+
+void RunLedger::takeEffect(const TaskId &id, EndEffect effect)
+{
     Job &job = *m_book.find(id.job);
     if (effect == EndEffect::JobEnded) {
         m_outbox.note(CellDecision::JobEnded, id.job.name(), {}, 0, std::string(enumName(graphStateNames, job.state)));
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -48,6 +48,8 @@
     void leave(Worker &worker, const TaskId &id);
     /// The task's run has ended.
     void endRun(const TaskId &id, RunEnd how);
+    /// A run that has been given up, or that a former owner started, turns out to have failed.
+    void countFailure(const TaskId &id, RunNumber run);
     /// The task's run never took place.
     void withdrawRun(const TaskId &id);
     /// The task's run is to be stopped.
@@ -69,6 +71,8 @@
 private:
     std::vector<TaskId> gangOf(const TaskId &id) const;
     void endGang(const TaskId &id, RunNumber number);
+    /// Stores what an end has changed of a job, and ends what else runs of a job that is over.
+    void takeEffect(const TaskId &id, EndEffect effect);
     std::uint32_t mostFailures(const JobId &id) const;
 
     CellOutbox &m_outbox;
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -106,6 +106,41 @@
     });
 }
 
+TEST(CellJobs, CountFailuresThatAFormerOwnerCouldNotStore)
+{
+    story("a task fails on two workers while the store refuses the owner, in a queue that allows two failures", [] {
+        CellSite site;
+        site.addQueue("plans", "looms", 2);
+        for (const char *id : {"w0", "w1"}) {
+            site.addWorker(id, "looms", 8'000);
+        }
+        site.addNode("a");
+        site.addNode("b");
+        site.run(Duration(2'000));
+        const std::string first = site.owner();
+        // The worker of the second run is the first that the next owner asks.
+        site.worker("w0").listed = false;
+        site.run(Duration(400));
+        site.durations[JobId("j1")] = -700;
+        site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(50));
+        ASSERT_EQ(site.runningOn("w1"), 1);
+        site.worker("w0").listed = true;
+        site.run(Duration(400));
+        site.node(first).cutFromStore = true;
+        section("both runs fail before another host owns the cell", [&] {
+            site.run(Duration(1'400));
+            EXPECT_EQ(site.runs("j1"), 2);
+        });
+        section("that host counts both, in whatever order it hears of them", [&] {
+            site.run(Duration(6'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Failed);
+            EXPECT_EQ(site.runs("j1"), 2);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, IsReplacedWhenItDies)
 {
     story("an owner is killed while a job runs", [] {
