Trace a job or call through the logs of several hosts, and hold the page of log events against the code

Cause: an engineer on call had lines of several hosts and no way to put them in order; event names stood as texts in four files. Ruled out: a store of traces, since hosts keep nothing and logs are what operators have. Change: `radishvane trace ID [FILE...]` prints the lines about a job or call and those about the owner, the store and the workers that it met, by time; exit code 1 when no line is about it. Events of hosts are an enum with a table of names. A refusal tells the version of the configuration and the age of the last contact, an answer tells the owner and its epoch. docs/LOG-EVENTS.md lists events and keys. Tests: LogTrace.TellsTheStoryOfAJobFromTheLogsOfSeveralHosts, LogEvents.AreAllOnTheirPage (fails when an event is not on the page).

--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -41,6 +41,11 @@
     }
 }
 
+void EventLog::line(LogLevel level, HostEvent event, std::initializer_list<LogField> fields)
+{
+    line(level, enumName(hostEventNames, event), fields);
+}
+
 void EventLog::line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (level < m_least) {
@@ -78,7 +83,7 @@
 {
     if (m_dropped > m_reported && m_buffer.size() < mostBuffered) {
         m_reported = m_dropped;
-        line(LogLevel::Warning, "log-lines-dropped", {{"count", std::to_string(m_dropped)}});
+        line(LogLevel::Warning, HostEvent::LogLinesDropped, {{"count", std::to_string(m_dropped)}});
     }
     while (!m_buffer.empty()) {
         // Whole lines, in pieces that a pipe takes at once or not at all.
--- a/drivers/event_log.h
+++ b/drivers/event_log.h
@@ -5,6 +5,7 @@
 #include "drivers/log.h"
 #include "drivers/timer.h"
 
+#include <array>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -13,6 +14,40 @@
 namespace radishvane::drivers
 {
 
+/// What an entry host logs beside the decisions of its cell.
+enum class HostEvent {
+    Started,
+    Stopped,
+    Reload,
+    Ready,
+    NotReady,
+    ConfigChanged,
+    DependencyLost,
+    DependencyRegained,
+    RowUnreadable,
+    LinkMessageUnreadable,
+    CallRefused,
+    CallAnswered,
+    LogLinesDropped,
+};
+
+/// Log names, in the order of the enumerators.
+inline constexpr std::array<std::string_view, 13> hostEventNames{
+    "started",
+    "stopped",
+    "reload",
+    "ready",
+    "not-ready",
+    "config-changed",
+    "dependency-lost",
+    "dependency-regained",
+    "row-unreadable",
+    "link-message-unreadable",
+    "call-refused",
+    "call-answered",
+    "log-lines-dropped",
+};
+
 /// Structured log: one JSON object a line on standard output, written without blocking.
 ///
 /// Lines wait in a bounded buffer; a reader that does not read costs lines, which are counted, and nothing else.
@@ -28,6 +63,7 @@
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
 
+    void line(LogLevel level, HostEvent event, std::initializer_list<LogField> fields);
     void line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
     /// Lines that found no room.
     std::uint64_t dropped() const;
--- a/main/commands/command.h
+++ b/main/commands/command.h
@@ -38,5 +38,6 @@
 void addStatus(CLI::App &app, ExitCode &exitCode);
 void addExplain(CLI::App &app, ExitCode &exitCode);
 void addCall(CLI::App &app, ExitCode &exitCode);
+void addTrace(CLI::App &app, ExitCode &exitCode);
 
 } // namespace radishvane::commands
--- a/main/radishvane.cpp
+++ b/main/radishvane.cpp
@@ -20,6 +20,7 @@
     commands::addStatus(app, exitCode);
     commands::addExplain(app, exitCode);
     commands::addCall(app, exitCode);
+    commands::addTrace(app, exitCode);
     CLI11_PARSE(app, argumentCount, arguments);
     return static_cast<int>(exitCode);
 }
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -90,7 +90,7 @@
         m_loop.base(), SIGHUP,
         [](evutil_socket_t, short, void *self) {
             // The settings of a site hold addresses and bounds only, which a running process cannot change.
-            static_cast<SiteHost *>(self)->m_log.line(drivers::LogLevel::Info, "reload",
+            static_cast<SiteHost *>(self)->m_log.line(drivers::LogLevel::Info, drivers::HostEvent::Reload,
                                                       {{"outcome", "nothing-to-change"}});
         },
         this);
@@ -104,9 +104,9 @@
 
 void SiteHost::run()
 {
-    m_log.line(drivers::LogLevel::Info, "started", {{"zone", m_settings.zone.name()}});
+    m_log.line(drivers::LogLevel::Info, drivers::HostEvent::Started, {{"zone", m_settings.zone.name()}});
     m_loop.run();
-    m_log.line(drivers::LogLevel::Info, "stopped", {});
+    m_log.line(drivers::LogLevel::Info, drivers::HostEvent::Stopped, {});
 }
 
 } // namespace radishvane
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -36,6 +36,12 @@
                       question);
 }
 
+/// For the log: whole milliseconds.
+std::string inMilliseconds(TimePoint::duration time)
+{
+    return std::to_string(std::chrono::duration_cast<Duration>(time).count());
+}
+
 } // namespace
 
 SiteFrontTask::SiteFrontTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Ports ports,
@@ -124,9 +130,11 @@
     std::visit(Overloaded{
                    [&](const cells::GatePass &passed) { pass(passed, request); },
                    [&](cells::GateRefusal refusal) {
-                       m_log.line(drivers::LogLevel::Info, "call-refused",
+                       m_log.line(drivers::LogLevel::Info, drivers::HostEvent::CallRefused,
                                   {{"subject", call.path},
-                                   {"reason", std::string(enumName(cells::gateRefusalNames, refusal))}});
+                                   {"reason", std::string(enumName(cells::gateRefusalNames, refusal))},
+                                   {"config", std::to_string(m_gate.config() ? m_gate.config()->version : 0)},
+                                   {"contact_ms", inMilliseconds(m_clock.now() - m_gate.lastContact())}});
                        m_callers.answer(request.id, platform::gateAnswer(refusal, retryAfter));
                    },
                },
@@ -141,7 +149,7 @@
     case cells::GateCallKind::Submit: {
         auto spec = platform::readGraph(request.body);
         if (!spec) {
-            m_log.line(drivers::LogLevel::Info, "call-refused",
+            m_log.line(drivers::LogLevel::Info, drivers::HostEvent::CallRefused,
                        {{"subject", pass.job.name()}, {"reason", spec.error()}});
             m_callers.answer(request.id, platform::badBodyAnswer(spec.error()));
             return;
@@ -197,7 +205,8 @@
 {
     auto question = drivers::decodeQuestion(request.body);
     if (!question) {
-        m_log.line(drivers::LogLevel::Warning, "link-message-unreadable", {{"reason", question.error().detail}});
+        m_log.line(drivers::LogLevel::Warning, drivers::HostEvent::LinkMessageUnreadable,
+                   {{"reason", question.error().detail}});
         m_link.answer(request.id, drivers::HttpAnswer{drivers::httpStatus::badRequest, {}, {}});
         return;
     }
@@ -224,10 +233,12 @@
     switch (open.source) {
     case Source::Caller:
         callMeasured.emit(CallMeasured{answer.answer, toMilliseconds(m_clock.now() - open.since)});
-        m_log.line(drivers::LogLevel::Info, "call-answered",
+        m_log.line(drivers::LogLevel::Info, drivers::HostEvent::CallAnswered,
                    {{"subject", open.subject},
                     {"outcome", std::string(enumName(cells::callAnswerNames, answer.answer))},
-                    {"ms", std::to_string(toMilliseconds(m_clock.now() - open.since))}});
+                    {"ms", inMilliseconds(m_clock.now() - open.since)},
+                    {"owner", m_owner.owner ? m_owner.owner->host.name() : std::string()},
+                    {"epoch", std::to_string(m_owner.owner ? m_owner.owner->epoch : 0)}});
         m_callers.answer(open.exchange, platform::callAnswer(answer));
         return;
     case Source::Link:
@@ -250,7 +261,7 @@
     const bool ready = isReady();
     if (ready != m_wasReady) {
         m_wasReady = ready;
-        m_log.line(drivers::LogLevel::Info, ready ? "ready" : "not-ready", {});
+        m_log.line(drivers::LogLevel::Info, ready ? drivers::HostEvent::Ready : drivers::HostEvent::NotReady, {});
     }
 }
 
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -126,7 +126,7 @@
         return;
     }
     m_configVersion = found->second.version;
-    m_log.line(drivers::LogLevel::Info, "config-changed",
+    m_log.line(drivers::LogLevel::Info, drivers::HostEvent::ConfigChanged,
                {{"version", std::to_string(config.value()->version)},
                 {"queues", std::to_string(config.value()->queues.size())},
                 {"teams", std::to_string(config.value()->teams.size())}});
@@ -155,7 +155,7 @@
         return;
     }
     m_badRows[place] = row.version;
-    m_log.line(drivers::LogLevel::Warning, "row-unreadable", {{"row", place}, {"reason", problem}});
+    m_log.line(drivers::LogLevel::Warning, drivers::HostEvent::RowUnreadable, {{"row", place}, {"reason", problem}});
 }
 
 void SiteStoreTask::noteStore(bool answers, const std::string &reason)
@@ -165,7 +165,8 @@
     }
     m_storeAnswers = answers;
     m_log.line(answers ? drivers::LogLevel::Info : drivers::LogLevel::Warning,
-               answers ? "dependency-regained" : "dependency-lost", {{"dependency", "store"}, {"reason", reason}});
+               answers ? drivers::HostEvent::DependencyRegained : drivers::HostEvent::DependencyLost,
+               {{"dependency", "store"}, {"reason", reason}});
 }
 
 void SiteStoreTask::onTick()
