Leave a host alone whose tasks a new owner does not know, and learn from the list of hosts what has ended

Change: a wave orders a host only when its worker has answered under this epoch, or its leases have run out. The roster row names the host of each worker, and a worker that does not answer is taken for ended when the list of hosts, asked for after the takeover, shows its host moving, maintained or with another worker. Before: CellWaves.LeaveAHostAloneWhoseTasksANewOwnerDoesNotKnow and CellOwner.LearnsFromTheListOfHostsWhatHasEnded fail. After: both pass.

--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -315,6 +315,9 @@
 void CellKeeper::on(const HostsListed &event)
 {
     m_hosts.answered(event);
+    if (m_active && m_rebuilt) {
+        m_runs.see(m_hosts.list());
+    }
 }
 
 void CellKeeper::on(const HostOrderAnswered &event)
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -65,6 +65,7 @@
 struct KnownWorker
 {
     WorkerId id;
+    HostId host;
     PoolId pool;
     Endpoint endpoint;
     std::int64_t born = 0;
--- a/core/cells/host_desk.cpp
+++ b/core/cells/host_desk.cpp
@@ -25,6 +25,7 @@
 void HostDesk::clear()
 {
     m_list = HostList{};
+    m_nextList = TimePoint{};
     m_waves.clear();
     m_mover.clear(m_outbox.now.steady);
     m_forecast.clear();
@@ -56,14 +57,14 @@
         // Without certain ownership nothing is planned, since a plan's orders would be lost.
         return m_cordoned;
     }
-    list();
+    askForList();
     advanceWaves(roster);
     advanceMoves(book, config, roster);
     m_cordoned.merge(m_mover.cordoned());
     return m_cordoned;
 }
 
-void HostDesk::list()
+void HostDesk::askForList()
 {
     const TimePoint now = m_outbox.now.steady;
     if (now < m_nextList) {
@@ -146,6 +147,11 @@
     }
 }
 
+const HostList &HostDesk::list() const
+{
+    return m_list;
+}
+
 std::optional<WorkerId> HostDesk::answered(const HostOrderAnswered &event)
 {
     const auto found = m_orders.find(event.call);
--- a/core/cells/host_desk.h
+++ b/core/cells/host_desk.h
@@ -41,6 +41,8 @@
                                bool mayOrder);
 
     void answered(const HostsListed &event);
+    /// The newest list of this ownership.
+    const HostList &list() const;
     /// @return the worker whose life the order has ended, if it has.
     std::optional<WorkerId> answered(const HostOrderAnswered &event);
     void answered(const WaveReported &event);
@@ -53,7 +55,7 @@
     };
     using HostOrder = std::variant<Maintenance, PlannedMove>;
 
-    void list();
+    void askForList();
     void advanceWaves(const WorkerRoster &roster);
     void advanceMoves(const JobBook &book, const SiteConfig &config, const WorkerRoster &roster);
     void send(const Maintenance &order);
--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -74,6 +74,15 @@
     m_runs.lookAgain();
 }
 
+void RunKeeper::see(const HostList &list)
+{
+    for (const WorkerId &id : m_roster.replaced(list)) {
+        m_outbox.note(CellDecision::WorkerLost, id.name(), m_roster.find(id)->pool.name(), 0, "host-runs-another");
+        endWorker(id);
+        m_runs.lookAgain();
+    }
+}
+
 void RunKeeper::stored(const CellWriter::Pending &done)
 {
     for (const auto &[id, end] : done.ends) {
--- a/core/cells/wave_keeper.cpp
+++ b/core/cells/wave_keeper.cpp
@@ -238,7 +238,8 @@
         if (worker != nullptr) {
             plan.cordoned.insert(listed.worker);
         }
-        const bool isEmpty = worker == nullptr || worker->tasks.empty();
+        // What a former owner had it run is not known until the worker answers, or its leases have run out.
+        const bool isEmpty = worker == nullptr || (worker->isSettled(view.now) && worker->tasks.empty());
         if (!isEmpty || !view.isUp(host) || down >= state.wave.mostAtOnce || view.now < entry.notBefore) {
             continue;
         }
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -67,6 +67,7 @@
     for (const KnownWorker &known : recorded.workers) {
         Worker worker;
         worker.id = known.id;
+        worker.host = known.host;
         worker.pool = known.pool;
         worker.endpoint = known.endpoint;
         worker.born = known.born;
@@ -97,6 +98,7 @@
         if (isNew || worker.endpoint != entry.endpoint || worker.pool != entry.pool) {
             worker.recorded = false;
         }
+        worker.host = entry.host;
         worker.pool = entry.pool;
         worker.endpoint = entry.endpoint;
         worker.entry = entry;
@@ -104,6 +106,26 @@
     return reborn;
 }
 
+std::vector<WorkerId> WorkerRoster::replaced(const HostList &list) const
+{
+    std::vector<WorkerId> ids;
+    for (const auto &[id, worker] : m_workers) {
+        const auto host = list.hosts.find(worker.host);
+        const bool answers = worker.fenced && !worker.silent;
+        if (worker.gone || !worker.recorded || answers || host == list.hosts.end()) {
+            continue;
+        }
+        const SiteHostState state = host->second.state;
+        const bool isEmptied = state == SiteHostState::Moving || state == SiteHostState::Maintained;
+        const bool runsAnother
+            = state == SiteHostState::Up && !host->second.worker.empty() && host->second.worker != id;
+        if (isEmptied || runsAnother) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 bool WorkerRoster::forgetGone(TimePoint now)
 {
     const auto forgotten = std::erase_if(m_workers, [now](const auto &pair) {
@@ -153,7 +175,7 @@
         if (worker.isLeaseless(now)) {
             continue;
         }
-        row.workers.push_back(KnownWorker{worker.id, worker.pool, worker.endpoint, worker.born});
+        row.workers.push_back(KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.born});
     }
     return row;
 }
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -14,6 +14,7 @@
 struct Worker
 {
     WorkerId id;
+    HostId host;
     PoolId pool;
     Endpoint endpoint;
     std::int64_t born = 0;
@@ -101,6 +102,9 @@
     /// Takes over what discovery shows.
     /// @return workers whose life has ended, since another has their id.
     std::vector<WorkerId> see(const std::vector<WorkerEntry> &entries);
+    /// Recorded workers that do not answer, and whose hosts are known to run nothing of them any more: the host is
+    /// being moved or maintained, or runs another worker.
+    std::vector<WorkerId> replaced(const HostList &list) const;
     /// Forgets workers that are not in discovery and run nothing.
     /// @return whether any was forgotten.
     bool forgetGone(TimePoint now);
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -165,6 +165,26 @@
     });
 }
 
+TEST(CellOwner, LearnsFromTheListOfHostsWhatHasEnded)
+{
+    story("a host starts anew under another id while the owner dies, with tasks of a job on it", [] {
+        CellSite site;
+        fill(site, 3);
+        const std::string first = site.owner();
+        site.durations[JobId("j1")] = 1'000;
+        site.submit(first, "j1", "plans", graphOf(1, 20, 1'000, Duration(1'000)));
+        site.run(Duration(300));
+        ASSERT_GT(site.runningOn("w0"), 0);
+        site.kill(first);
+        site.replace("w0", "w9");
+        section("the next owner does not wait until the leases there have run out", [&] {
+            site.run(Duration(5'500));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, HandsOverAtOnceWhenItIsStopped)
 {
     story("an owner with work at all times is asked to stop", [] {
@@ -554,6 +574,29 @@
     });
 }
 
+TEST(CellWaves, LeaveAHostAloneWhoseTasksANewOwnerDoesNotKnow)
+{
+    story("a worker with a lasting task is cut off, its owner dies, and its host is due", [] {
+        CellSite site;
+        fill(site, 4);
+        site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
+        site.run(Duration(2'000));
+        ASSERT_EQ(site.runningOn("w3"), 1);
+        site.worker("w3").cut = true;
+        site.kill(site.owner());
+        site.addWave(1, {"w3"}, 1);
+        section("the next owner does not order it down while it may run tasks", [&] {
+            site.run(Duration(6'000));
+            EXPECT_FALSE(site.isMaintained("w3"));
+        });
+        section("it does when the leases there have run out", [&] {
+            site.run(Duration(20'000));
+            EXPECT_TRUE(site.isMaintained("w3"));
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellGangs, StartWholeOrNotAtAll)
 {
     story("a gang of six on workers that have room for four", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -193,6 +193,16 @@
     }
 }
 
+void CellSite::replace(const std::string &id, const std::string &by)
+{
+    crash(id);
+    ModelWorker &old = worker(id);
+    old.listed = false;
+    old.replaced = true;
+    const WorkerEntry entry = old.entry;
+    addWorker(by, entry.pool.name(), entry.room.cpu).entry.host = entry.host;
+}
+
 void CellSite::beginLife(const std::string &id)
 {
     ModelWorker &old = worker(id);
@@ -356,7 +366,9 @@
             [&](const ListHosts &call) {
                 std::vector<SiteHost> hosts;
                 for (const auto &[id, model] : m_workers) {
-                    hosts.push_back(listed(model));
+                    if (!model.replaced) {
+                        hosts.push_back(listed(model));
+                    }
                 }
                 later(4, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
             },
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -36,6 +36,8 @@
     bool cut = false;
     /// Calls to a worker that is cut off are never sent, where others get no answer.
     bool refusesConnections = false;
+    /// Its host runs another worker.
+    bool replaced = false;
     /// Tasks that start here make no progress.
     bool stalls = false;
     /// Tasks that start here fail.
@@ -109,6 +111,8 @@
     void crash(const std::string &worker);
     /// A new life of a crashed worker under the same id.
     void revive(const std::string &worker);
+    /// The host of a worker starts anew under another id.
+    void replace(const std::string &worker, const std::string &by);
 
     void run(Duration time);
 
