Use a worker again that an order has not ended, and match answers of starts to their runs

Cause: an order for a host is accepted also when it had been carried out before. A new owner that ordered a maintenance again, which had been done without an answer to the owner before, took the host's new worker for gone for the rest of its ownership. With pools of nine hosts nobody saw it; a pool that has shrunk to its need may have no other worker. Found by reading on the way: the answer to a start was applied to whatever run the task had by then. Change: a worker taken for gone that the list of hosts, asked for after the order, shows at work is asked again before it gets tasks. An answer to a start counts only for the run that it started. Before: CellWaves.UseAWorkerAgainThatAnOrderHasNotEnded: the job never ends. After: it is completed. No test shows the second change.

--- a/core/cells/run_keeper.cpp
+++ b/core/cells/run_keeper.cpp
@@ -81,6 +81,13 @@
         endWorker(id);
         m_runs.lookAgain();
     }
+    for (const WorkerId &id : m_roster.stillThere(list)) {
+        // It is asked before it gets tasks, as after a takeover.
+        Worker &worker = *m_roster.find(id);
+        worker.gone = false;
+        worker.fenced = false;
+        worker.nextHold = m_outbox.now.steady;
+    }
 }
 
 void RunKeeper::stored(const CellWriter::Pending &done)
@@ -121,6 +128,7 @@
     }
     m_runs.loseTasks(*worker, CellDecision::HostMaintained);
     worker->gone = true;
+    worker->goneAt = m_outbox.now.steady;
     worker->recorded = false;
     m_writer.changeRoster();
 }
--- a/core/cells/start_keeper.cpp
+++ b/core/cells/start_keeper.cpp
@@ -178,7 +178,7 @@
     m_runs.occupy(worker, id);
     m_book.begin(id, std::move(run));
     m_outbox.note(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
-    m_starts[m_outbox.send(std::move(order))] = id;
+    m_starts[m_outbox.send(std::move(order))] = {id, number};
     if (worker.hold.value == 0) {
         // The lease must outlast the start's own deadline, also when the next look is late.
         worker.nextHold = std::min(worker.nextHold, now);
@@ -198,16 +198,17 @@
     if (found == m_starts.end()) {
         return false;
     }
-    const TaskId task = found->second;
+    const auto [task, run] = found->second;
     m_starts.erase(found);
-    startAnswered(task, event);
+    startAnswered(task, run, event);
     return true;
 }
 
-void StartKeeper::startAnswered(const TaskId &id, const OrderAnswered &event)
+void StartKeeper::startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event)
 {
     Task *task = m_book.task(id);
-    if (task == nullptr || !task->run || task->run->phase != RunPhase::Ordered) {
+    // The run may have been given up since, and another of the task be under way.
+    if (task == nullptr || !task->run || task->run->number != number || task->run->phase != RunPhase::Ordered) {
         return;
     }
     Run &run = *task->run;
--- a/core/cells/start_keeper.h
+++ b/core/cells/start_keeper.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace radishvane::cells
 {
@@ -41,14 +42,15 @@
     void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
-    void startAnswered(const TaskId &id, const OrderAnswered &event);
+    void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
 
     CellOutbox &m_outbox;
     RunLedger &m_runs;
     JobBook &m_book;
     WorkerRoster &m_roster;
     AdmissionDesk m_admission;
-    std::map<CallId, TaskId> m_starts;
+    /// Starts under way: the task and its run.
+    std::map<CallId, std::pair<TaskId, RunNumber>> m_starts;
     bool m_planDue = false;
     TimePoint m_nextPlan;
 };
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -12,6 +12,8 @@
 constexpr double slowestClock = 0.98;
 /// Time for a worker to end what has lost its lease.
 constexpr std::int64_t lapseMarginMs = 250;
+/// A list of hosts that was asked for so long after an order shows what it has done.
+constexpr Duration listSettle{600};
 
 } // namespace
 
@@ -126,6 +128,20 @@
     return ids;
 }
 
+std::vector<WorkerId> WorkerRoster::stillThere(const HostList &list) const
+{
+    std::vector<WorkerId> ids;
+    for (const auto &[id, worker] : m_workers) {
+        const auto host = list.hosts.find(worker.host);
+        const bool isListed
+            = host != list.hosts.end() && host->second.state == SiteHostState::Up && host->second.worker == id;
+        if (worker.gone && worker.entry && isListed && *list.askedAt > worker.goneAt + listSettle) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 bool WorkerRoster::forgetGone(TimePoint now)
 {
     const auto forgotten = std::erase_if(m_workers, [now](const auto &pair) {
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -29,6 +29,8 @@
     bool silent = false;
     /// Its life has ended for certain; the entry in discovery lags behind.
     bool gone = false;
+    /// When that was found.
+    TimePoint goneAt;
     /// Kept free, so that its host can be maintained.
     bool cordoned = false;
     /// When it was last free to take tasks.
@@ -105,6 +107,9 @@
     /// Recorded workers that do not answer, and whose hosts are known to run nothing of them any more: the host is
     /// being moved or maintained, or runs another worker.
     std::vector<WorkerId> replaced(const HostList &list) const;
+    /// Workers taken for gone that their hosts run all the same, by a list asked for long enough after: the order that
+    /// was to end them had been carried out before their time.
+    std::vector<WorkerId> stillThere(const HostList &list) const;
     /// Forgets workers that are not in discovery and run nothing.
     /// @return whether any was forgotten.
     bool forgetGone(TimePoint now);
--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -597,6 +597,33 @@
     });
 }
 
+TEST(CellWaves, UseAWorkerAgainThatAnOrderHasNotEnded)
+{
+    story("the only host is maintained by an order without an answer, and its owner dies", [] {
+        CellSite site;
+        fill(site, 1);
+        site.lostHostOrders = 1;
+        site.hostOrderDelay = 1;
+        site.addWave(1, {"w0"}, 1);
+        while (!site.isMaintained("w0") && site.time() < 10'000) {
+            site.run(Duration(10));
+        }
+        ASSERT_TRUE(site.isMaintained("w0"));
+        site.kill(site.owner());
+        site.lostHostOrders = 0;
+        section("the next owner orders it again, which ends nothing, since it has been done", [&] {
+            site.run(Duration(8'000));
+            EXPECT_EQ(site.completedWaves.count(1), 1);
+        });
+        section("and its worker takes tasks as before", [&] {
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellGangs, StartWholeOrNotAtAll)
 {
     story("a gang of six on workers that have room for four", [] {
