Play moves of hosts between real processes

Cause: moves had stories in virtual time only; the platform's call and its list were not spoken in make test. Change: the platform in small has a standby pool and takes moves; ProcessSite.SwitchesHostsOffAndOnWithTheWork. Ruled out on the way: hosts that seem not to come back (the test's loop ran over a temporary; the logs showed that they did). Conclusion: the whole path of a move runs without the kit.

--- a/tests/servers/site_test.cpp
+++ b/tests/servers/site_test.cpp
@@ -313,4 +313,29 @@
     });
 }
 
+TEST(ProcessSite, SwitchesHostsOffAndOnWithTheWork)
+{
+    story("three hosts in a pool, and a pool in standby", [] {
+        Site site(24'400, {"--workers", "3", "--standby"});
+        const auto hostsIn = [&site](const std::string &pool) {
+            site.ask(site.port(0, 0) + entryCount * portsEach + 1, drivers::HttpMethod::Get, "/-/machines", {}, {});
+            int count = 0;
+            const json page = json::parse(site.body());
+            for (const json &machine : page.at("machines")) {
+                count += machine.at("pool") == pool ? 1 : 0;
+            }
+            return count;
+        };
+        section("without work all are switched off",
+                [&] { EXPECT_TRUE(site.waitFor([&] { return hostsIn("spare") == 3; })); });
+        section("a job that fills two of them brings them back and ends", [&] {
+            site.submit("00000000000000d1", steps(14), "ms=2500");
+            EXPECT_TRUE(site.waitFor([&] { return hostsIn("looms") >= 2; }));
+            EXPECT_TRUE(site.ends("00000000000000d1", "completed"));
+        });
+        section("and afterwards they are switched off again",
+                [&] { EXPECT_TRUE(site.waitFor([&] { return hostsIn("spare") == 3; })); });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -81,6 +81,11 @@
         m_rows[{table, part, key}] = Row{toBase64(value.dump()), ++m_version, false};
     }
 
+    void remove(const std::string &table, const std::string &part, const std::string &key)
+    {
+        m_rows[{table, part, key}] = Row{{}, ++m_version, true};
+    }
+
 private:
     struct Row
     {
@@ -397,15 +402,17 @@
     Timer m_timer;
 };
 
+/// Hosts of this pool are switched off.
+constexpr auto standbyPool = "spare";
+
 class HostServiceStandIn
 {
 public:
     HostServiceStandIn(EventLoop &loop, std::uint16_t port, std::vector<std::unique_ptr<SiteWorkerStandIn>> &workers,
-                       StoreStandIn &store, std::string service)
+                       StoreStandIn &store)
         : m_port(port)
         , m_workers(workers)
         , m_store(store)
-        , m_service(std::move(service))
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
     {
@@ -416,6 +423,17 @@
         return m_server.listen(Endpoint{loopback, m_port});
     }
 
+    /// Puts a worker's host into a pool; in the standby pool it is switched off.
+    void place(SiteWorkerStandIn &worker, const std::string &pool)
+    {
+        m_pools[worker.id()] = pool;
+        if (pool == standbyPool) {
+            m_store.remove("servers", "", worker.id());
+        } else {
+            m_store.put("servers", "", worker.id(), worker.entry(pool));
+        }
+    }
+
 private:
     static std::string hostOf(const SiteWorkerStandIn &worker)
     {
@@ -428,29 +446,47 @@
             json machines = json::array();
             for (const auto &worker : m_workers) {
                 const bool isDown = m_downUntil[worker->id()] > milliseconds();
+                const std::string pool = m_pools[worker->id()];
                 machines.push_back(json{{"machine", hostOf(*worker)},
-                                        {"pool", m_service},
+                                        {"pool", pool},
                                         {"state", isDown ? "upkeep" : "up"},
-                                        {"id", worker->id()}});
+                                        {"capacity", {{"cpu", 8'000}, {"memMb", 8'000}, {"gpus", 0}}},
+                                        {"labels", {"a", "r1-1"}},
+                                        {"id", pool == standbyPool ? std::string() : worker->id()}});
             }
             m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"machines", machines}, {"nextToken", nullptr}}));
             return;
         }
         const json body = json::parse(request.body);
         for (const auto &worker : m_workers) {
-            if (hostOf(*worker) == body.at("machine").get<std::string>() && m_downUntil[worker->id()] == 0) {
+            if (hostOf(*worker) != body.at("machine").get<std::string>()) {
+                continue;
+            }
+            if (request.path == "/-/machine-move") {
+                move(*worker, body.at("pool"));
+            } else if (m_downUntil[worker->id()] == 0) {
                 m_downUntil[worker->id()] = milliseconds() + maintenanceMilliseconds;
                 worker->goDown();
-                m_store.put("servers", "", worker->id(), worker->entry(m_service));
+                place(*worker, m_pools[worker->id()]);
             }
         }
         m_server.answer(request.id, jsonAnswer(httpStatus::ok, json::object()));
     }
 
+    /// Done at once, where the platform takes a second or two.
+    void move(SiteWorkerStandIn &worker, const std::string &pool)
+    {
+        if (m_pools[worker.id()] != pool) {
+            worker.goDown();
+            place(worker, pool);
+        }
+    }
+
     std::uint16_t m_port;
     std::vector<std::unique_ptr<SiteWorkerStandIn>> &m_workers;
     StoreStandIn &m_store;
-    std::string m_service;
+    /// Pool of each worker's host.
+    std::map<std::string, std::string> m_pools;
     std::map<std::string, std::int64_t> m_downUntil;
     HttpServer m_server;
 };
@@ -463,9 +499,11 @@
     std::uint16_t port = 0;
     int workerCount = 3;
     bool hasWave = false;
+    bool hasStandby = false;
     app.add_option("--port", port, "the store's; the host service and the workers follow")->required();
     app.add_option("--workers", workerCount, "workers of the one pool");
     app.add_flag("--wave", hasWave, "all hosts are due for maintenance");
+    app.add_flag("--standby", hasStandby, "there is a pool whose hosts are switched off");
     CLI11_PARSE(app, argumentCount, arguments);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -476,7 +514,7 @@
     for (int index = 0; index < workerCount; ++index) {
         ports.push_back(static_cast<std::uint16_t>(port + 2 + index));
     }
-    HostServiceStandIn hosts(loop, static_cast<std::uint16_t>(port + 1), workers, store, "looms");
+    HostServiceStandIn hosts(loop, static_cast<std::uint16_t>(port + 1), workers, store);
     const auto make = [&loop](std::uint16_t own) {
         return std::make_unique<SiteWorkerStandIn>(loop, own);
     };
@@ -485,17 +523,21 @@
     }
     json machines = json::array();
     for (const auto &worker : workers) {
-        store.put("servers", "", worker->id(), worker->entry("looms"));
+        hosts.place(*worker, "looms");
         machines.push_back("m-" + worker->id().substr(2));
     }
     // Entries of other writers name no worker to use, and end nothing.
     store.put("servers", "", "i-other", json{{"service", 7}});
     const json queue{{"name", "q"},      {"host", "site.example"}, {"prefix", "/plans/"},    {"service", "looms"},
                      {"maxAttempts", 3}, {"stretch", 1.5},         {"targetDurationMs", 500}};
+    json services{{{"name", "looms"}}};
+    if (hasStandby) {
+        services.push_back({{"name", standbyPool}, {"standby", true}});
+    }
     store.put("op", "", "config",
               json{{"version", 3},
                    {"routes", {queue}},
-                   {"services", {{{"name", "looms"}}}},
+                   {"services", services},
                    {"tenants", {{{"name", "t"}, {"weight", 1}, {"apiKeys", {"key-1"}}}}}});
     if (hasWave) {
         store.put("op", "", "wave/1", json{{"wave", 1}, {"machines", machines}, {"durationS", 20}, {"cap", 1}});
