--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -74,6 +74,9 @@
 class CellSite
 {
 public:
+    /// Milliseconds that a worker takes to stop a task.
+    static constexpr std::int64_t stopTime = 900;
+
     explicit CellSite(std::uint64_t seed = 1);
 
     /// Chance that a call's answer is lost, and that a lost order is carried out seconds later.
