--- a/core/cells/move_planner.cpp
+++ b/core/cells/move_planner.cpp
@@ -41,7 +41,9 @@
 {
     double needed = 0;
     double serving = 0;
+    /// Labels that steps of its jobs name, and those that its hosts have.
     std::set<std::string> labels;
+    std::set<std::string> present;
     std::map<RackId, std::uint32_t> racks;
 
     double surplus() const
@@ -81,10 +83,25 @@
             if (pool != m_pools.end() && host.serves) {
                 pool->second.serving += 1;
                 ++pool->second.racks[host.rack];
+                pool->second.present.insert(host.labels.begin(), host.labels.end());
             }
         }
     }
 
+    /// Pools with a step that none of their hosts may run, and the label that it names.
+    std::vector<std::pair<PoolId, std::string>> missingLabels() const
+    {
+        std::vector<std::pair<PoolId, std::string>> missing;
+        for (const auto &[id, balance] : m_pools) {
+            for (const std::string &label : balance.labels) {
+                if (balance.present.count(label) == 0) {
+                    missing.emplace_back(id, label);
+                }
+            }
+        }
+        return missing;
+    }
+
     /// The pool that lacks the most, or nothing.
     std::optional<PoolId> neediest(const std::set<PoolId> &hopeless) const
     {
@@ -100,12 +117,14 @@
     }
 
     /// The host to move to @p target: one that its pool can spare, else one from standby.
-    const MovableHost *donor(const PoolId &target) const
+    /// @param label that the host must have; any will do when empty.
+    const MovableHost *donor(const PoolId &target, const std::string &label = {}) const
     {
         const MovableHost *best = nullptr;
         std::tuple<bool, std::uint32_t, double> bestScore;
         for (const MovableHost &host : m_hosts) {
-            if (host.pool == target || host.refusedBy.count(target) > 0 || !isFree(host)
+            const bool isWanted = label.empty() || host.labels.count(label) > 0;
+            if (!isWanted || host.pool == target || host.refusedBy.count(target) > 0 || !isFree(host)
                 || m_taken.count(host.id) > 0) {
                 continue;
             }
@@ -189,6 +208,12 @@
 {
     std::vector<PlannedMove> moves;
     Balances balances(demands, config, hosts);
+    for (const auto &[pool, label] : balances.missingLabels()) {
+        const MovableHost *host = balances.donor(pool, label);
+        if (host != nullptr && moves.size() < mostMoves) {
+            moves.push_back(balances.take(*host, pool, pool));
+        }
+    }
     std::set<PoolId> hopeless;
     while (moves.size() < mostMoves) {
         const std::optional<PoolId> target = balances.neediest(hopeless);
--- a/tests/core/cells/move_planner_test.cpp
+++ b/tests/core/cells/move_planner_test.cpp
@@ -109,6 +109,32 @@
     });
 }
 
+TEST(MovePlanner, BringsAHostThatAStepMayRunOn)
+{
+    story("a pool with hosts enough, none of which has the label that a step names", [] {
+        std::vector<MovableHost> hosts;
+        addHosts(hosts, looms, 3, std::nullopt);
+        addHosts(hosts, spare, 3, Duration(0));
+        std::map<PoolId, PoolDemand> demands = demandOf(looms, 1);
+        demands[looms].labels = {"rare"};
+        section("no host is moved where none has it",
+                [&] { EXPECT_TRUE(MovePlanner::plan(demands, threePools(), hosts).empty()); });
+        section("one that has it is", [&] {
+            hosts.back().labels.insert("rare");
+            const std::vector<PlannedMove> moves = MovePlanner::plan(demands, threePools(), hosts);
+            ASSERT_EQ(moves.size(), 1);
+            EXPECT_EQ(moves[0].host, hosts.back().id);
+            EXPECT_EQ(moves[0].to, looms);
+        });
+        section("and it stays while the step's job lives", [&] {
+            hosts.back().pool = looms;
+            hosts.back().serves = true;
+            hosts.back().idleFor = Duration(60'000);
+            EXPECT_TRUE(MovePlanner::plan(demands, threePools(), hosts).empty());
+        });
+    });
+}
+
 TEST(MovePlanner, SwitchesOffWhatIsNotNeeded)
 {
     story("a pool of four hosts whose work needs one", [] {
