Plan moves soon after a takeover

Ruled out: the wait for workers' answers, which come in 0.03 s; workers that have not answered count as serving.

--- a/core/cells/host_desk.cpp
+++ b/core/cells/host_desk.cpp
@@ -45,9 +45,9 @@
     m_waves.see(waves);
 }
 
-void HostDesk::accepted(const PoolId &pool, const GraphSpec &spec)
+void HostDesk::accepted(const PoolId &pool, const GraphSpec &spec, Duration ago)
 {
-    m_forecast.add(pool, spec, m_outbox.now.steady);
+    m_forecast.add(pool, spec, m_outbox.now.steady - ago);
 }
 
 std::set<WorkerId> HostDesk::advance(const JobBook &book, const SiteConfig &config, const WorkerRoster &roster,
--- a/core/cells/host_desk.h
+++ b/core/cells/host_desk.h
@@ -32,8 +32,8 @@
     void clear();
     void restore(const std::vector<WaveRow> &rows);
     void see(const std::vector<Wave> &waves);
-    /// A job was accepted for @p pool.
-    void accepted(const PoolId &pool, const GraphSpec &spec);
+    /// A job was accepted for @p pool, @p ago before now.
+    void accepted(const PoolId &pool, const GraphSpec &spec, Duration ago = Duration{0});
     /// Sends what is due.
     /// @param mayOrder whether the cell is owned for certain.
     /// @return the workers that are to be kept free and emptied.
--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -161,7 +161,7 @@
         return WorkerId();
     }
     Move &move = found->second;
-    const WorkerId worker = move.worker;
+    WorkerId worker = move.worker;
     move.since = now;
     switch (outcome) {
     case HostOrderOutcome::Accepted:
--- a/core/cells/host_mover.h
+++ b/core/cells/host_mover.h
@@ -13,8 +13,8 @@
 class HostMover
 {
 public:
-    /// A new owner knows its workers by then.
-    static constexpr Duration settleTime{1'500};
+    /// Workers have answered a new owner by then; those that have not still count as serving.
+    static constexpr Duration settleTime{400};
     /// Interval between two tries of an order.
     static constexpr Duration retryInterval{500};
     /// A host that does not serve so long after its move is counted as lost.
--- a/core/cells/move_planner.cpp
+++ b/core/cells/move_planner.cpp
@@ -164,7 +164,7 @@
     PlannedMove take(const MovableHost &host, const PoolId &target, const PoolId &reason)
     {
         const PoolBalance &decisive = m_pools.at(reason);
-        const PlannedMove move{host.id, host.pool, target, decisive.needed, decisive.serving};
+        PlannedMove move{host.id, host.pool, target, decisive.needed, decisive.serving};
         m_taken.insert(host.id);
         const auto from = m_pools.find(host.pool);
         if (from != m_pools.end()) {
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -203,6 +203,27 @@
     });
 }
 
+TEST(CellMoves, BeginAtOnceUnderTheNextOwner)
+{
+    story("all hosts are switched off, and a queue begins to rise right after a hand-over", [] {
+        CellSite site;
+        fill(site);
+        site.run(Duration(4'000));
+        ASSERT_EQ(site.hostsIn("spare"), 12);
+        const std::string first = site.owner();
+        site.stop(first);
+        while (site.owner().empty() && site.time() < 10'000) {
+            site.run(Duration(10));
+        }
+        ASSERT_NE(site.owner(), first);
+        peak(site, "plans", 4, 100);
+        site.run(Duration(400));
+        section("within a second the new owner has sent the hosts that the jobs ask for",
+                [&] { EXPECT_GE(site.hostsIn("looms"), 8); });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, LeaveHostsOfAWaveAlone)
 {
     story("a wave over all hosts while a queue peaks", [] {
