Keep one copy of what the stories of cells share

Change: tests/support/cell_stories has fillLooms, other, lastingJob and expectNothingBroken. No check is changed.

--- a/tests/core/cells/cell_keeper_test.cpp
+++ b/tests/core/cells/cell_keeper_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/cell_site.h"
+#include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -6,41 +6,13 @@
 namespace radishvane::tests
 {
 
-namespace
-{
-
 using namespace cells;
 
-void fill(CellSite &site, std::size_t workers = 4)
-{
-    site.addQueue("plans", "looms");
-    for (std::size_t index = 0; index < workers; ++index) {
-        site.addWorker("w" + std::to_string(index), "looms", 8'000);
-    }
-    site.addNode("a");
-    site.addNode("b");
-    site.run(Duration(2'000));
-}
-
-std::string other(const CellSite &site)
-{
-    return site.owner() == "a" ? "b" : "a";
-}
-
-void expectNothingBroken(const CellSite &site)
-{
-    for (const std::string &what : site.broken) {
-        ADD_FAILURE() << what;
-    }
-}
-
-} // namespace
-
 TEST(CellJobs, RunFromEndToEnd)
 {
     story("a calm site with two entry hosts and four workers", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         section("one of the hosts owns the cell", [&] { ASSERT_FALSE(site.owner().empty()); });
         section("a job of two steps is accepted, run in order and completed", [&] {
             site.submit(site.owner(), "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
@@ -79,7 +51,7 @@
 {
     story("a queue that allows three failures, and workers that fail all that they start", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         for (const char *id : {"w0", "w1", "w2", "w3"}) {
             site.worker(id).fails = true;
         }
@@ -129,7 +101,7 @@
 {
     story("an owner is killed while a job runs", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         const std::string first = site.owner();
         const std::string second = other(site);
         site.durations[JobId("j1")] = 3'000;
@@ -153,7 +125,7 @@
 {
     story("a host starts anew under another id while the owner dies, with tasks of a job on it", [] {
         CellSite site;
-        fill(site, 3);
+        fillLooms(site, 3);
         const std::string first = site.owner();
         site.durations[JobId("j1")] = 1'000;
         site.submit(first, "j1", "plans", graphOf(1, 20, 1'000, Duration(1'000)));
@@ -173,7 +145,7 @@
 {
     story("an owner with work at all times is asked to stop", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         const std::string first = site.owner();
         for (int index = 0; index < 40; ++index) {
             site.submit(first, "j" + std::to_string(index), "plans", graphOf(2, 6, 1'000, Duration(300)));
@@ -199,7 +171,7 @@
 {
     story("an owner freezes for longer than its lease, and wakes beside its successor", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         const std::string first = site.owner();
         site.durations[JobId("j1")] = 2'000;
         site.submit(first, "j1", "plans", graphOf(3, 6, 1'000, Duration(2'000)));
@@ -219,7 +191,7 @@
 {
     story("the store is down for less than the lease of what runs", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         const std::string first = site.owner();
         site.durations[JobId("j1")] = 5'000;
         site.submit(first, "j1", "plans", graphOf(1, 8, 1'000, Duration(5'000)));
@@ -245,7 +217,7 @@
 {
     story("the store goes down with a job on its way to it", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         site.storeDown = true;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
         section("the caller is told within two seconds that the job may have been accepted", [&] {
@@ -268,7 +240,7 @@
 {
     story("the answer to a write is lost, and the store carries it out seconds later", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         const std::string first = site.owner();
         site.submit(first, "j1", "plans", graphOf(3, 4, 1'000, Duration(300)));
         site.loseNextWrite = true;
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/cell_site.h"
+#include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -6,44 +6,13 @@
 namespace radishvane::tests
 {
 
-namespace
-{
-
 using namespace cells;
 
-void fill(CellSite &site, std::size_t workers = 4)
-{
-    site.addQueue("plans", "looms");
-    for (std::size_t index = 0; index < workers; ++index) {
-        site.addWorker("w" + std::to_string(index), "looms", 8'000);
-    }
-    site.addNode("a");
-    site.addNode("b");
-    site.run(Duration(2'000));
-}
-
-GraphSpec lastingJob(std::uint32_t count, std::uint32_t allowance)
-{
-    GraphSpec spec = graphOf(1, count, 2'000, Duration(500));
-    spec.steps[0].lasting = true;
-    spec.steps[0].allowance = allowance;
-    return spec;
-}
-
-void expectNothingBroken(const CellSite &site)
-{
-    for (const std::string &what : site.broken) {
-        ADD_FAILURE() << what;
-    }
-}
-
-} // namespace
-
 TEST(CellWorkers, LoseTheirTasksWhenTheyFallSilent)
 {
     story("a worker is cut off with tasks on it", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 20'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 8, 1'000, Duration(20'000)));
         site.run(Duration(1'000));
@@ -68,7 +37,7 @@
 {
     story("looks that cannot be sent follow a lease that was taken", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 30'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(30'000)));
         site.run(Duration(2'000));
@@ -84,7 +53,7 @@
 {
     story("a worker crashes and comes back at the same address", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 4'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 8, 1'000, Duration(4'000)));
         site.run(Duration(1'000));
@@ -101,7 +70,7 @@
 {
     story("a worker says that it leaves soon", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.submit(site.owner(), "l", "plans", lastingJob(2, 1));
         site.run(Duration(1'000));
         ASSERT_GT(site.runningOn("w0"), 0);
@@ -127,7 +96,7 @@
 {
     story("one of two workers starts tasks and makes no progress", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.worker("w0").stalls = true;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
         site.run(Duration(8'000));
@@ -136,7 +105,7 @@
     });
     story("an owner that cannot look for a while takes no task for stalled", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 20'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(20'000)));
         site.run(Duration(1'000));
@@ -157,7 +126,7 @@
 {
     story("a job that fills the workers is cancelled, and its owner is stopped at once", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 60'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 16, 1'000, Duration(60'000)));
         site.run(Duration(1'000));
@@ -176,7 +145,7 @@
 {
     story("a worker is cut off from the next owner with a task of a job that is cancelled meanwhile", [] {
         CellSite site;
-        fill(site, 1);
+        fillLooms(site, 1);
         GraphSpec lasting = lastingJob(1, 1);
         lasting.steps[0].needs.cpu = 6'000;
         site.submit(site.owner(), "l", "plans", lasting);
@@ -207,7 +176,7 @@
     story("a worker is lost for good while it stops the tasks of a job that was cancelled under another owner", [] {
         CellSite site;
         site.addTeam("dyers", 4'000);
-        fill(site, 2);
+        fillLooms(site, 2);
         site.submit(site.owner(), "l", "plans", lastingJob(4, 1), "dyers");
         site.run(Duration(1'000));
         ASSERT_EQ(site.runningOn("w0"), 2);
@@ -235,7 +204,7 @@
     story("a team asks for four times its ceiling", [] {
         CellSite site;
         site.addTeam("dyers", 4'000);
-        fill(site);
+        fillLooms(site);
         for (int index = 0; index < 4; ++index) {
             site.submit(site.owner(), "j" + std::to_string(index), "plans", graphOf(1, 4, 1'000, Duration(300)),
                         "dyers");
@@ -254,7 +223,7 @@
 {
     story("a gang of six on workers that have room for four", [] {
         CellSite site;
-        fill(site, 2);
+        fillLooms(site, 2);
         site.durations[JobId("j1")] = 3'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 12, 1'000, Duration(3'000)));
         site.run(Duration(500));
@@ -274,7 +243,7 @@
     });
     story("a worker with a member of a gang crashes", [] {
         CellSite site;
-        fill(site, 3);
+        fillLooms(site, 3);
         GraphSpec gang = graphOf(1, 6, 1'000, Duration(3'000));
         gang.steps[0].gang = true;
         site.durations[JobId("g")] = 3'000;
@@ -296,7 +265,7 @@
         CellSite site;
         site.addQueue("checked", "looms");
         site.setAdmission("checked");
-        fill(site, 4);
+        fillLooms(site, 4);
         site.admitted = {"w2"};
         site.submit(site.owner(), "j1", "checked", graphOf(2, 4, 1'000, Duration(300)));
         section("its tasks run there", [&] {
@@ -316,7 +285,7 @@
 {
     story("a job of three occurrences, a second apart, the first in a second", [] {
         CellSite site;
-        fill(site);
+        fillLooms(site);
         GraphSpec spec = graphOf(1, 2, 1'000, Duration(300));
         spec.repeats = 3;
         spec.firstDue = site.wall() + Duration(1'000);
@@ -344,7 +313,7 @@
 {
     story("filling tasks beside a lasting task whose tail comes near to its bound", [] {
         CellSite site;
-        fill(site, 1);
+        fillLooms(site, 1);
         GraphSpec lasting = lastingJob(1, 1);
         lasting.steps[0].tailTarget = Duration(100);
         GraphSpec filling = graphOf(1, 2, 6'000, Duration(20'000));
@@ -371,7 +340,7 @@
 {
     story("a backlog of 600 jobs on one worker, which runs eight tasks of 300 ms at a time", [] {
         CellSite site;
-        fill(site, 1);
+        fillLooms(site, 1);
         for (int index = 0; index < 600; ++index) {
             site.submit(site.owner(), "j" + std::to_string(index), "plans", graphOf(2, 4, 1'000, Duration(300)));
         }
--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/cell_site.h"
+#include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -11,30 +11,6 @@
 
 using namespace cells;
 
-GraphSpec lastingJob(std::uint32_t count, std::uint32_t allowance)
-{
-    GraphSpec spec = graphOf(1, count, 2'000, Duration(500));
-    spec.steps[0].lasting = true;
-    spec.steps[0].allowance = allowance;
-    return spec;
-}
-
-void fill(CellSite &site, std::size_t workers = 4)
-{
-    site.addQueue("plans", "looms");
-    for (std::size_t index = 0; index < workers; ++index) {
-        site.addWorker("w" + std::to_string(index), "looms", 8'000);
-    }
-    site.addNode("a");
-    site.addNode("b");
-    site.run(Duration(2'000));
-}
-
-std::string other(const CellSite &site)
-{
-    return site.owner() == "a" ? "b" : "a";
-}
-
 /// A lasting job with one task on each worker.
 GraphSpec spreadLastingJob(std::uint32_t count, std::uint32_t allowance)
 {
@@ -43,20 +19,13 @@
     return spec;
 }
 
-void expectNothingBroken(const CellSite &site)
-{
-    for (const std::string &what : site.broken) {
-        ADD_FAILURE() << what;
-    }
-}
-
 } // namespace
 
 TEST(CellLasting, TasksComeBackAndKeepTheirAllowance)
 {
     story("a lasting job of four tasks of which one may be away", [] {
         CellSite site;
-        fill(site, 6);
+        fillLooms(site, 6);
         site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
         site.run(Duration(2'000));
         section("a task on a worker that crashed and came back is at work again in seconds", [&] {
@@ -87,7 +56,7 @@
 {
     story("the store is down again and again for longer than the owner's lease, while hosts are due", [] {
         CellSite site;
-        fill(site, 6);
+        fillLooms(site, 6);
         // A second host would take the cell, and begin the wave's plan anew.
         site.kill(other(site));
         site.addWave(3, {"w0", "w1", "w2", "w3", "w4", "w5"}, 1);
@@ -110,7 +79,7 @@
 {
     story("an owner has begun to empty a host, and is replaced within the time that a stop takes", [] {
         CellSite site;
-        fill(site, 4);
+        fillLooms(site, 4);
         site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
         site.run(Duration(2'000));
         site.addWave(1, {"w3"}, 1);
@@ -144,7 +113,7 @@
 {
     story("a worker with a lasting task is cut off, its owner dies, and its host is due", [] {
         CellSite site;
-        fill(site, 4);
+        fillLooms(site, 4);
         site.submit(site.owner(), "j1", "plans", spreadLastingJob(4, 1));
         site.run(Duration(2'000));
         ASSERT_EQ(site.runningOn("w3"), 1);
@@ -167,7 +136,7 @@
 {
     story("the only host is maintained by an order without an answer, and its owner dies", [] {
         CellSite site;
-        fill(site, 1);
+        fillLooms(site, 1);
         site.lostHostOrders = 1;
         site.hostOrderDelay = 1;
         site.addWave(1, {"w0"}, 1);
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/support/cell_site.h"
+#include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -91,13 +91,6 @@
     return count;
 }
 
-void expectNothingBroken(const CellSite &site)
-{
-    for (const std::string &what : site.broken) {
-        ADD_FAILURE() << what;
-    }
-}
-
 } // namespace
 
 TEST(CellMoves, FollowTheWork)
--- /dev/null
+++ b/tests/support/cell_stories.cpp
@@ -0,0 +1,41 @@
+#include "tests/support/cell_stories.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+using namespace cells;
+
+void fillLooms(CellSite &site, std::size_t workers)
+{
+    site.addQueue("plans", "looms");
+    for (std::size_t index = 0; index < workers; ++index) {
+        site.addWorker("w" + std::to_string(index), "looms", 8'000);
+    }
+    site.addNode("a");
+    site.addNode("b");
+    site.run(Duration(2'000));
+}
+
+std::string other(const CellSite &site)
+{
+    return site.owner() == "a" ? "b" : "a";
+}
+
+GraphSpec lastingJob(std::uint32_t count, std::uint32_t allowance)
+{
+    GraphSpec spec = graphOf(1, count, 2'000, Duration(500));
+    spec.steps[0].lasting = true;
+    spec.steps[0].allowance = allowance;
+    return spec;
+}
+
+void expectNothingBroken(const CellSite &site)
+{
+    for (const std::string &what : site.broken) {
+        ADD_FAILURE() << what;
+    }
+}
+
+} // namespace radishvane::tests
