--- a/core/cells/cell_keeper.cpp
+++ b/core/cells/cell_keeper.cpp
@@ -231,33 +231,13 @@
     for (auto &[id, job] : m_runs.book().jobs()) {
         applyConfig(job);
     }
-    foreseeFromRows();
+    m_hosts.foresee(m_runs.book(), *m_config);
     m_hosts.restore(event.contents->waves);
     m_hosts.see(m_waveList);
     m_rebuilt = true;
     m_outbox.note(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
 }
 
-void CellKeeper::foreseeFromRows()
-{
-    // A new owner foresees demand by what came to the one before; their clocks differ by little.
-    std::vector<const Job *> recent;
-    for (const auto &[id, job] : m_runs.book().jobs()) {
-        const Duration ago = m_outbox.now.wall - job.row.accepted;
-        if (ago >= Duration{0} && ago <= 2 * DemandForecast::span) {
-            recent.push_back(&job);
-        }
-    }
-    std::sort(recent.begin(), recent.end(),
-              [](const Job *left, const Job *right) { return left->row.accepted < right->row.accepted; });
-    for (const Job *job : recent) {
-        const auto queue = m_config->queues.find(job->row.queue);
-        if (queue != m_config->queues.end()) {
-            m_hosts.accepted(queue->second.pool, job->row.spec, m_outbox.now.wall - job->row.accepted);
-        }
-    }
-}
-
 void CellKeeper::on(const OwnerSeen &event)
 {
     m_lease.see(event, m_outbox.now.steady);
--- a/core/cells/cell_keeper.h
+++ b/core/cells/cell_keeper.h
@@ -71,8 +71,6 @@
     void onWritten(std::uint64_t version);
     void onConflict(const CellWritten &event);
     void applyConfig(Job &job) const;
-    /// Tells the forecast of the jobs that came in the last seconds, by their rows.
-    void foreseeFromRows();
     void answer(ExchangeId exchange, CallAnswer answer);
     void answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply);
     static GraphState shownState(const Job &job);
--- a/core/cells/host_desk.cpp
+++ b/core/cells/host_desk.cpp
@@ -3,6 +3,8 @@
 #include "core/base/enum_names.h"
 #include "core/base/overloaded.h"
 
+#include <algorithm>
+
 namespace radishvane::cells
 {
 
@@ -45,9 +47,30 @@
     m_waves.see(waves);
 }
 
-void HostDesk::accepted(const PoolId &pool, const GraphSpec &spec, Duration ago)
+void HostDesk::foresee(const JobBook &book, const SiteConfig &config)
+{
+    // The clocks of two owners differ by little.
+    std::vector<const Job *> recent;
+    for (const auto &[id, job] : book.jobs()) {
+        const Duration ago = m_outbox.now.wall - job.row.accepted;
+        if (ago >= Duration{0} && ago <= 2 * DemandForecast::span) {
+            recent.push_back(&job);
+        }
+    }
+    std::sort(recent.begin(), recent.end(),
+              [](const Job *left, const Job *right) { return left->row.accepted < right->row.accepted; });
+    for (const Job *job : recent) {
+        const auto queue = config.queues.find(job->row.queue);
+        if (queue != config.queues.end()) {
+            const Duration ago = m_outbox.now.wall - job->row.accepted;
+            m_forecast.add(queue->second.pool, job->row.spec, m_outbox.now.steady - ago);
+        }
+    }
+}
+
+void HostDesk::accepted(const PoolId &pool, const GraphSpec &spec)
 {
-    m_forecast.add(pool, spec, m_outbox.now.steady - ago);
+    m_forecast.add(pool, spec, m_outbox.now.steady);
 }
 
 void HostDesk::advance(const JobBook &book, const SiteConfig &config, const WorkerRoster &roster, bool mayOrder)
--- a/core/cells/host_desk.h
+++ b/core/cells/host_desk.h
@@ -32,8 +32,10 @@
     void clear();
     void restore(const std::vector<WaveRow> &rows);
     void see(const std::vector<Wave> &waves);
-    /// A job was accepted for @p pool, @p ago before now.
-    void accepted(const PoolId &pool, const GraphSpec &spec, Duration ago = Duration{0});
+    /// Foresees demand by the jobs that came in the last seconds, also to the owner before.
+    void foresee(const JobBook &book, const SiteConfig &config);
+    /// A job was accepted for @p pool now.
+    void accepted(const PoolId &pool, const GraphSpec &spec);
     /// Sends what is due.
     /// @param mayOrder whether the cell is owned for certain.
     void advance(const JobBook &book, const SiteConfig &config, const WorkerRoster &roster, bool mayOrder);
