--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -17,10 +17,12 @@
 
 } // namespace
 
-CellController::CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times)
+CellController::CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
+                               HostCapacity capacity)
     : m_cell(std::move(cell))
     , m_host(host)
     , m_times(times)
+    , m_capacity(capacity)
     , m_lease(std::move(host), incarnation, std::move(link))
     , m_runs(m_outbox, m_writer, times)
     , m_hosts(m_outbox, m_writer, m_host)
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -3,6 +3,7 @@
 #include "core/cells/cell_lease.h"
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
+#include "core/cells/host_capacity.h"
 #include "core/cells/host_controller.h"
 #include "core/cells/run_controller.h"
 #include "core/cells/team_shares.h"
@@ -30,7 +31,8 @@
     /// Pause after a read or write that failed in the store.
     static constexpr Duration storeRetryPause{150};
 
-    CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times);
+    CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
+                   HostCapacity capacity);
 
     CellEffects handle(const CellEvent &event, Instant now);
 
@@ -80,6 +82,7 @@
     CellId m_cell;
     HostId m_host;
     CellTimes m_times;
+    HostCapacity m_capacity;
     CellOutbox m_outbox;
     CellLease m_lease;
     CellWriter m_writer;
--- a/core/config/field_reader.cpp
+++ b/core/config/field_reader.cpp
@@ -163,6 +163,21 @@
     return has(field) ? number(field, range) : fallback;
 }
 
+double FieldReader::decimal(const std::string &field, double least, double most, double fallback)
+{
+    const Scalar *value = has(field) ? scalar(field) : nullptr;
+    if (value == nullptr) {
+        return fallback;
+    }
+    const auto number = parseNumber<double>(*value);
+    if (!number || !(*number >= least && *number <= most)) {
+        report(ConfigProblemKind::OutOfRange, field, *value,
+               "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return *number;
+}
+
 bool FieldReader::flag(const std::string &field, bool fallback)
 {
     if (!has(field)) {
--- a/core/config/field_reader.h
+++ b/core/config/field_reader.h
@@ -32,6 +32,8 @@
     std::string text(const std::string &field);
     std::uint32_t number(const std::string &field, Range range);
     std::uint32_t number(const std::string &field, Range range, std::uint32_t fallback);
+    /// Reads a decimal number in [@p least, @p most]; @p fallback when the field is absent.
+    double decimal(const std::string &field, double least, double most, double fallback);
     bool flag(const std::string &field, bool fallback);
     /// Reads an IPv4 address and a port, written address:port.
     Endpoint endpoint(const std::string &field);
--- a/drivers/site_settings.cpp
+++ b/drivers/site_settings.cpp
@@ -11,6 +11,10 @@
 
 constexpr Range millisecondsRange{1, 3'600'000};
 constexpr Range secondsRange{1, 86'400};
+constexpr double minCores = 0.001;
+constexpr double maxCores = 1'024;
+constexpr double minLinkMbps = 0.001;
+constexpr double maxLinkMbps = 1'000'000;
 
 Duration milliseconds(FieldReader &fields, const std::string &field)
 {
@@ -47,6 +51,9 @@
     settings.keysWithin = milliseconds(fields, "keys_within_ms");
     settings.stopWithin = seconds(fields, "stop_within_s");
     settings.keepEnded = seconds(fields, "keep_ended_s");
+    settings.capacity.cores = fields.decimal("cores", minCores, maxCores, settings.capacity.cores)
+        * fields.decimal("core_speed", minCores, maxCores, 1);
+    settings.capacity.linkMbps = fields.decimal("link_mbps", minLinkMbps, maxLinkMbps, settings.capacity.linkMbps);
     settings.logLevel = readLogLevel(fields);
     fields.finish();
     if (!problems.empty()) {
--- a/drivers/site_settings.h
+++ b/drivers/site_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/result.h"
+#include "core/cells/host_capacity.h"
 #include "core/config/config.h"
 #include "core/config/config_problem.h"
 #include "drivers/log.h"
@@ -40,6 +41,8 @@
     Duration stopWithin{0};
     /// An ended job can be asked about for this long.
     Duration keepEnded{0};
+    /// What the host gives this process.
+    cells::HostCapacity capacity;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/tests/drivers/site_settings_test.cpp
+++ b/tests/drivers/site_settings_test.cpp
@@ -43,6 +43,19 @@
             EXPECT_NE(problems.find("here"), std::string::npos) << problems;
             EXPECT_NE(problems.find("log_level"), std::string::npos) << problems;
         });
+        section("the capacity of the host is read, with decimals", [] {
+            const auto settings = drivers::readSiteSettings(
+                drivers::FileText{"settings", sound + "cores: 0.12\ncore_speed: 2\nlink_mbps: 10.0\n"});
+            ASSERT_TRUE(settings);
+            EXPECT_DOUBLE_EQ(settings.value().capacity.cores, 0.24);
+            EXPECT_DOUBLE_EQ(settings.value().capacity.linkMbps, 10);
+        });
+        section("a capacity that is no number is named with what was found", [] {
+            const std::string problems = problemsOf(sound + "cores: none\nlink_mbps: 0\n");
+            EXPECT_NE(problems.find("cores"), std::string::npos) << problems;
+            EXPECT_NE(problems.find("none"), std::string::npos) << problems;
+            EXPECT_NE(problems.find("link_mbps"), std::string::npos) << problems;
+        });
         section("one that nobody knows is named", [] {
             const std::string problems = problemsOf(sound + "most_hold: 3\n");
             EXPECT_NE(problems.find("most_hold"), std::string::npos) << problems;
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -46,9 +46,10 @@
     later(0, [this] { tickWorkers(); });
 }
 
-ModelNode &CellSite::addNode(const std::string &name)
+ModelNode &CellSite::addNode(const std::string &name, HostCapacity capacity)
 {
     ModelNode &node = m_nodes[name];
+    node.capacity = capacity;
     node.host = HostId(name);
     restart(name);
     later(tickInterval, [this, name] { tickNode(name); });
@@ -143,7 +144,8 @@
     CellTimes times;
     times.leaseTime = Duration(6'000);
     times.stopGrace = Duration(stopTime);
-    entry.controller = std::make_unique<CellController>(cell, entry.host, ++m_incarnations, Endpoint{name, 1}, times);
+    entry.controller = std::make_unique<CellController>(cell, entry.host, ++m_incarnations, Endpoint{name, 1}, times,
+                                                        entry.capacity);
     entry.alive = true;
     ++entry.life;
     entry.frozen = false;
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -59,6 +59,7 @@
 {
     std::unique_ptr<cells::CellController> controller;
     HostId host;
+    cells::HostCapacity capacity;
     bool alive = true;
     bool cutFromStore = false;
     bool frozen = false;
@@ -90,7 +91,7 @@
     /// Run time of tasks in milliseconds, by job; 300 when not set.
     std::map<JobId, std::int64_t> durations;
 
-    ModelNode &addNode(const std::string &name);
+    ModelNode &addNode(const std::string &name, cells::HostCapacity capacity = {});
     ModelWorker &addWorker(const std::string &id, const std::string &pool, std::uint64_t cpu);
     void addQueue(const std::string &name, const std::string &pool, std::uint32_t maxFailures = 3);
     /// Lets the admission service decide about the steps of a queue.
