Keep a worker until the ends of its runs are stored

Cause: an owner moved a host, or ordered its maintenance, as soon as nothing ran on it. The order ends the worker, and with it the list of its ended runs, which was the only record of the ends that the owner had read and not yet stored. When that owner lost the cell before the write, the next owner found the host with another worker, took the runs for lost and started them again. The same cause acted where a worker that is unreachable or no longer in discovery is dropped from the roster. Change: a worker counts as idle only when the store holds the ends of all its reported runs. Moves, maintenance and the removal from the roster wait for that.

--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -29,8 +29,7 @@
 
 bool isIdle(const Worker &worker)
 {
-    return worker.fenced && !worker.unreachable && worker.tasks.empty() && worker.foreignTasks.empty()
-        && !worker.hasUnknownTasks;
+    return worker.fenced && !worker.unreachable && worker.isIdle();
 }
 
 } // namespace
--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -239,7 +239,8 @@
             plan.cordoned.insert(listed.worker);
         }
         // Tasks that a former owner started are unknown until the worker answers or their leases have expired.
-        const bool isEmpty = worker == nullptr || (worker->isReconciled(view.now) && worker->tasks.empty());
+        const bool isEmpty
+            = worker == nullptr || (worker->isReconciled(view.now) && worker->tasks.empty() && worker->hasStoredEnds());
         if (!isEmpty || !view.isUp(host) || down >= state.wave.maxHostsDown || view.now < entry.notBefore) {
             continue;
         }
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -28,6 +28,16 @@
         && entry->state == WorkerState::Ready && now >= avoidedUntil;
 }
 
+bool Worker::hasStoredEnds() const
+{
+    return stored >= processed;
+}
+
+bool Worker::isIdle() const
+{
+    return tasks.empty() && foreignTasks.empty() && !hasUnknownTasks && hasStoredEnds();
+}
+
 bool Worker::hasLabel(const std::string &label) const
 {
     return label.empty() || (entry && entry->labels.count(label) > 0);
@@ -55,7 +65,7 @@
 
 bool Worker::holdsNoLease(TimePoint now) const
 {
-    return tasks.empty() && (incarnationEnded || (unreachable && hasLeaseExpired(now)));
+    return tasks.empty() && hasStoredEnds() && (incarnationEnded || (unreachable && hasLeaseExpired(now)));
 }
 
 WorkerAddress Worker::address() const
@@ -147,7 +157,7 @@
 {
     std::vector<WorkerId> ids;
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.entry && worker.tasks.empty() && worker.renewal.value == 0
+        if (!worker.entry && worker.tasks.empty() && worker.hasStoredEnds() && worker.renewal.value == 0
             && (worker.incarnationEnded || worker.hasLeaseExpired(now))) {
             ids.push_back(id);
         }
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -81,6 +81,11 @@
     bool isReconciled(TimePoint now) const;
     /// Whether a task may be started on the worker.
     bool acceptsTasks(TimePoint now) const;
+    /// Whether the store holds the end of every run that the worker has reported as ended. Until then the worker's own
+    /// list is the only record that a later owner can read.
+    bool hasStoredEnds() const;
+    /// Whether nothing runs on the worker and nothing is lost when it ends.
+    bool isIdle() const;
     bool hasLabel(const std::string &label) const;
     Resources room() const;
     /// Estimates the worker's clock at @p now.
--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -132,6 +132,38 @@
     });
 }
 
+TEST(CellWaves, WaitUntilTheEndsOfAWorkerAreStored)
+{
+    story("the hosts of a wave are drained, and their last tasks end while the store does not answer", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        site.durations[JobId("j1")] = 1'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 2, 1'000, Duration(1'000)));
+        while (site.runs("j1") < 2 && site.time() < 10'000) {
+            site.run(Duration(10));
+        }
+        ASSERT_EQ(site.runs("j1"), 2);
+        site.addWave(1, {"w0", "w1"}, 2);
+        site.run(Duration(800));
+        site.storeDown = true;
+        const std::string first = site.owner();
+        site.run(Duration(1'500));
+        section("the hosts whose workers hold the only record of completed tasks are not maintained", [&] {
+            EXPECT_EQ(site.worker("w0").ended.size() + site.worker("w1").ended.size(), 2);
+            EXPECT_FALSE(!site.worker("w0").ended.empty() && site.isMaintained("w0"));
+            EXPECT_FALSE(!site.worker("w1").ended.empty() && site.isMaintained("w1"));
+        });
+        section("the next owner does not start the completed tasks again", [&] {
+            site.kill(first);
+            site.storeDown = false;
+            site.run(Duration(6'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 2);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellWaves, ReuseAWorkerThatARepeatedOrderHasNotEnded)
 {
     story("the only host is maintained by an order without an answer, and the owner crashes", [] {
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -173,6 +173,48 @@
     });
 }
 
+TEST(CellMoves, WaitUntilTheEndsOfAWorkerAreStored)
+{
+    story("tasks end while the store does not answer, and another pool needs their hosts", [] {
+        CellSite site;
+        fill(site);
+        site.durations[JobId("j1")] = 600;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 16, 1'000, Duration(600)));
+        while (site.runs("j1") < 16 && site.time() < 10'000) {
+            site.run(Duration(10));
+        }
+        ASSERT_EQ(site.runs("j1"), 16);
+        std::vector<std::string> workers;
+        for (const char *id : {"l0", "l1", "l2", "l3", "f0", "f1", "f2", "f3"}) {
+            if (site.runningOn(id) > 0) {
+                workers.emplace_back(id);
+            }
+        }
+        ASSERT_FALSE(workers.empty());
+        site.run(Duration(400));
+        site.storeDown = true;
+        const std::string first = site.owner();
+        for (int index = 0; index < 20; ++index) {
+            site.submit(first, "q" + std::to_string(index), "quotes", graphOf(1, 16, 1'000, Duration(600)));
+        }
+        site.run(Duration(1'400));
+        section("no host moves whose worker holds the only record of completed tasks", [&] {
+            for (const std::string &id : workers) {
+                EXPECT_TRUE(site.worker(id).alive) << id;
+                EXPECT_EQ(site.worker(id).entry.pool, PoolId("looms")) << id;
+            }
+        });
+        section("the next owner does not start the completed tasks again", [&] {
+            site.kill(first);
+            site.storeDown = false;
+            site.run(Duration(6'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 16);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, ContinueUnderTheNextOwner)
 {
     story("the owner crashes while hosts are moving", [] {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -195,6 +195,8 @@
     cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StopOrder &order);
     void checkStart(const ModelWorker &worker, const cells::StartOrder &order);
     void end(ModelWorker &worker, const cells::TaskId &task, cells::RunEnd how);
+    /// Ends a worker by an order for its host; the completed runs on its list count as noted.
+    void endByOrder(const std::string &id);
     std::int64_t clockOf(const ModelWorker &worker) const;
     bool chance(double probability);
     ModelWorker *reach(const cells::WorkerAddress &address);
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -333,6 +333,17 @@
     worker.ended.push_back(EndedRow{++worker.lastEnd, task, run, how, {}});
 }
 
+void CellSite::endByOrder(const std::string &id)
+{
+    // No later owner can read the list of a worker that an order for its host has ended.
+    for (const EndedRow &row : worker(id).ended) {
+        if (row.how == RunEnd::Done) {
+            m_doneNoted[row.task] = row.run;
+        }
+    }
+    crash(id);
+}
+
 void CellSite::tickWorkers()
 {
     later(10, [this] { tickWorkers(); });
@@ -422,7 +433,7 @@
         broken.push_back("a host is moved with tasks on it: " + id);
     }
     ++moves;
-    crash(id);
+    endByOrder(id);
     moved.entry.pool = order.pool;
     m_movingUntil[id] = m_now + moveTime;
     return HostOrderOutcome::Accepted;
@@ -447,7 +458,7 @@
         if (!worker(id).running.empty()) {
             broken.push_back("a host is maintained with tasks on it: " + id);
         }
-        crash(id);
+        endByOrder(id);
         m_maintainedUntil[id] = m_now + maintenanceTime;
     }
     return HostOrderOutcome::Accepted;
