Prefer the fittest host as the owner of a cell

Cause: the host that came first took the cell, whatever its processor and its link. Change: a host waits longer before it takes over the less of an owner's needs it has; hosts that can carry a full cell wait no longer than before.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -23,7 +23,7 @@
     , m_host(host)
     , m_times(times)
     , m_capacity(capacity)
-    , m_lease(std::move(host), incarnation, std::move(link))
+    , m_lease(std::move(host), incarnation, std::move(link), capacity)
     , m_runs(m_outbox, m_writer, times)
     , m_hosts(m_outbox, m_writer, m_host)
     , m_config(std::make_shared<SiteConfig>())
--- a/core/cells/cell_lease.cpp
+++ b/core/cells/cell_lease.cpp
@@ -5,11 +5,24 @@
 namespace radishvane::cells
 {
 
-CellLease::CellLease(HostId host, std::uint64_t incarnation, Endpoint link)
+namespace
+{
+
+Duration takeoverDelayOf(const HostId &host, const HostCapacity &capacity)
+{
+    const auto stagger
+        = std::hash<std::string>{}(host.name()) % static_cast<std::size_t>(CellLease::takeoverSpread.count());
+    const double missing = 1 - capacity.ownerFitness();
+    return Duration(stagger) + std::chrono::duration_cast<Duration>(CellLease::maxUnfitDelay * missing);
+}
+
+} // namespace
+
+CellLease::CellLease(HostId host, std::uint64_t incarnation, Endpoint link, HostCapacity capacity)
     : m_host(std::move(host))
     , m_incarnation(incarnation)
     , m_link(std::move(link))
-    , m_takeoverDelay(std::hash<std::string>{}(m_host.name()) % static_cast<std::size_t>(takeoverSpread.count()))
+    , m_takeoverDelay(takeoverDelayOf(m_host, capacity))
 {
 }
 
--- a/core/cells/cell_lease.h
+++ b/core/cells/cell_lease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/cell_messages.h"
+#include "core/cells/host_capacity.h"
 
 #include <optional>
 
@@ -25,8 +26,11 @@
     static constexpr Duration maxContactGap{1'600};
     /// Hosts stagger their attempts to take over a cell within this time.
     static constexpr Duration takeoverSpread{250};
+    /// Additional delay of a host without any of the capacity that an owner needs. Hosts with a part of it wait for a
+    /// part of this time, so that the fittest host in reach of the store takes over.
+    static constexpr Duration maxUnfitDelay{1'500};
 
-    CellLease(HostId host, std::uint64_t incarnation, Endpoint link);
+    CellLease(HostId host, std::uint64_t incarnation, Endpoint link, HostCapacity capacity);
 
     /// Updates the view of the owner's row.
     void observe(const OwnerObserved &observed, TimePoint now);
