Ignore lists of hosts older than a worker's last answer

Cause: a list of hosts that shows a worker's host moving or with another worker ended the worker's runs also when the list was requested before that worker began. The last list was applied again whenever a request for a newer one failed, so that it could be older than the worker by any time. A worker that had answered and then became unreachable lost its runs while they went on. Change: a list counts only when it was requested after the worker's last answer under this epoch. The model's lists of hosts can arrive late, and its orders for hosts act on the worker that the host runs now. Before: CellWorkers.KeepTheirRunsWhenAnOlderListOfHostsShowsAnotherWorker: two runs at a time, four times. After: passes.

--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -121,10 +121,15 @@
 std::vector<WorkerId> WorkerRoster::replaced(const HostList &list) const
 {
     std::vector<WorkerId> ids;
+    if (!list.requestedAt) {
+        return ids;
+    }
     for (const auto &[id, worker] : m_workers) {
         const auto host = list.hosts.find(worker.host);
         const bool answers = worker.fenced && !worker.unreachable;
-        if (worker.incarnationEnded || !worker.recorded || answers || host == list.hosts.end()) {
+        // A list that was requested before the worker's last answer says nothing about its end.
+        const bool isOlder = *list.requestedAt <= worker.clockAt;
+        if (worker.incarnationEnded || !worker.recorded || answers || isOlder || host == list.hosts.end()) {
             continue;
         }
         const SiteHostState state = host->second.state;
--- /dev/null
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -0,0 +1,50 @@
+#include "tests/support/cell_stories.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+using namespace cells;
+
+namespace
+{
+
+/// Submits a job of @p count tasks that run for a long time, and waits until all of them run.
+void submitLongJob(CellSite &site, const std::string &job, std::uint32_t count)
+{
+    site.durations[JobId(job)] = 20'000;
+    site.submit(site.owner(), job, "plans", graphOf(1, count, 1'000, Duration(20'000)));
+    for (int waited = 0; waited < 4'000 && site.runs(job) < count; waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_EQ(site.runs(job), count);
+}
+
+} // namespace
+
+TEST(CellWorkers, KeepTheirRunsWhenAnOlderListOfHostsShowsAnotherWorker)
+{
+    story("a host starts another worker, and lists of hosts arrive seconds late", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.hostListDelay = 4'500;
+        site.run(Duration(1'000));
+        site.replace("w0", "x0");
+        site.run(Duration(400));
+        submitLongJob(site, "j1", 4);
+        site.run(Duration(1'200));
+        ASSERT_EQ(site.runningOn("x0"), 4);
+        site.addWorker("w1", "looms", 8'000);
+        section("the new worker does not answer when a list from before its start arrives", [&] {
+            site.worker("x0").cut = true;
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runningOn("x0"), 4);
+            EXPECT_EQ(site.runs("j1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+} // namespace radishvane::tests
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -364,7 +364,7 @@
                         hosts.push_back(listed(model));
                     }
                 }
-                later(4, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
+                later(hostListDelay, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
             },
             [&](const MaintainHost &order) {
                 orderHost(caller, order.call, [this, order] { return carryOut(order); });
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -88,6 +88,8 @@
     /// Workers for which the admission service gives tickets.
     std::set<std::string> admitted;
     std::int64_t storeDelay = 6;
+    /// Milliseconds after which a list of hosts arrives; it shows the hosts at the time of the request.
+    std::int64_t hostListDelay = 4;
     /// Run time of tasks in milliseconds, by job; 300 when not set.
     std::map<JobId, std::int64_t> durations;
 
@@ -190,6 +192,8 @@
     cells::HostOrderOutcome carryOut(const cells::MaintainHost &order);
     cells::HostOrderOutcome carryOut(const cells::MoveHost &order);
     bool isStandby(const std::string &worker) const;
+    /// The worker that a host runs now.
+    std::string workerOn(const HostId &host) const;
     cells::SiteHost listed(const ModelWorker &worker) const;
 
     cells::OrderOutcome carryOut(ModelWorker &worker, const cells::StartOrder &order);
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -386,6 +386,14 @@
     return pool != m_config->pools.end() && pool->second.standby;
 }
 
+std::string CellSite::workerOn(const HostId &host) const
+{
+    const auto found = std::find_if(m_workers.begin(), m_workers.end(), [&host](const auto &pair) {
+        return pair.second.entry.host == host && !pair.second.replaced;
+    });
+    return found->first;
+}
+
 SiteHost CellSite::listed(const ModelWorker &model) const
 {
     const std::string id = model.entry.id.name();
@@ -415,7 +423,7 @@
 
 HostOrderOutcome CellSite::carryOut(const MoveHost &order)
 {
-    const std::string id = order.host.name().substr(2);
+    const std::string id = workerOn(order.host);
     ModelWorker &moved = worker(id);
     if (order.fence < m_hostFences[order.host]) {
         return HostOrderOutcome::Fenced;
@@ -441,7 +449,7 @@
 
 HostOrderOutcome CellSite::carryOut(const MaintainHost &order)
 {
-    const std::string id = order.host.name().substr(2);
+    const std::string id = workerOn(order.host);
     if (order.fence < m_hostFences[order.host]) {
         return HostOrderOutcome::Fenced;
     }
