Wait for workers of all pools before inherited tasks start

What callers saw: none reported; found by review. Cause: a new owner started tasks of inherited jobs once the workers of the queue's pool had answered. When the operator had given the queue another pool, runs on workers of the former pool were not waited for. The pool in use when a run started is not stored. Change: tasks of inherited jobs wait for the recorded workers of all pools. All are queried at once, so that the wait grows only when the others answer later or not at all, and then by the longest lease at most.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -36,11 +36,11 @@
     m_planningRequested = false;
     m_nextPlan = now + Duration(m_registry.live().size() / jobsPerMillisecond);
     CandidateWorkers candidates(m_roster, now);
+    const bool mayStartInherited = !m_roster.hasUnreconciledWorker(now);
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
         const Job &job = *m_registry.find(ready.job);
-        if (candidates.isFullFor(ready.pool, job.row.spec.steps[ready.step])
-            || (job.inherited && m_roster.hasUnreconciledWorker(ready.pool, now))) {
+        if (candidates.isFullFor(ready.pool, job.row.spec.steps[ready.step]) || (job.inherited && !mayStartInherited)) {
             continue;
         }
         if (!ensureAdmitted(config, candidates, ready)) {
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/worker_roster.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace radishvane::cells
@@ -197,14 +198,10 @@
     return m_workers;
 }
 
-bool WorkerRoster::hasUnreconciledWorker(const PoolId &pool, TimePoint now) const
+bool WorkerRoster::hasUnreconciledWorker(TimePoint now) const
 {
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.pool == pool && worker.recorded && !worker.isReconciled(now)) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [now](const auto &pair) { return pair.second.recorded && !pair.second.isReconciled(now); });
 }
 
 RosterRow WorkerRoster::row(TimePoint now) const
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -123,8 +123,9 @@
     const Worker *find(const WorkerId &id) const;
     std::map<WorkerId, Worker> &all();
     const std::map<WorkerId, Worker> &all() const;
-    /// Whether a worker of @p pool may run unknown tasks of an earlier owner.
-    bool hasUnreconciledWorker(const PoolId &pool, TimePoint now) const;
+    /// Whether a worker may run unknown tasks of an earlier owner. The pool of the worker does not matter, since the
+    /// queue of the tasks may have had another pool when they started.
+    bool hasUnreconciledWorker(TimePoint now) const;
     /// The workers that may have received orders and whose leases are not known to have expired.
     RosterRow row(TimePoint now) const;
     /// Resets the state of a worker for a new incarnation.
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -47,4 +47,23 @@
     });
 }
 
+TEST(CellOwner, WaitsForWorkersOfThePoolThatAQueueUsedBefore)
+{
+    story("a queue gets another pool while its tasks run, and the owner crashes", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        submitLongJob(site, "j1", 4);
+        site.addWorker("f0", "frames", 8'000);
+        site.run(Duration(400));
+        site.worker("w0").cut = true;
+        site.kill(site.owner());
+        site.addQueue("plans", "frames");
+        section("the next owner starts no task again that may still run in the former pool", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("f0"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
