Wait for recorded workers whose entry in discovery has changed

What callers saw: none reported; found by review. Cause: a worker that the former owner had recorded counted as not recorded when discovery listed it with another address or pool, so that a new owner did not wait for its runs. Change: a worker is waited for as long as it is not reconciled; only recorded ones start in that state. Before: CellOwner.WaitsForARecordedWorkerWhoseAddressHasChanged: two runs at a time, four times. After: passes.

--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -201,7 +201,7 @@
 bool WorkerRoster::hasUnreconciledWorker(TimePoint now) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(),
-                       [now](const auto &pair) { return pair.second.recorded && !pair.second.isReconciled(now); });
+                       [now](const auto &pair) { return !pair.second.isReconciled(now); });
 }
 
 RosterRow WorkerRoster::row(TimePoint now) const
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -66,4 +66,23 @@
     });
 }
 
+TEST(CellOwner, WaitsForARecordedWorkerWhoseAddressHasChanged)
+{
+    story("the owner crashes, and discovery lists a worker that does not answer at another address", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        submitLongJob(site, "j1", 4);
+        site.addWorker("w1", "looms", 8'000);
+        site.run(Duration(400));
+        site.worker("w0").cut = true;
+        site.kill(site.owner());
+        site.worker("w0").entry.endpoint.port = 2;
+        section("the next owner starts no task again that may still run on the worker", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
