Compare the start times of workers in the stored list

What callers saw: none reported; found by review. Cause: a list of workers that was sent to the store before a worker restarted marked the new incarnation as recorded. Tasks started on it while the store held the former one. The next owner took the worker for restarted since then, and did not wait for its runs. Change: a stored list counts for a worker only when it names the same incarnation.

--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -104,8 +104,9 @@
     if (done.transaction.roster) {
         for (const KnownWorker &known : done.transaction.roster->workers) {
             Worker *worker = m_roster.find(known.id);
-            if (worker != nullptr && !worker->incarnationEnded && worker->pool == known.pool
-                && worker->endpoint == known.endpoint) {
+            // The worker may have restarted after the transaction was sent.
+            if (worker != nullptr && !worker->incarnationEnded && worker->startedAtMs == known.startedAtMs
+                && worker->pool == known.pool && worker->endpoint == known.endpoint) {
                 worker->recorded = true;
             }
         }
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -85,4 +85,36 @@
     });
 }
 
+TEST(CellOwner, WaitsForAnIncarnationThatStartedWhileTheListOfWorkersWasStored)
+{
+    story("a worker restarts while a list of workers with its former incarnation is being stored", [] {
+        for (int offset = 0; offset < 800; offset += 40) {
+            CellSite site;
+            fillLooms(site, 1);
+            const std::string first = site.owner();
+            site.durations[JobId("j1")] = 20'000;
+            site.submit(first, "j1", "plans", graphOf(1, 16, 1'000, Duration(20'000)));
+            site.run(Duration(1'000));
+            site.storeDelay = 250;
+            site.addWorker("w1", "looms", 500);
+            site.run(Duration(offset));
+            site.crash("w0");
+            site.revive("w0");
+            site.loseNextWrite = true;
+            for (int waited = 0; waited < 1'600 && site.runningOn("w0") == 0; waited += 5) {
+                site.run(Duration(5));
+            }
+            site.kill(first);
+            site.storeDelay = 6;
+            site.worker("w0").cut = true;
+            site.addWorker("w2", "looms", 8'000);
+            section("the next owner starts no task again that may still run on the new incarnation", [&] {
+                site.run(Duration(12'000));
+                EXPECT_EQ(site.runningOn("w2"), 8);
+            });
+            expectNothingBroken(site);
+        }
+    });
+}
+
 } // namespace radishvane::tests
