Take the worker that started last as the one that runs on a host

What callers saw: none reported; found by review. Cause: discovery lists a former worker of a host for some heartbeats. When it had been idle and its id came last, the host counted as idle, and was moved with the tasks of its present worker. Change: of several workers on a host the one that started last counts, and a host is idle only when the list of hosts names the same worker. Before: CellMoves.SkipAHostWhoseFormerWorkerIsStillInDiscovery: a host is moved with tasks on it. After: passes.

--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -8,15 +8,22 @@
 namespace
 {
 
+/// Returns the one of two workers on the same host that runs there. Discovery may list a former worker for some time.
+const Worker *newerOf(const Worker *left, const Worker *right)
+{
+    return left == nullptr || left->startedAtMs < right->startedAtMs ? right : left;
+}
+
 /// Returns the worker that runs on @p host according to discovery, or nullptr.
 const Worker *workerOn(const WorkerRoster &roster, const HostId &host)
 {
+    const Worker *found = nullptr;
     for (const auto &[id, worker] : roster.all()) {
         if (worker.entry && worker.entry->host == host && !worker.incarnationEnded) {
-            return &worker;
+            found = newerOf(found, &worker);
         }
     }
-    return nullptr;
+    return found;
 }
 
 /// Whether a worker accepts tasks now, or is expected to after it has answered under this epoch.
@@ -108,7 +115,8 @@
         if (!worker.entry || worker.incarnationEnded) {
             continue;
         }
-        workers[worker.entry->host] = &worker;
+        const Worker *&running = workers[worker.entry->host];
+        running = newerOf(running, &worker);
         const auto known = m_lastBusy.find(id);
         lastBusy[id] = known == m_lastBusy.end() || !isIdle(worker) ? now : known->second;
     }
@@ -154,7 +162,7 @@
         return view;
     }
     view.serves = isServing(*worker, now);
-    if (view.serves && isIdle(*worker)) {
+    if (view.serves && isIdle(*worker) && host.worker == worker->id) {
         view.idleFor = std::chrono::duration_cast<Duration>(now - m_lastBusy.at(worker->id));
     }
     return view;
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -117,4 +117,28 @@
     });
 }
 
+TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
+{
+    story("a host has started another worker while discovery still lists the former one, which was idle", [] {
+        CellSite site;
+        fillLooms(site, 3);
+        site.addQueue("quotes", "frames");
+        site.addWorker("f0", "frames", 8'000);
+        site.run(Duration(1'000));
+        site.replace("w0", "a0");
+        site.worker("w0").listed = true;
+        site.run(Duration(400));
+        submitLongJob(site, "j1", 4);
+        ASSERT_EQ(site.runningOn("a0"), 4);
+        section("the host does not move while tasks run on its worker", [&] {
+            for (int index = 0; index < 20; ++index) {
+                site.submit(site.owner(), "q" + std::to_string(index), "quotes", graphOf(1, 16, 1'000, Duration(600)));
+            }
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runningOn("a0"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
