Drain all workers on a host of a wave

What callers saw: none reported; found by review. Cause: a wave took the worker that the last list of hosts named as the one on the host. When the list was older than the worker that ran there, which lasts as long as no newer list arrives, the host counted as empty and its maintenance ended running tasks. Change: a host is maintained when each worker that the roster has on it is empty, and all of them are cordoned. Before: CellWaves.SkipAHostThatHasStartedAnotherWorkerSinceTheListOfHosts: a host is maintained with tasks on it. After: passes.

--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -5,6 +5,26 @@
 namespace radishvane::cells
 {
 
+namespace
+{
+
+/// Returns the workers on @p host, of which at most the one that started last still runs there. The list of hosts may
+/// be older than that worker.
+std::vector<const Worker *> workersOn(const WorkerRoster &roster, const HostId &host)
+{
+    std::vector<const Worker *> workers;
+    for (const auto &[id, worker] : roster.all()) {
+        if (worker.host == host) {
+            workers.push_back(&worker);
+        }
+    }
+    std::sort(workers.begin(), workers.end(),
+              [](const Worker *left, const Worker *right) { return left->startedAtMs < right->startedAtMs; });
+    return workers;
+}
+
+} // namespace
+
 void WaveController::clear()
 {
     *this = WaveController{};
@@ -234,19 +254,20 @@
             continue;
         }
         const SiteHost &listed = *view.find(host);
-        const Worker *worker = view.roster.find(listed.worker);
-        if (worker != nullptr) {
-            plan.cordoned.insert(listed.worker);
+        const std::vector<const Worker *> workers = workersOn(view.roster, host);
+        for (const Worker *worker : workers) {
+            plan.cordoned.insert(worker->id);
         }
         // Tasks that a former owner started are unknown until the worker answers or their leases have expired.
-        const bool isEmpty
-            = worker == nullptr || (worker->isReconciled(view.now) && worker->tasks.empty() && worker->hasStoredEnds());
+        const bool isEmpty = std::all_of(workers.begin(), workers.end(), [&view](const Worker *worker) {
+            return worker->isReconciled(view.now) && worker->tasks.empty() && worker->hasStoredEnds();
+        });
         if (!isEmpty || !view.isUp(host) || down >= state.wave.maxHostsDown || view.now < entry.notBefore) {
             continue;
         }
         entry.stage = HostStage::Ordered;
         entry.since = view.now;
-        entry.worker = listed.worker;
+        entry.worker = workers.empty() ? listed.worker : workers.back()->id;
         ++down;
         plan.hostsToMaintain.emplace_back(host, state.wave.number);
     }
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -141,4 +141,23 @@
     });
 }
 
+TEST(CellWaves, SkipAHostThatHasStartedAnotherWorkerSinceTheListOfHosts)
+{
+    story("a host of a wave has started another worker, and lists of hosts arrive seconds late", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        site.hostListDelay = 3'000;
+        site.run(Duration(500));
+        site.replace("w0", "a0");
+        site.run(Duration(300));
+        submitLongJob(site, "j1", 12);
+        site.addWave(1, {"w0"}, 1);
+        section("the host is not maintained while tasks run on its worker", [&] {
+            site.run(Duration(8'000));
+            EXPECT_TRUE(site.isMaintained("a0"));
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
