--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -16,6 +16,22 @@
 constexpr std::int64_t tickInterval = 20;
 constexpr std::int64_t tellInterval = 200;
 
+constexpr std::int64_t callTimeout = 1'200;
+
+/// The call that an event answers; nothing for other events.
+std::optional<CallId> callOf(const CellEvent &event)
+{
+    return std::visit(
+        [](const auto &alternative) -> std::optional<CallId> {
+            if constexpr (requires { alternative.call; }) {
+                return alternative.call;
+            } else {
+                return std::nullopt;
+            }
+        },
+        event);
+}
+
 HostId hostOf(const std::string &worker)
 {
     return HostId("h-" + worker);
@@ -129,7 +145,10 @@
 
 void CellSite::cancel(const std::string &nodeName, const std::string &job)
 {
-    give(nodeName, CancelJob{ExchangeId{++m_exchanges}, JobId(job)});
+    const ExchangeId exchange{++m_exchanges};
+    m_cancels[exchange] = JobId(job);
+    m_cancelSent.insert(JobId(job));
+    give(nodeName, CancelJob{exchange, JobId(job)});
 }
 
 void CellSite::kill(const std::string &name)
@@ -326,6 +345,9 @@
         entry.held.push_back(event);
         return;
     }
+    if (const auto *answer = std::get_if<LeaseRenewalAnswered>(&event)) {
+        noteListedEnds(name, *answer);
+    }
     for (const CellEffect &effect : entry.controller->handle(event, instant())) {
         apply(name, effect);
     }
@@ -333,9 +355,51 @@
 
 void CellSite::give(const Caller &caller, const CellEvent &event)
 {
-    if (node(caller.node).life == caller.life) {
-        give(caller.node, event);
+    if (heldUp == 0 && m_openCalls.empty()) {
+        if (node(caller.node).life == caller.life) {
+            give(caller.node, event);
+        }
+        return;
+    }
+    later(holdUp(caller.node, Direction::In), [this, caller, event] {
+        const std::optional<CallId> call = callOf(event);
+        // A call that was answered as unknown gets no second answer.
+        const bool isOpen = !call || m_openCalls.erase({caller.node, caller.life, *call}) > 0;
+        if (isOpen && node(caller.node).life == caller.life) {
+            give(caller.node, event);
+        }
+    });
+}
+
+std::int64_t CellSite::holdUp(const std::string &name, Direction direction)
+{
+    std::int64_t &freeAt = m_linkFreeAt[name][static_cast<std::size_t>(direction)];
+    std::int64_t single = 0;
+    if (chance(heldUp)) {
+        const auto held = static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(maxHoldUp));
+        if (chance(0.5)) {
+            freeAt = std::max(freeAt, m_now + held);
+        } else {
+            single = held;
+        }
+    }
+    return std::max<std::int64_t>(freeAt - m_now, 0) + single;
+}
+
+void CellSite::sendCall(const Caller &caller, CallId call, std::int64_t timeout, const CellEvent &unknown,
+                        std::function<void()> action)
+{
+    if (heldUp == 0) {
+        action();
+        return;
     }
+    m_openCalls.insert({caller.node, caller.life, call});
+    later(timeout, [this, caller, call, unknown] {
+        if (m_openCalls.erase({caller.node, caller.life, call}) > 0 && node(caller.node).life == caller.life) {
+            give(caller.node, unknown);
+        }
+    });
+    later(holdUp(caller.node, Direction::Out), std::move(action));
 }
 
 void CellSite::apply(const std::string &name, const CellEffect &effect)
@@ -343,9 +407,23 @@
     const Caller caller{name, node(name).life};
     std::visit(
         Overloaded{
-            [&](const StartOrder &order) { start(caller, order); },
-            [&](const StopOrder &order) { stopTask(caller, order); },
+            [&](const StartOrder &order) {
+                if (m_cancelled.count(order.task.job) > 0) {
+                    broken.push_back("a start was ordered after its job was cancelled: " + taskName(order.task));
+                }
+                sendCall(caller, order.call, callTimeout,
+                         OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt},
+                         [this, caller, order] { start(caller, order); });
+            },
+            [&](const StopOrder &order) {
+                sendCall(caller, order.call, callTimeout,
+                         OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt},
+                         [this, caller, order, sentAt = m_now] { stopTask(caller, order, sentAt); });
+            },
             [&](const QueryAdmission &ask) {
+                if (heldUp > 0) {
+                    m_openCalls.insert({caller.node, caller.life, ask.call});
+                }
                 AdmissionAnswered answer{ask.call, true, {}};
                 for (const WorkerId &worker : ask.workers) {
                     if (admitted.count(worker.name()) > 0) {
@@ -354,10 +432,24 @@
                 }
                 later(30, [this, caller, answer] { give(caller, answer); });
             },
-            [&](const LeaseRenewalOrder &order) { renewLease(caller, order); },
-            [&](const WriteCell &call) { write(caller, call); },
-            [&](const ReadCell &call) { read(caller, call); },
+            [&](const LeaseRenewalOrder &order) {
+                sendCall(caller, order.call, callTimeout + order.wait.count(),
+                         LeaseRenewalAnswered{order.call, OrderOutcome::Unknown, {}},
+                         [this, caller, order] { renewLease(caller, order); });
+            },
+            [&](const WriteCell &call) {
+                sendCall(caller, call.call, callTimeout,
+                         CellWritten{call.call, CellWriteOutcome::Unknown, 0, std::nullopt},
+                         [this, caller, call] { write(caller, call); });
+            },
+            [&](const ReadCell &call) {
+                sendCall(caller, call.call, callTimeout, CellReadDone{call.call, std::nullopt},
+                         [this, caller, call] { read(caller, call); });
+            },
             [&](const ListHosts &call) {
+                if (heldUp > 0) {
+                    m_openCalls.insert({caller.node, caller.life, call.call});
+                }
                 std::vector<SiteHost> hosts;
                 for (const auto &[id, model] : m_workers) {
                     if (!model.replaced) {
@@ -367,16 +459,31 @@
                 later(hostListDelay, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
             },
             [&](const MaintainHost &order) {
-                orderHost(caller, order.call, [this, order] { return carryOut(order); });
+                sendCall(caller, order.call, callTimeout, HostOrderAnswered{order.call, HostOrderOutcome::Unknown},
+                         [this, caller, order] {
+                             orderHost(caller, order.call, [this, order] { return carryOut(order); });
+                         });
+            },
+            [&](const MoveHost &order) {
+                sendCall(caller, order.call, callTimeout, HostOrderAnswered{order.call, HostOrderOutcome::Unknown},
+                         [this, caller, order] {
+                             orderHost(caller, order.call, [this, order] { return carryOut(order); });
+                         });
             },
-            [&](const MoveHost &order) { orderHost(caller, order.call, [this, order] { return carryOut(order); }); },
             [&](const ReportWave &report) {
+                if (heldUp > 0) {
+                    m_openCalls.insert({caller.node, caller.life, report.call});
+                }
                 if (report.completed) {
                     completedWaves.insert(report.wave);
                 }
                 later(4, [this, caller, report] { give(caller, WaveReported{report.call, true}); });
             },
             [&](const AnswerCall &answer) {
+                const auto cancel = m_cancels.find(answer.exchange);
+                if (cancel != m_cancels.end() && answer.answer == CallAnswer::Cancelled) {
+                    m_cancelled.insert(cancel->second);
+                }
                 const auto asked = m_asked.find(answer.exchange);
                 if (asked != m_asked.end()) {
                     m_answers[asked->second].push_back(answer.answer);
@@ -408,7 +515,10 @@
             entries.push_back(model.entry);
         }
     }
-    later(storeDelay, [this, name, asked, seen, entries] {
+    // One question after the other, so that no answer overtakes an earlier one.
+    std::int64_t &toldAt = m_toldAt[name];
+    toldAt = std::max(toldAt, m_now + storeDelay + (heldUp > 0 ? holdUp(name, Direction::In) : 0));
+    later(toldAt - m_now, [this, name, asked, seen, entries] {
         give(name, seen);
         give(name, StoreContact{asked});
         give(name, ConfigObserved{m_config});
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -2,6 +2,7 @@
 
 #include "core/cells/cell_controller.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -46,10 +47,14 @@
     double load = 0;
     cells::Epoch fence = 0;
     std::int64_t deadline = 0;
+    /// Last time at which the lease of the worker's runs had expired.
+    std::int64_t lapsedAt = 0;
     std::int64_t bornAt = 0;
     std::map<cells::TaskId, ModelRun> running;
     std::vector<cells::EndedRow> ended;
     std::uint64_t lastEnd = 0;
+    /// Time of each end, by its number.
+    std::map<std::uint64_t, std::int64_t> endedAt;
     std::uint64_t acknowledged = 0;
     /// Highest run of a task that was stopped or has ended here.
     std::map<cells::TaskId, cells::RunNumber> closed;
@@ -82,6 +87,10 @@
 
     /// Chance that a call's answer is lost, and that a lost order is carried out seconds later.
     double lostAnswers = 0;
+    /// Chance that a message is held up in the link of an entry host for up to @c maxHoldUp, half of the time with all
+    /// that follow it. A call that has no answer in time is answered as unknown, and may be carried out later.
+    double heldUp = 0;
+    std::int64_t maxHoldUp = 4'000;
     bool storeDown = false;
     /// The next write of rows gets no answer, and is carried out three seconds later.
     bool loseNextWrite = false;
@@ -168,7 +177,38 @@
         }
     };
 
+    /// A call of an entry host that waits for its answer: the host, its life and the call.
+    using OpenCall = std::tuple<std::string, std::uint64_t, cells::CallId>;
+
+    /// A run that was listed as done to an owner.
+    struct ListedEnd
+    {
+        std::string worker;
+        std::int64_t bornAt = 0;
+        std::int64_t endedAt = 0;
+    };
+
+    /// What is known about a service task that is not at work.
+    struct ServiceState
+    {
+        std::int64_t lastAtWork = 0;
+        bool endedByOrder = false;
+    };
+
+    enum class Direction {
+        Out,
+        In,
+    };
+
     Instant instant() const;
+    /// Time for which the next message waits in the link of @p node.
+    std::int64_t holdUp(const std::string &node, Direction direction);
+    /// Sends a call through the link of its caller, and answers it with @p unknown when no answer comes in time.
+    void sendCall(const Caller &caller, cells::CallId call, std::int64_t timeout, const cells::CellEvent &unknown,
+                  std::function<void()> action);
+    /// Takes note of the ends that an owner reads.
+    void noteListedEnds(const std::string &node, const cells::LeaseRenewalAnswered &answer);
+    void checkDisruption(const ModelWorker &worker, const cells::TaskId &task);
     void later(std::int64_t delay, std::function<void()> action);
     void give(const std::string &node, const cells::CellEvent &event);
     void give(const Caller &caller, const cells::CellEvent &event);
@@ -184,7 +224,8 @@
     cells::CellWritten carryOut(const cells::WriteCell &call);
     void read(const Caller &caller, const cells::ReadCell &call);
     void start(const Caller &caller, const cells::StartOrder &order);
-    void stopTask(const Caller &caller, const cells::StopOrder &order);
+    /// @param sentAt time at which the owner decided.
+    void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
     void answerLeaseRenewal(const Caller &caller, const cells::LeaseRenewalOrder &order, std::int64_t until);
     /// Carries out an order for a host, or a part of the orders late and without an answer.
@@ -230,6 +271,16 @@
     cells::RosterRow m_roster;
     std::map<std::uint64_t, cells::WaveRow> m_waveRows;
 
+    std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
+    std::map<std::string, std::int64_t> m_toldAt;
+    std::set<OpenCall> m_openCalls;
+    std::map<cells::TaskId, ListedEnd> m_listedDone;
+    std::map<cells::TaskId, ServiceState> m_services;
+    /// Jobs whose cancellation was requested or acknowledged.
+    std::set<JobId> m_cancelSent;
+    std::set<JobId> m_cancelled;
+    std::map<ExchangeId, JobId> m_cancels;
+
     std::map<ExchangeId, std::string> m_asked;
     std::map<std::string, std::vector<cells::CallAnswer>> m_answers;
     std::map<JobId, cells::GraphSpec> m_specs;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -19,6 +19,10 @@
 constexpr std::int64_t maintenanceTime = 2'000;
 constexpr std::int64_t moveTime = 1'500;
 constexpr std::int64_t startUp = 150;
+/// An order that was held up for longer does not count as a disruption.
+constexpr std::int64_t maxOrderAge = 500;
+/// A service task is away when it has not been at work for this time.
+constexpr std::int64_t noticeTime = 5'500;
 constexpr double atWork = 100;
 
 } // namespace
@@ -185,6 +189,13 @@
     if (m_doneNoted.count(order.task) > 0) {
         broken.push_back("a start after its end was noted: " + what);
     }
+    const auto listed = m_listedDone.find(order.task);
+    if (listed != m_listedDone.end()) {
+        const ModelWorker &former = m_workers.at(listed->second.worker);
+        if (former.alive && former.bornAt == listed->second.bornAt && former.lapsedAt < listed->second.endedAt) {
+            broken.push_back("a start after its end was listed: " + what);
+        }
+    }
     const GraphSpec &spec = m_specs[order.task.job];
     for (const std::uint32_t earlier : spec.steps[order.task.step].after) {
         for (std::uint32_t index = 0; index < spec.steps[earlier].count; ++index) {
@@ -216,9 +227,9 @@
     }
 }
 
-void CellSite::stopTask(const Caller &caller, const StopOrder &order)
+void CellSite::stopTask(const Caller &caller, const StopOrder &order, std::int64_t sentAt)
 {
-    later(workerDelay, [this, caller, order] {
+    later(workerDelay, [this, caller, order, sentAt] {
         ModelWorker *worker = reach(order.worker);
         if (worker == nullptr) {
             later(callTimeout, [this, caller, order] {
@@ -226,6 +237,9 @@
             });
             return;
         }
+        if (m_now - sentAt <= maxOrderAge && order.fence >= worker->fence) {
+            checkDisruption(*worker, order.task);
+        }
         const OrderOutcome outcome = carryOut(*worker, order);
         later(workerDelay, [this, caller, order, outcome] {
             give(caller, OrderAnswered{order.call, outcome, std::nullopt});
@@ -233,6 +247,48 @@
     });
 }
 
+void CellSite::checkDisruption(const ModelWorker &worker, const TaskId &task)
+{
+    const StepSpec &spec = m_specs[task.job].steps[task.step];
+    const auto running = worker.running.find(task);
+    const bool isAtWork
+        = running != worker.running.end() && !running->second.stopsAt && m_now - running->second.startedAt >= startUp;
+    if (!spec.isService || !isAtWork || worker.cut || worker.entry.state != WorkerState::Ready
+        || m_cancelSent.count(task.job) > 0) {
+        return;
+    }
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+        const ServiceState &other = m_services[TaskId{task.job, task.occurrence, task.step, index}];
+        const bool isAway = other.endedByOrder || m_now - other.lastAtWork > noticeTime;
+        away += index != task.index && isAway ? 1 : 0;
+    }
+    if (away >= std::max<std::uint32_t>(spec.maxUnavailable, 1)) {
+        broken.push_back("a service task is stopped beyond the allowance: " + taskName(task) + " at "
+                         + std::to_string(m_now));
+    }
+    m_services[task].endedByOrder = true;
+}
+
+void CellSite::noteListedEnds(const std::string &name, const LeaseRenewalAnswered &answer)
+{
+    if (!node(name).controller->isServing(instant().steady)) {
+        return;
+    }
+    for (const EndedRow &row : answer.report.ended) {
+        if (row.how != RunEnd::Done) {
+            continue;
+        }
+        for (const auto &[id, worker] : m_workers) {
+            const auto closed = worker.endedAt.find(row.number);
+            if (worker.alive && worker.entry.startedAtMs == answer.report.startedAtMs && closed != worker.endedAt.end()
+                && worker.closed.count(row.task) > 0) {
+                m_listedDone[row.task] = ListedEnd{id, worker.bornAt, closed->second};
+            }
+        }
+    }
+}
+
 OrderOutcome CellSite::carryOut(ModelWorker &worker, const StopOrder &order)
 {
     if (order.fence < worker.fence) {
@@ -331,6 +387,7 @@
         m_done[task] = true;
     }
     worker.ended.push_back(EndedRow{++worker.lastEnd, task, run, how, {}});
+    worker.endedAt[worker.lastEnd] = m_now;
 }
 
 void CellSite::endByOrder(const std::string &id)
@@ -363,8 +420,12 @@
         }
         const std::map<TaskId, ModelRun> running = worker.running;
         const bool lapsed = clockOf(worker) > worker.deadline;
+        worker.lapsedAt = lapsed ? m_now : worker.lapsedAt;
         for (const auto &[task, run] : running) {
             const std::int64_t age = m_now - run.startedAt;
+            if (run.isService && !run.stopsAt && age >= startUp) {
+                m_services[task] = ServiceState{m_now, false};
+            }
             if (lapsed) {
                 end(worker, task, RunEnd::LeaseExpired);
             } else if (run.stopsAt && m_now >= *run.stopsAt) {
