Test that the fittest host owns the cell

Cause: the delay by fitness before a takeover had no test of its own. Change: a story in which each of three hosts in turn is the only fit one: it owns the cell at the start and after a crash, and a host with little capacity takes over and serves when no fit one is left.

--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -122,6 +122,42 @@
     });
 }
 
+TEST(CellOwner, IsTheFittestHostInReachOfTheStore)
+{
+    // Each name in turn, since hosts also wait for a time that depends on their name.
+    for (const std::string fit : {"a", "b", "c"}) {
+        story("one entry host with the capacity that an owner needs, among two with little", [&] {
+            CellSite site;
+            site.addQueue("plans", "looms");
+            site.addWorker("w0", "looms", 8'000);
+            site.addWorker("w1", "looms", 8'000);
+            for (const std::string name : {"a", "b", "c"}) {
+                site.addNode(name, name == fit ? HostCapacity{2, 1'000} : HostCapacity{0.05, 1'000});
+            }
+            section("the fit host owns the cell at the start", [&] {
+                site.run(Duration(2'000));
+                ASSERT_EQ(site.owner(), fit);
+            });
+            section("when it restarts after a crash, it owns the cell again", [&] {
+                site.kill(fit);
+                site.restart(fit);
+                site.run(Duration(3'500));
+                EXPECT_EQ(site.owner(), fit);
+            });
+            section("when it stays away, a host with little capacity takes over and serves", [&] {
+                site.kill(fit);
+                site.run(Duration(5'000));
+                ASSERT_FALSE(site.owner().empty());
+                site.submit(site.owner(), "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
+                site.run(Duration(3'000));
+                EXPECT_EQ(site.answers("j1"), std::vector{CallAnswer::Accepted});
+                EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            });
+            expectNothingBroken(site);
+        });
+    }
+}
+
 TEST(CellOwner, DetectsEndedTasksFromTheListOfHosts)
 {
     story("the owner crashes, and a worker with tasks of a job is replaced by one with another id", [] {
