Answer callers whose rows are stored with the release

Callers saw: an answer that the acceptance of their job is in doubt, although the owner had stored the job when it stopped. Cause: after the transaction that releases the cell the owner gave up its state before it had answered for the rows in this transaction. Change: it answers first. Before: in-doubt for the second of two jobs submitted just before the stop. After: accepted, and the next owner completes it.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -182,10 +182,6 @@
     if (transaction.owner) {
         m_lease.recordWrite(*transaction.owner, version, done.sent);
     }
-    if (m_isReleasing) {
-        deactivate(CellDecision::OwnershipReleased, "stopping");
-        return;
-    }
     if (!m_isActive) {
         activate();
         return;
@@ -207,6 +203,10 @@
         answerAll(job->cancellers, CallAnswer::Cancelled);
         m_runs.registry().retireIfDone(*job);
     }
+    if (m_isReleasing) {
+        deactivate(CellDecision::OwnershipReleased, "stopping");
+        return;
+    }
     m_runs.stored(done);
 }
 
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -204,6 +204,27 @@
     });
 }
 
+TEST(CellOwner, AnswersCallersWhoseRowsItStoresWithItsRelease)
+{
+    story("a job waits for the pending write of another one when the owner is asked to stop", [] {
+        CellSite site;
+        fillLooms(site);
+        const std::string first = site.owner();
+        site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.submit(first, "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.stop(first);
+        site.run(Duration(500));
+        EXPECT_EQ(site.answers("j1"), std::vector{CallAnswer::Accepted});
+        EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Accepted});
+        section("the next owner completes both jobs", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, StartsNothingAfterAFreezeBeyondItsLease)
 {
     story("the owner freezes for longer than its lease and resumes after another has taken over", [] {
