--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -122,6 +122,42 @@
     });
 }
 
+TEST(CellOwner, IsTheFittestHostInReachOfTheStore)
+{
+    // Each name in turn, since hosts also wait for a time that depends on their name.
+    for (const std::string fit : {"a", "b", "c"}) {
+        story("one entry host with the capacity that an owner needs, among two with little", [&] {
+            CellSite site;
+            site.addQueue("plans", "looms");
+            site.addWorker("w0", "looms", 8'000);
+            site.addWorker("w1", "looms", 8'000);
+            for (const std::string name : {"a", "b", "c"}) {
+                site.addNode(name, name == fit ? HostCapacity{2, 1'000} : HostCapacity{0.05, 1'000});
+            }
+            section("the fit host owns the cell at the start", [&] {
+                site.run(Duration(2'000));
+                ASSERT_EQ(site.owner(), fit);
+            });
+            section("when it restarts after a crash, it owns the cell again", [&] {
+                site.kill(fit);
+                site.restart(fit);
+                site.run(Duration(3'500));
+                EXPECT_EQ(site.owner(), fit);
+            });
+            section("when it stays away, a host with little capacity takes over and serves", [&] {
+                site.kill(fit);
+                site.run(Duration(5'000));
+                ASSERT_FALSE(site.owner().empty());
+                site.submit(site.owner(), "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
+                site.run(Duration(3'000));
+                EXPECT_EQ(site.answers("j1"), std::vector{CallAnswer::Accepted});
+                EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            });
+            expectNothingBroken(site);
+        });
+    }
+}
+
 TEST(CellOwner, DetectsEndedTasksFromTheListOfHosts)
 {
     story("the owner crashes, and a worker with tasks of a job is replaced by one with another id", [] {
@@ -168,6 +204,27 @@
     });
 }
 
+TEST(CellOwner, AnswersCallersWhoseRowsItStoresWithItsRelease)
+{
+    story("a job waits for the pending write of another one when the owner is asked to stop", [] {
+        CellSite site;
+        fillLooms(site);
+        const std::string first = site.owner();
+        site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.submit(first, "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.stop(first);
+        site.run(Duration(500));
+        EXPECT_EQ(site.answers("j1"), std::vector{CallAnswer::Accepted});
+        EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Accepted});
+        section("the next owner completes both jobs", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, StartsNothingAfterAFreezeBeyondItsLease)
 {
     story("the owner freezes for longer than its lease and resumes after another has taken over", [] {
