Store the jobs of a cell in the order in which they came

What callers saw: with more than 30 new or changed jobs for each transaction, jobs with large ids waited without bound: their submitters were answered in doubt, and the ends of their runs were not stored. Cause: CellWriter kept the ids in std::set and took the smallest 30 each time, so that newer jobs with smaller ids went first. Change: JobQueue, first come, first served, without duplicates; rows of a failed transaction go before all others. Before: with twice 30 rows of each kind added before each transaction, the job with the largest id, first behind 60 others, was not in the third transaction (CellWriter.StoresJobsInTheOrderInWhichTheyCame failed).

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -10,17 +10,17 @@
 
 void CellWriter::addJob(const JobId &job)
 {
-    m_newJobs.insert(job);
+    m_newJobs.push(job);
 }
 
 void CellWriter::changeJob(const JobId &job)
 {
-    m_changedJobs.insert(job);
+    m_changedJobs.push(job);
 }
 
 void CellWriter::dropJob(const JobId &job)
 {
-    m_droppedJobs.insert(job);
+    m_droppedJobs.push(job);
 }
 
 void CellWriter::changeRoster()
@@ -74,8 +74,7 @@
     }
     m_waves.clear();
     while (!m_droppedJobs.empty() && transaction.jobs.size() + transaction.deletedJobs.size() < maxRows / 3) {
-        transaction.deletedJobs.push_back(*m_droppedJobs.begin());
-        m_droppedJobs.erase(m_droppedJobs.begin());
+        transaction.deletedJobs.push_back(m_droppedJobs.pop());
     }
     return transaction;
 }
@@ -84,8 +83,7 @@
 {
     std::size_t payloadBytes = 0;
     while (!m_newJobs.empty() && transaction.jobs.size() < maxRows / 3 && payloadBytes < maxPayloadBytes) {
-        const JobId id = *m_newJobs.begin();
-        m_newJobs.erase(m_newJobs.begin());
+        const JobId id = m_newJobs.pop();
         const Job *job = registry.find(id);
         if (job != nullptr && !job->stored) {
             payloadBytes += job->row.spec.payload.size();
@@ -97,8 +95,7 @@
 void CellWriter::takeProgress(CellTransaction &transaction, const JobRegistry &registry)
 {
     while (!m_changedJobs.empty() && transaction.progress.size() < maxRows / 3) {
-        const JobId id = *m_changedJobs.begin();
-        m_changedJobs.erase(m_changedJobs.begin());
+        const JobId id = m_changedJobs.pop();
         const Job *job = registry.find(id);
         if (job != nullptr && !job->endStored) {
             transaction.progress.push_back(registry.progressRow(*job));
@@ -127,14 +124,14 @@
 void CellWriter::fail(TimePoint now)
 {
     const CellTransaction &transaction = m_pending->transaction;
-    for (const JobRow &row : transaction.jobs) {
-        m_newJobs.insert(row.id);
+    for (auto row = transaction.jobs.rbegin(); row != transaction.jobs.rend(); ++row) {
+        m_newJobs.pushFront(row->id);
     }
-    for (const ProgressRow &row : transaction.progress) {
-        m_changedJobs.insert(row.id);
+    for (auto row = transaction.progress.rbegin(); row != transaction.progress.rend(); ++row) {
+        m_changedJobs.pushFront(row->id);
     }
     for (const JobId &id : transaction.deletedJobs) {
-        m_droppedJobs.insert(id);
+        m_droppedJobs.push(id);
     }
     for (const WaveRow &wave : transaction.waves) {
         m_waves.try_emplace(wave.number, wave);
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "core/cells/cell_lease.h"
+#include "core/cells/job_queue.h"
 #include "core/cells/job_registry.h"
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace radishvane::cells
 {
@@ -60,9 +60,9 @@
     void takeJobs(CellTransaction &transaction, const JobRegistry &registry);
     void takeProgress(CellTransaction &transaction, const JobRegistry &registry);
 
-    std::set<JobId> m_newJobs;
-    std::set<JobId> m_changedJobs;
-    std::set<JobId> m_droppedJobs;
+    JobQueue m_newJobs;
+    JobQueue m_changedJobs;
+    JobQueue m_droppedJobs;
     std::map<std::uint64_t, WaveRow> m_waves;
     bool m_isRosterChanged = false;
     bool m_isOwnerRequired = false;
--- /dev/null
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -0,0 +1,133 @@
+#include "core/cells/cell_writer.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using namespace cells;
+
+constexpr std::size_t maxRowsOfAKind = CellWriter::maxRows / 3;
+
+JobId numbered(const std::string &prefix, std::size_t number)
+{
+    return JobId(prefix + std::to_string(number));
+}
+
+bool holds(const std::vector<JobRow> &rows, const JobId &job)
+{
+    return std::any_of(rows.begin(), rows.end(), [&job](const JobRow &row) { return row.id == job; });
+}
+
+std::ptrdiff_t rowsOf(const std::vector<ProgressRow> &rows, const JobId &job)
+{
+    return std::count_if(rows.begin(), rows.end(), [&job](const ProgressRow &row) { return row.id == job; });
+}
+
+/// The writer of an owner, with the jobs that it stores.
+class OwnersWriter
+{
+public:
+    OwnersWriter()
+    {
+        lease.recordWrite(lease.nextRow(), 1, now);
+    }
+
+    Job &addJob(const JobId &id, bool isStored, std::string payload = "work")
+    {
+        JobRow row;
+        row.id = id;
+        row.spec.payload = std::move(payload);
+        row.spec.steps.resize(1);
+        row.spec.steps[0].count = 1;
+        Job &job = registry.add(std::move(row), now);
+        job.stored = isStored;
+        return job;
+    }
+
+    /// Sends the next transaction.
+    const CellTransaction &send()
+    {
+        now += CellWriter::retryPause;
+        lease.recordWrite(lease.nextRow(), 1, now);
+        auto transaction = writer.next(CellId("c0"), registry, roster, lease, now);
+        writer.sent(CallId{++m_calls}, transaction.value_or(CellTransaction{}), roster, now);
+        return writer.pending()->transaction;
+    }
+
+    CellWriter writer;
+    JobRegistry registry;
+    WorkerRoster roster;
+    CellLease lease{HostId("a"), 1, Endpoint{"a", 1}, HostCapacity{}};
+    TimePoint now{std::chrono::hours(1'000)};
+
+private:
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace
+
+TEST(CellWriter, StoresJobsInTheOrderInWhichTheyCame)
+{
+    story("more jobs come and change during each transaction than the next one takes", [] {
+        OwnersWriter owner;
+        const auto addLoad = [&owner](const std::string &prefix) {
+            for (std::size_t number = 0; number < 2 * maxRowsOfAKind; ++number) {
+                owner.addJob(numbered("new-" + prefix, number), false);
+                owner.writer.addJob(numbered("new-" + prefix, number));
+                owner.addJob(numbered("old-" + prefix, number), true);
+                owner.writer.changeJob(numbered("old-" + prefix, number));
+            }
+        };
+        addLoad("c");
+        owner.addJob(JobId("z-new"), false);
+        owner.writer.addJob(JobId("z-new"));
+        owner.addJob(JobId("z-old"), true);
+        owner.writer.changeJob(JobId("z-old"));
+        owner.writer.changeJob(JobId("z-old"));
+        section("the first two transactions hold those that came before", [&] {
+            for (int count = 0; count < 2; ++count) {
+                const CellTransaction &transaction = owner.send();
+                EXPECT_EQ(transaction.jobs.size(), maxRowsOfAKind);
+                EXPECT_EQ(transaction.progress.size(), maxRowsOfAKind);
+                EXPECT_FALSE(holds(transaction.jobs, JobId("z-new")));
+                EXPECT_EQ(rowsOf(transaction.progress, JobId("z-old")), 0);
+                owner.writer.succeed();
+                addLoad(count == 0 ? "b" : "a");
+            }
+        });
+        section("the third one holds the jobs with the largest ids, once each", [&] {
+            const CellTransaction &transaction = owner.send();
+            EXPECT_TRUE(holds(transaction.jobs, JobId("z-new")));
+            EXPECT_EQ(rowsOf(transaction.progress, JobId("z-old")), 1);
+        });
+        section("after a failure its rows are written again before those that came meanwhile", [&] {
+            const CellTransaction failed = owner.writer.pending()->transaction;
+            owner.writer.changeJob(JobId("z-old"));
+            owner.writer.fail(owner.now);
+            const CellTransaction &transaction = owner.send();
+            const auto isSame = [](const auto &left, const auto &right) {
+                return left.id == right.id;
+            };
+            EXPECT_TRUE(std::equal(transaction.jobs.begin(), transaction.jobs.end(), failed.jobs.begin(),
+                                   failed.jobs.end(), isSame));
+            EXPECT_TRUE(std::equal(transaction.progress.begin(), transaction.progress.end(), failed.progress.begin(),
+                                   failed.progress.end(), isSame));
+            owner.writer.succeed();
+        });
+        section("a change during the failed transaction needs no second row", [&] {
+            while (owner.writer.hasWork()) {
+                EXPECT_EQ(rowsOf(owner.send().progress, JobId("z-old")), 0);
+                owner.writer.succeed();
+            }
+        });
+    });
+}
+
+} // namespace radishvane::tests
