Count ends as stored under a standing backlog of writes

A worker lists 500 ends at most, so that later ones stayed hidden from the owner. Cause: a transaction covered ends only when no changed job was left over, which never happens while jobs change faster than they are stored. Change: each transaction opens a checkpoint: the ends processed so far, and the end of the queue of changed jobs. It is stored when the transaction has succeeded and everything queued before that place is stored too. A failed transaction loses its checkpoint, and its rows go to the front of the queue, before the places of all earlier checkpoints. Rows hold the newest state when they are built, so that later rows contain earlier ends. Before: with 60 changed jobs and more at each transaction no end was stored with the right transaction (CellWriter.CountsEndsAsStoredUnderAStandingBacklog failed). After: the ends are stored with the second transaction, also after a failed one.

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -105,19 +105,22 @@
 
 void CellWriter::sent(CallId call, CellTransaction transaction, const WorkerRoster &roster, TimePoint now)
 {
-    Pending pending{call, std::move(transaction), now, {}};
-    if (m_changedJobs.empty()) {
-        for (const auto &[id, worker] : roster.all()) {
-            pending.ends[id] = {worker.startedAtMs, worker.processed};
-        }
+    Checkpoint checkpoint{m_changedJobs.nextPlace(), {}};
+    for (const auto &[id, worker] : roster.all()) {
+        checkpoint.ends[id] = {worker.startedAtMs, worker.processed};
     }
-    m_pending = std::move(pending);
+    m_checkpoints.push_back(std::move(checkpoint));
+    m_pending = Pending{call, std::move(transaction), now};
 }
 
 CellWriter::Pending CellWriter::succeed()
 {
     Pending done = std::move(*m_pending);
     m_pending.reset();
+    while (!m_checkpoints.empty() && m_checkpoints.front().place <= m_changedJobs.firstPlace()) {
+        done.ends = std::move(m_checkpoints.front().ends);
+        m_checkpoints.pop_front();
+    }
     return done;
 }
 
@@ -139,6 +142,7 @@
     m_isRosterChanged = m_isRosterChanged || transaction.roster.has_value();
     m_isOwnerRequired = true;
     m_notBefore = now + retryPause;
+    m_checkpoints.pop_back();
     m_pending.reset();
 }
 
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -4,6 +4,7 @@
 #include "core/cells/job_queue.h"
 #include "core/cells/job_registry.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -25,14 +26,17 @@
     /// Pause after a write that the store refused or left unanswered.
     static constexpr Duration retryPause{80};
 
+    /// For each worker the incarnation and the number of an ended run; the ends up to this one are stored.
+    using Ends = std::map<WorkerId, std::pair<std::int64_t, std::uint64_t>>;
+
     /// A transaction without an answer so far.
     struct Pending
     {
         CallId call;
         CellTransaction transaction;
         TimePoint sent;
-        /// For each worker the incarnation and the number of the last ended run that the rows include.
-        std::map<WorkerId, std::pair<std::int64_t, std::uint64_t>> ends;
+        /// Ends that are stored with this transaction; set when it has succeeded.
+        Ends ends = {};
     };
 
     void clear();
@@ -57,6 +61,15 @@
     void fail(TimePoint now);
 
 private:
+    /// The ends that were processed when a transaction was sent. They are stored when the jobs that had changed by then
+    /// are stored: those of the transaction and those with places below @c place. Rows that are built later contain
+    /// these ends as well.
+    struct Checkpoint
+    {
+        std::int64_t place = 0;
+        Ends ends;
+    };
+
     void takeJobs(CellTransaction &transaction, const JobRegistry &registry);
     void takeProgress(CellTransaction &transaction, const JobRegistry &registry);
 
@@ -68,6 +81,8 @@
     bool m_isOwnerRequired = false;
     TimePoint m_notBefore;
     std::optional<Pending> m_pending;
+    /// Those of transactions that succeeded, in their order, then that of the pending transaction.
+    std::deque<Checkpoint> m_checkpoints;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/job_queue.cpp
+++ b/core/cells/job_queue.cpp
@@ -5,9 +5,9 @@
 
 void JobQueue::push(const JobId &job)
 {
-    if (m_places.try_emplace(job, m_end).second) {
-        m_jobs.emplace(m_end, job);
-        ++m_end;
+    if (m_places.try_emplace(job, m_nextPlace).second) {
+        m_jobs.emplace(m_nextPlace, job);
+        ++m_nextPlace;
     }
 }
 
@@ -17,9 +17,9 @@
     if (!isNew) {
         m_jobs.erase(place->second);
     }
-    --m_first;
-    place->second = m_first;
-    m_jobs.emplace(m_first, job);
+    --m_lowestPlace;
+    place->second = m_lowestPlace;
+    m_jobs.emplace(m_lowestPlace, job);
 }
 
 JobId JobQueue::pop()
@@ -35,9 +35,14 @@
     return m_jobs.empty();
 }
 
-const std::map<std::int64_t, JobId> &JobQueue::jobs() const
+std::int64_t JobQueue::firstPlace() const
 {
-    return m_jobs;
+    return m_jobs.empty() ? m_nextPlace : m_jobs.begin()->first;
+}
+
+std::int64_t JobQueue::nextPlace() const
+{
+    return m_nextPlace;
 }
 
 } // namespace radishvane::cells
--- a/core/cells/job_queue.h
+++ b/core/cells/job_queue.h
@@ -21,14 +21,16 @@
     JobId pop();
 
     bool empty() const;
-    /// The jobs by their places.
-    const std::map<std::int64_t, JobId> &jobs() const;
+    /// Place of the first job; nextPlace() if there is none.
+    std::int64_t firstPlace() const;
+    /// Place of the next job that is added at the end. All queued jobs have lower places.
+    std::int64_t nextPlace() const;
 
 private:
     std::map<std::int64_t, JobId> m_jobs;
     std::unordered_map<JobId, std::int64_t> m_places;
-    std::int64_t m_first = 0;
-    std::int64_t m_end = 0;
+    std::int64_t m_lowestPlace = 0;
+    std::int64_t m_nextPlace = 0;
 };
 
 } // namespace radishvane::cells
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -61,6 +61,15 @@
         return writer.pending()->transaction;
     }
 
+    Worker &addWorker(const WorkerId &id, std::int64_t startedAtMs)
+    {
+        WorkerEntry entry;
+        entry.id = id;
+        entry.startedAtMs = startedAtMs;
+        roster.observe({entry});
+        return *roster.find(id);
+    }
+
     CellWriter writer;
     JobRegistry registry;
     WorkerRoster roster;
@@ -130,4 +139,67 @@
     });
 }
 
+TEST(CellWriter, CountsEndsAsStoredUnderAStandingBacklog)
+{
+    story("jobs change all the time, so that no transaction holds all changes", [] {
+        using Ends = std::map<WorkerId, std::pair<std::int64_t, std::uint64_t>>;
+        const WorkerId id("w");
+        OwnersWriter owner;
+        Worker &worker = owner.addWorker(id, 7);
+        const auto change = [&owner](std::size_t first) {
+            for (std::size_t number = first; number < first + maxRowsOfAKind; ++number) {
+                owner.addJob(numbered("j", number), true);
+                owner.writer.changeJob(numbered("j", number));
+            }
+        };
+        change(0);
+        change(100);
+        worker.processed = 5;
+        section("the ends so far are not stored with the first half of the rows", [&] {
+            owner.send();
+            worker.processed = 8;
+            change(200);
+            EXPECT_EQ(owner.writer.succeed().ends, Ends{});
+        });
+        section("they are stored with the second half, although more jobs have changed since", [&] {
+            EXPECT_EQ(owner.send().progress.size(), maxRowsOfAKind);
+            change(0);
+            EXPECT_EQ(owner.writer.succeed().ends, (Ends{{id, {7, 5}}}));
+        });
+        section("a transaction without a known outcome stores no ends", [&] {
+            owner.send();
+            worker.processed = 9;
+            owner.writer.fail(owner.now);
+        });
+        section("the ends of the moment at which the failed rows changed are stored when these are written again", [&] {
+            owner.send();
+            EXPECT_EQ(owner.writer.succeed().ends, (Ends{{id, {7, 8}}}));
+        });
+        section("the later ones are stored with the last of the rows that had changed then", [&] {
+            owner.send();
+            change(100);
+            EXPECT_EQ(owner.writer.succeed().ends, (Ends{{id, {7, 9}}}));
+        });
+        section("a job that is gone holds up nothing", [&] {
+            worker.processed = 10;
+            change(300);
+            owner.send();
+            owner.registry.erase(numbered("j", 300));
+            EXPECT_EQ(owner.writer.succeed().ends, Ends{});
+            owner.send();
+            EXPECT_EQ(owner.writer.succeed().ends, (Ends{{id, {7, 10}}}));
+        });
+        section("what was under way when the ownership ended stores nothing", [&] {
+            change(0);
+            change(100);
+            owner.send();
+            owner.writer.clear();
+            worker = Worker{};
+            worker.startedAtMs = 8;
+            owner.send();
+            EXPECT_EQ(owner.writer.succeed().ends, (Ends{{id, {8, 0}}}));
+        });
+    });
+}
+
 } // namespace radishvane::tests
