Limit the start orders of an owner to what its host can send

Cause: an owner on a host with a link of 10 Mbit/s and 0.12 cores sent up to 1,200 start orders a second of about 3 KB each. They queued in its link, the renewals of the cell's lease and of the workers' leases came too late, and the cell changed hands every few seconds. Change: StartPacer, a token bucket in bytes. Its rate is at most half of the host's link; it falls by a factor when ticks, writes of the store or most answers to orders are late, and rises again within ten seconds. A planning pass ends when the pacer holds a task that has a worker, so the rank is kept, and goes on when the next order may be sent. Gangs start whole or not at all.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -24,7 +24,7 @@
     , m_times(times)
     , m_capacity(capacity)
     , m_lease(std::move(host), incarnation, std::move(link), capacity)
-    , m_runs(m_outbox, m_writer, times)
+    , m_runs(m_outbox, m_writer, times, capacity)
     , m_hosts(m_outbox, m_writer, m_host)
     , m_config(std::make_shared<SiteConfig>())
 {
@@ -252,6 +252,11 @@
 
 void CellController::on(const CellTick &)
 {
+    const TimePoint now = m_outbox.now.steady;
+    m_runs.pacer().recordTick(now);
+    if (m_writer.pending()) {
+        m_runs.pacer().recordWrite(m_writer.pending()->sent, now);
+    }
     m_runs.requestPlanning();
 }
 
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -3,7 +3,7 @@
 namespace radishvane::cells
 {
 
-RunController::RunController(CellOutbox &outbox, CellWriter &writer, CellTimes times)
+RunController::RunController(CellOutbox &outbox, CellWriter &writer, CellTimes times, const HostCapacity &capacity)
     : m_outbox(outbox)
     , m_writer(writer)
     , m_times(times)
@@ -11,7 +11,7 @@
     , m_registry(m_runs.registry())
     , m_roster(m_runs.roster())
     , m_leases(outbox, writer, m_runs, times)
-    , m_starts(outbox, m_runs)
+    , m_starts(outbox, m_runs, capacity)
     , m_stops(outbox, m_runs)
 {
 }
@@ -62,6 +62,11 @@
     return m_roster;
 }
 
+StartPacer &RunController::pacer()
+{
+    return m_starts.pacer();
+}
+
 void RunController::observe(const std::vector<WorkerEntry> &entries)
 {
     for (const WorkerId &id : m_roster.observe(entries)) {
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -23,7 +23,7 @@
     /// workers.
     static constexpr Duration disruptionMargin{1'000};
 
-    RunController(CellOutbox &outbox, CellWriter &writer, CellTimes times);
+    RunController(CellOutbox &outbox, CellWriter &writer, CellTimes times, const HostCapacity &capacity);
 
     /// Restores the state from the store under a new epoch.
     void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries);
@@ -55,6 +55,8 @@
     JobRegistry &registry();
     const JobRegistry &registry() const;
     const WorkerRoster &roster() const;
+    /// Limits the rate of the start orders.
+    StartPacer &pacer();
 
 private:
     CellOutbox &m_outbox;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -15,17 +15,28 @@
 
 } // namespace
 
-StartController::StartController(CellOutbox &outbox, RunLedger &runs)
-    : m_outbox(outbox), m_runs(runs), m_registry(runs.registry()), m_roster(runs.roster()), m_admission(outbox)
+StartController::StartController(CellOutbox &outbox, RunLedger &runs, const HostCapacity &capacity)
+    : m_outbox(outbox)
+    , m_runs(runs)
+    , m_registry(runs.registry())
+    , m_roster(runs.roster())
+    , m_admission(outbox)
+    , m_pacer(capacity)
 {
 }
 
 void StartController::clear()
 {
     m_admission.clear();
+    m_pacer.clear();
     m_pendingStarts.clear();
 }
 
+StartPacer &StartController::pacer()
+{
+    return m_pacer;
+}
+
 void StartController::planStarts(const SiteConfig &config)
 {
     const TimePoint now = m_outbox.now.steady;
@@ -34,6 +45,7 @@
         return;
     }
     m_planningRequested = false;
+    m_isPaced = false;
     m_nextPlan = now + Duration(m_registry.live().size() / jobsPerMillisecond);
     CandidateWorkers candidates(m_roster, now);
     std::size_t starts = 0;
@@ -49,6 +61,11 @@
         starts += job.row.spec.steps[ready.step].gang
             ? startGang(config, candidates, ready)
             : startTasks(config, candidates, ready, maxStartsPerPass - starts);
+        if (m_isPaced) {
+            m_planningRequested = true;
+            m_nextPlan = std::max(m_nextPlan, now + std::max(pacedPlanningInterval, m_pacer.pause()));
+            return;
+        }
         if (starts >= maxStartsPerPass) {
             m_planningRequested = true;
             m_nextPlan = now;
@@ -93,6 +110,10 @@
         if (worker == nullptr) {
             break;
         }
+        if (!m_pacer.mayStart(m_outbox.now.steady)) {
+            m_isPaced = true;
+            break;
+        }
         start(ready, index, *worker, nextRun(job, task), task.progress.checkpoint);
         ++starts;
     }
@@ -131,6 +152,10 @@
     if (workers.size() < step.tasks.size()) {
         return 0;
     }
+    if (!m_pacer.mayStart(m_outbox.now.steady)) {
+        m_isPaced = true;
+        return 0;
+    }
     for (std::uint32_t index = 0; index < workers.size(); ++index) {
         start(ready, index, *workers[index], run, checkpoint);
     }
@@ -181,7 +206,8 @@
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
     m_outbox.log(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
-    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number};
+    m_pacer.take(order.payload.size());
+    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now};
     if (worker.renewal.value == 0) {
         // The lease must cover the start deadline even when the next periodic renewal is late.
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -202,9 +228,10 @@
     if (found == m_pendingStarts.end()) {
         return false;
     }
-    const auto [task, run] = found->second;
+    const PendingStart pending = std::move(found->second);
     m_pendingStarts.erase(found);
-    startAnswered(task, run, event);
+    m_pacer.recordAnswer(pending.sentAt, event.outcome, m_outbox.now.steady);
+    startAnswered(pending.task, pending.run, event);
     return true;
 }
 
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -2,11 +2,11 @@
 
 #include "core/cells/admission_controller.h"
 #include "core/cells/run_ledger.h"
+#include "core/cells/start_pacer.h"
 #include "core/cells/start_planner.h"
 
 #include <map>
 #include <string>
-#include <utility>
 
 namespace radishvane::cells
 {
@@ -24,8 +24,10 @@
     static constexpr std::size_t jobsPerMillisecond = 8;
     /// Limit on the starts of one planning pass. The remaining starts follow in the next pass.
     static constexpr std::size_t maxStartsPerPass = 64;
+    /// Shortest interval between two planning passes while the pacer limits the starts.
+    static constexpr Duration pacedPlanningInterval{10};
 
-    StartController(CellOutbox &outbox, RunLedger &runs);
+    StartController(CellOutbox &outbox, RunLedger &runs, const HostCapacity &capacity);
 
     void clear();
     /// Runs a planning pass if one was requested and the interval since the last one has passed.
@@ -33,8 +35,17 @@
     /// @return whether the answer belongs to a start order.
     bool answered(const OrderAnswered &event);
     void answered(const AdmissionAnswered &event);
+    StartPacer &pacer();
 
 private:
+    /// A start order without an answer yet.
+    struct PendingStart
+    {
+        TaskId task;
+        RunNumber run = 0;
+        TimePoint sentAt;
+    };
+
     bool ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates, const ReadyStep &ready);
     std::size_t startTasks(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
                            std::size_t maxStarts);
@@ -52,8 +63,10 @@
     JobRegistry &m_registry;
     WorkerRoster &m_roster;
     AdmissionController m_admission;
-    /// Start orders without an answer yet: the task and its run.
-    std::map<CallId, std::pair<TaskId, RunNumber>> m_pendingStarts;
+    StartPacer m_pacer;
+    std::map<CallId, PendingStart> m_pendingStarts;
+    /// The pacer held back a task in the present pass.
+    bool m_isPaced = false;
     bool m_planningRequested = false;
     TimePoint m_nextPlan;
 };
