Refuse jobs that the owner cannot start within their objective

Cause: an owner near the limits of its host accepted every job. With the starts limited it keeps the cell, but the accepted jobs wait for each other and end late. Change: StartBacklog counts the orders that accepted jobs still need, by priority and share, in bytes. A job that would end after its objective at the pacer's present rate is refused at once (Overloaded) with the time after which there is capacity, if its pool has a worker with room; when workers are the bottleneck nothing changes. Service tasks, jobs with due times and repeated ids of accepted jobs are never refused for this reason. Ruled out: refusing only past the useful time (three times the objective). Tests: the site model queues the calls of a node in its link.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -253,9 +253,9 @@
 void CellController::on(const CellTick &)
 {
     const TimePoint now = m_outbox.now.steady;
-    m_runs.pacer().recordTick(now);
+    m_runs.starts().pacer().recordTick(now);
     if (m_writer.pending()) {
-        m_runs.pacer().recordWrite(m_writer.pending()->sent, now);
+        m_runs.starts().pacer().recordWrite(m_writer.pending()->sent, now);
     }
     m_runs.requestPlanning();
 }
@@ -366,6 +366,17 @@
         answer(event.exchange, CallAnswer::Overloaded);
         return;
     }
+    const bool withinShare = m_shares.take(*m_config, event.team, m_outbox.now.steady);
+    const Duration lateness = m_runs.starts().lateness(*m_config, event, withinShare);
+    if (lateness > Duration{0}) {
+        if (withinShare) {
+            m_shares.giveBack(event.team);
+        }
+        m_outbox.log(CellDecision::JobRefused, event.id.name(), {}, registry.live().size(), "starts-limited");
+        answer(event.exchange, CallAnswer::Overloaded, std::clamp(lateness, retryAfter, maxRetryAfter));
+        return;
+    }
+    m_runs.starts().jobAccepted(*m_config, event, withinShare);
     JobRow row;
     row.id = event.id;
     row.queue = event.queue;
@@ -378,7 +389,7 @@
     registry.openDueOccurrences(job, m_outbox.now);
     job.submitters.push_back(event.exchange);
     m_writer.addJob(event.id);
-    job.withinShare = m_shares.take(*m_config, event.team, m_outbox.now.steady);
+    job.withinShare = withinShare;
     const auto queue = m_config->queues.find(event.queue);
     if (queue != m_config->queues.end() && job.withinShare) {
         m_hosts.recordAcceptedJob(queue->second.pool, event.spec);
@@ -444,10 +455,10 @@
     m_outbox.add(AnswerCall{event.exchange, CallAnswer::Pending, GraphState::Queued, pending, {}});
 }
 
-void CellController::answer(ExchangeId exchange, CallAnswer answer)
+void CellController::answer(ExchangeId exchange, CallAnswer answer, Duration retryDelay)
 {
     const bool isRefusal = answer == CallAnswer::Unavailable || answer == CallAnswer::Overloaded;
-    m_outbox.add(AnswerCall{exchange, answer, GraphState::Queued, 0, isRefusal ? retryAfter : Duration{0}});
+    m_outbox.add(AnswerCall{exchange, answer, GraphState::Queued, 0, isRefusal ? retryDelay : Duration{0}});
 }
 
 void CellController::answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply)
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -26,6 +26,7 @@
     static constexpr std::size_t maxLiveJobs = 4'000;
     /// Recommended delay before a refused caller retries.
     static constexpr Duration retryAfter{1'000};
+    static constexpr Duration maxRetryAfter{30'000};
     /// A caller whose job is not stored after this time receives an answer that its acceptance is in doubt.
     static constexpr Duration storeTimeout{1'200};
     /// Pause after a read or write that failed in the store.
@@ -75,7 +76,7 @@
     void onWritten(std::uint64_t version);
     void onConflict(const CellWritten &event);
     void applyConfig(Job &job) const;
-    void answer(ExchangeId exchange, CallAnswer answer);
+    void answer(ExchangeId exchange, CallAnswer answer, Duration retryDelay = retryAfter);
     void answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply);
     static GraphState reportedState(const Job &job);
 
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -62,9 +62,9 @@
     return m_roster;
 }
 
-StartPacer &RunController::pacer()
+StartController &RunController::starts()
 {
-    return m_starts.pacer();
+    return m_starts;
 }
 
 void RunController::observe(const std::vector<WorkerEntry> &entries)
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -55,8 +55,7 @@
     JobRegistry &registry();
     const JobRegistry &registry() const;
     const WorkerRoster &roster() const;
-    /// Limits the rate of the start orders.
-    StartPacer &pacer();
+    StartController &starts();
 
 private:
     CellOutbox &m_outbox;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -29,9 +29,37 @@
 {
     m_admission.clear();
     m_pacer.clear();
+    m_backlog.clear();
     m_pendingStarts.clear();
 }
 
+Duration StartController::lateness(const SiteConfig &config, const SubmitJob &job, bool withinShare)
+{
+    const auto queue = config.queues.find(job.queue);
+    if (queue == config.queues.end() || job.spec.steps.empty()) {
+        return Duration{0};
+    }
+    m_backlog.update(m_registry, config, m_outbox.now);
+    const Duration lateness = m_backlog.lateness(queue->second, job.spec, withinShare, m_pacer);
+    if (lateness == Duration{0}) {
+        return lateness;
+    }
+    const CandidateWorkers candidates(m_roster, m_outbox.now.steady);
+    const std::vector<Worker *> &workers = candidates.workers(queue->second.pool);
+    const bool hasRoom = std::any_of(workers.begin(), workers.end(), [&job](const Worker *worker) {
+        return (worker->used + worker->foreignUsed + job.spec.steps.front().reserved()).fitsIn(worker->room());
+    });
+    return hasRoom ? lateness : Duration{0};
+}
+
+void StartController::jobAccepted(const SiteConfig &config, const SubmitJob &job, bool withinShare)
+{
+    const auto queue = config.queues.find(job.queue);
+    if (queue != config.queues.end()) {
+        m_backlog.add(queue->second, job.spec, withinShare);
+    }
+}
+
 StartPacer &StartController::pacer()
 {
     return m_pacer;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -2,6 +2,7 @@
 
 #include "core/cells/admission_controller.h"
 #include "core/cells/run_ledger.h"
+#include "core/cells/start_backlog.h"
 #include "core/cells/start_pacer.h"
 #include "core/cells/start_planner.h"
 
@@ -35,6 +36,11 @@
     /// @return whether the answer belongs to a start order.
     bool answered(const OrderAnswered &event);
     void answered(const AdmissionAnswered &event);
+    /// Returns how long after its objective a job would end because the pacer limits the starts; zero if it would end
+    /// in time or if the workers limit the starts.
+    Duration lateness(const SiteConfig &config, const SubmitJob &job, bool withinShare);
+    /// Counts the starts of a job that was accepted.
+    void jobAccepted(const SiteConfig &config, const SubmitJob &job, bool withinShare);
     StartPacer &pacer();
 
 private:
@@ -64,6 +70,7 @@
     WorkerRoster &m_roster;
     AdmissionController m_admission;
     StartPacer m_pacer;
+    StartBacklog m_backlog;
     std::map<CallId, PendingStart> m_pendingStarts;
     /// The pacer held back a task in the present pass.
     bool m_isPaced = false;
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -52,10 +52,10 @@
                        [&](std::uint32_t index) { return step.tasks[index].notBefore <= now; });
 }
 
-/// Longest path through the steps by declared run times. With @p onlyLeft, steps that are done have length zero.
-Duration criticalPath(const Job &job, const Occurrence &occurrence, bool onlyLeft)
+/// Longest path through the steps by declared run times. Steps that are done in @p occurrence have length zero.
+Duration criticalPath(const GraphSpec &spec, const Occurrence *occurrence)
 {
-    const std::vector<StepSpec> &steps = job.row.spec.steps;
+    const std::vector<StepSpec> &steps = spec.steps;
     std::vector<Duration> ends(steps.size(), Duration{0});
     Duration longest{0};
     for (std::size_t index = 0; index < steps.size(); ++index) {
@@ -63,8 +63,8 @@
         for (const std::uint32_t earlier : steps[index].after) {
             begin = std::max(begin, ends[earlier]);
         }
-        const Step &step = occurrence.steps[index];
-        const bool isDone = onlyLeft && step.done == step.tasks.size();
+        const bool isDone
+            = occurrence != nullptr && occurrence->steps[index].done == occurrence->steps[index].tasks.size();
         ends[index] = begin + (isDone ? Duration{0} : steps[index].estimate);
         longest = std::max(longest, ends[index]);
     }
@@ -101,14 +101,13 @@
     }
     const GraphSpec &graph = job.row.spec;
     if (!occurrence.estimatedAtTasksDone) {
-        const auto whole = criticalPath(job, occurrence, false);
+        const DeclaredTimes times = declaredTimes(graph, queue);
         const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
-        const Duration allowed = std::chrono::duration_cast<Duration>(whole * queue.stretch) + queue.targetDuration;
-        occurrence.objective = begin + allowed;
-        occurrence.usefulUntil = begin + lateFactor * allowed;
+        occurrence.objective = begin + times.objective;
+        occurrence.usefulUntil = begin + times.useful;
         occurrence.value = relativeValue(graph.work(), registry.meanWork(job.row.queue));
     }
-    occurrence.remainingCriticalPath = criticalPath(job, occurrence, true);
+    occurrence.remainingCriticalPath = criticalPath(job.row.spec, &occurrence);
     occurrence.remainingWork = remainingWork(job, occurrence);
     occurrence.estimatedAtTasksDone = occurrence.tasksDone;
 }
@@ -157,6 +156,15 @@
 
 } // namespace
 
+DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue)
+{
+    DeclaredTimes times;
+    times.criticalPath = criticalPath(spec, nullptr);
+    times.objective = std::chrono::duration_cast<Duration>(times.criticalPath * queue.stretch) + queue.targetDuration;
+    times.useful = lateFactor * times.objective;
+    return times;
+}
+
 std::vector<ReadyStep> rankReadySteps(JobRegistry &registry, const SiteConfig &config, Instant now)
 {
     std::vector<RankedStep> ranked;
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -19,6 +19,18 @@
     PoolId pool;
 };
 
+/// Declared times of a job, from its acceptance.
+struct DeclaredTimes
+{
+    Duration criticalPath{0};
+    /// Time within which the job earns its full value.
+    Duration objective{0};
+    /// Time after which completing the job has no value.
+    Duration useful{0};
+};
+
+DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue);
+
 /// Ranks the steps that can start tasks.
 ///
 /// The order matters when a queue demands more than its pool holds. A job earns its full value only within its
--- a/core/cells/team_shares.cpp
+++ b/core/cells/team_shares.cpp
@@ -29,4 +29,12 @@
     return true;
 }
 
+void TeamShares::giveBack(const TeamId &team)
+{
+    const auto found = m_buckets.find(team);
+    if (found != m_buckets.end()) {
+        found->second.jobs += 1;
+    }
+}
+
 } // namespace radishvane::cells
--- a/core/cells/team_shares.h
+++ b/core/cells/team_shares.h
@@ -22,6 +22,8 @@
     /// Counts a job that @p team submitted at @p now. Jobs without a known team are always within their share.
     /// @return whether the job is within the share.
     bool take(const SiteConfig &config, const TeamId &team, TimePoint now);
+    /// Takes back the count of a job that was within the share and was refused.
+    void giveBack(const TeamId &team);
 
 private:
     struct Bucket
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -81,6 +81,11 @@
     m_config->queues[queue.id] = queue;
 }
 
+void CellSite::setPriority(const std::string &queue, std::uint32_t priority)
+{
+    m_config->queues.at(QueueId(queue)).priority = priority;
+}
+
 void CellSite::setAdmission(const std::string &queue)
 {
     m_config->queues.at(QueueId(queue)).admission = AdmissionTimes{Duration(20), Duration(2), Duration(3'000)};
@@ -264,6 +269,12 @@
     return m_answers[job];
 }
 
+Duration CellSite::retryAfter(const std::string &job) const
+{
+    const auto found = m_retryAfter.find(job);
+    return found == m_retryAfter.end() ? Duration{0} : found->second;
+}
+
 std::size_t CellSite::runs(const std::string &job) const
 {
     const auto found = m_runs.find(JobId(job));
@@ -380,6 +391,7 @@
                 const auto asked = m_asked.find(answer.exchange);
                 if (asked != m_asked.end()) {
                     m_answers[asked->second].push_back(answer.answer);
+                    m_retryAfter[asked->second] = answer.retryAfter;
                 }
             },
             [](const OwnershipChanged &) {},
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -60,6 +60,10 @@
     std::unique_ptr<cells::CellController> controller;
     HostId host;
     cells::HostCapacity capacity;
+    /// Whether the calls of the node queue in its link at the rate in @c capacity. Otherwise they are sent at once.
+    bool queuesInLink = false;
+    /// When the link has sent all calls so far.
+    double linkFreeAt = 0;
     bool alive = true;
     bool cutFromStore = false;
     bool frozen = false;
@@ -94,6 +98,7 @@
     ModelNode &addNode(const std::string &name, cells::HostCapacity capacity = {});
     ModelWorker &addWorker(const std::string &id, const std::string &pool, std::uint64_t cpu);
     void addQueue(const std::string &name, const std::string &pool, std::uint32_t maxFailures = 3);
+    void setPriority(const std::string &queue, std::uint32_t priority);
     /// Lets the admission service decide about the steps of a queue.
     void setAdmission(const std::string &queue);
     void addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight = 1'000);
@@ -128,6 +133,8 @@
     std::optional<cells::GraphState> state(const std::string &job) const;
     /// Answers to submissions by job.
     const std::vector<cells::CallAnswer> &answers(const std::string &job);
+    /// Recommended delay of the last refusal of a job.
+    Duration retryAfter(const std::string &job) const;
     std::size_t runs(const std::string &job) const;
     std::size_t runningOn(const std::string &worker) const;
     bool isMaintained(const std::string &worker) const;
@@ -178,6 +185,9 @@
     void comeBack(const std::string &worker);
     void beginIncarnation(const std::string &worker);
 
+    /// Queues a call in the link of a node and returns the time until it has been sent. If that is longer than the
+    /// time limit of the call, the call is answered with @p unknown before.
+    std::int64_t linkDelay(const Caller &caller, std::size_t payloadBytes, const std::function<void()> &unknown);
     void write(const Caller &caller, const cells::WriteCell &call);
     cells::CellWritten carryOut(const cells::WriteCell &call);
     void read(const Caller &caller, const cells::ReadCell &call);
@@ -228,6 +238,7 @@
 
     std::map<ExchangeId, std::string> m_asked;
     std::map<std::string, std::vector<cells::CallAnswer>> m_answers;
+    std::map<std::string, Duration> m_retryAfter;
     std::map<JobId, cells::GraphSpec> m_specs;
     std::map<cells::TaskId, std::uint64_t> m_doneNoted;
     std::map<cells::TaskId, bool> m_done;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -20,9 +20,38 @@
 constexpr std::int64_t moveTime = 1'500;
 constexpr std::int64_t startUp = 150;
 constexpr double atWork = 100;
+/// Size of a call without its payload.
+constexpr std::size_t callBytes = 600;
+
+/// Size of the rows of a transaction, in which payloads are encoded in base64.
+std::size_t bytesOf(const CellTransaction &transaction)
+{
+    constexpr std::size_t rowBytes = 200;
+    std::size_t bytes = (transaction.jobs.size() + transaction.progress.size()) * rowBytes;
+    for (const JobRow &row : transaction.jobs) {
+        bytes += row.spec.payload.size() * 4 / 3;
+    }
+    return bytes;
+}
 
 } // namespace
 
+std::int64_t CellSite::linkDelay(const Caller &caller, std::size_t payloadBytes, const std::function<void()> &unknown)
+{
+    ModelNode &entry = node(caller.node);
+    if (!entry.queuesInLink) {
+        return 0;
+    }
+    constexpr double bytesPerMegabit = 125;
+    const double time = static_cast<double>(callBytes + payloadBytes) / (entry.capacity.linkMbps * bytesPerMegabit);
+    entry.linkFreeAt = std::max(entry.linkFreeAt, static_cast<double>(m_now)) + time;
+    const auto delay = static_cast<std::int64_t>(entry.linkFreeAt) - m_now;
+    if (delay >= callTimeout) {
+        later(callTimeout, unknown);
+    }
+    return delay;
+}
+
 // ---- the store ----
 
 void CellSite::write(const Caller &caller, const WriteCell &call)
@@ -33,6 +62,9 @@
         });
         return;
     }
+    const std::int64_t sendDelay = linkDelay(caller, bytesOf(call.transaction), [this, caller, call] {
+        give(caller, CellWritten{call.call, CellWriteOutcome::Unknown, 0, std::nullopt});
+    });
     const bool holdsRows = !call.transaction.progress.empty();
     const bool isLost = loseNextWrite && holdsRows;
     if (isLost || chance(lostAnswers)) {
@@ -44,7 +76,7 @@
         });
         return;
     }
-    later(storeDelay, [this, caller, call] {
+    later(sendDelay + storeDelay, [this, caller, call] {
         const CellWritten written = carryOut(call);
         later(1, [this, caller, written] { give(caller, written); });
     });
@@ -125,7 +157,8 @@
         later(callTimeout, unknown);
         return;
     }
-    later(workerDelay, [this, caller, order, unknown] {
+    const std::int64_t sendDelay = linkDelay(caller, order.payload.size(), unknown);
+    later(sendDelay + workerDelay, [this, caller, order, unknown] {
         ModelWorker *worker = reach(order.worker);
         if (worker == nullptr) {
             later(callTimeout, unknown);
@@ -218,12 +251,14 @@
 
 void CellSite::stopTask(const Caller &caller, const StopOrder &order)
 {
-    later(workerDelay, [this, caller, order] {
+    const auto unknown = [this, caller, order] {
+        give(caller, OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt});
+    };
+    const std::int64_t sendDelay = linkDelay(caller, 0, unknown);
+    later(sendDelay + workerDelay, [this, caller, order, unknown] {
         ModelWorker *worker = reach(order.worker);
         if (worker == nullptr) {
-            later(callTimeout, [this, caller, order] {
-                give(caller, OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt});
-            });
+            later(callTimeout, unknown);
             return;
         }
         const OrderOutcome outcome = carryOut(*worker, order);
@@ -267,7 +302,8 @@
         }
         return;
     }
-    later(workerDelay, [this, caller, order, unknown] {
+    const std::int64_t sendDelay = linkDelay(caller, 0, unknown);
+    later(sendDelay + workerDelay, [this, caller, order, unknown] {
         ModelWorker *worker = reach(order.worker);
         if (worker == nullptr) {
             later(callTimeout, unknown);
