Test a small host that takes over more work than it can start

Cause: refusals do not help a new owner, since the jobs were accepted by the one before it. Test: an owner with a fast link fails with 9,600 tasks of 3 KB, and a host with 10 Mbit/s takes over. With the pacer it keeps the cell for the 15 s that follow and starts tasks at the rate of its link.

--- a/tests/core/cells/cell_overload_test.cpp
+++ b/tests/core/cells/cell_overload_test.cpp
@@ -70,6 +70,15 @@
     return count;
 }
 
+std::size_t countRuns(const CellSite &site, int jobs)
+{
+    std::size_t count = 0;
+    for (int index = 0; index < jobs; ++index) {
+        count += site.runs("j" + std::to_string(index));
+    }
+    return count;
+}
+
 } // namespace
 
 TEST(CellOverload, LeavesTheCellWithItsOwner)
@@ -147,6 +156,46 @@
     });
 }
 
+TEST(CellOverload, LeavesTheCellWithAnOwnerThatInheritsTooMuchWork)
+{
+    story("an owner with a fast link fails with thousands of waiting tasks, and a small host takes over", [] {
+        CellSite site;
+        fillLargeSite(site, HostCapacity{});
+        const std::string first = site.owner();
+        const std::string second = other(site);
+        site.kill(second);
+        site.node(second).capacity = HostCapacity{0.12, 10};
+        site.restart(second);
+        const int jobs = 600;
+        for (int index = 0; index < jobs; ++index) {
+            const std::string job = "j" + std::to_string(index);
+            site.durations[JobId(job)] = 1'000;
+            site.submit(first, job, "plans", largeJob());
+        }
+        site.run(Duration(300));
+        ASSERT_EQ(countAnswers(site, jobs, CallAnswer::Accepted), jobs);
+        site.kill(first);
+        site.run(Duration(8'000));
+        section("the small host keeps the cell while it starts the tasks", [&] {
+            for (int step = 0; step < 100; ++step) {
+                site.run(Duration(100));
+                ASSERT_EQ(site.owner(), second) << "step " << step;
+            }
+        });
+        section("it starts them at the rate of its link", [&] {
+            const std::size_t before = countRuns(site, jobs);
+            site.run(Duration(5'000));
+            const auto starts = static_cast<double>(countRuns(site, jobs) - before);
+            // 10 Mbit/s are 1,250,000 bytes a second.
+            const double most = 5 * 1'250'000 * StartPacer::linkShare / StartPacer::orderBytes(3'000);
+            EXPECT_LE(starts, 1.1 * most);
+            EXPECT_GE(starts, 0.5 * most);
+            EXPECT_EQ(site.owner(), second);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOverload, AcceptsJobsThatWaitForWorkers)
 {
     story("a small owner with two workers, which are full for a long time", [] {
