Hand the cell over from a host with little capacity to a fit one

Cause: fit hosts take over a free cell sooner, but when they were cut off or restarting at that moment, a host with little capacity kept the cell for good. Change: a host with all of an owner's capacity asks each new owner once, over the link between entry hosts; a clearly less fit owner releases the cell by the conditional write of a stop and goes on as a process. A release without an answer blocks starts until the next write has settled it. A host releases the cell at most every 30 s, so that one whose request is not followed by a takeover cannot make it idle again and again.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -24,6 +24,7 @@
     , m_times(times)
     , m_capacity(capacity)
     , m_lease(std::move(host), incarnation, std::move(link), capacity)
+    , m_handover(m_host, capacity)
     , m_runs(m_outbox, m_writer, times)
     , m_hosts(m_outbox, m_writer, m_host)
     , m_config(std::make_shared<SiteConfig>())
@@ -45,7 +46,8 @@
 
 bool CellController::isServing(TimePoint now) const
 {
-    return m_isActive && m_isRebuilt && !m_isReleasing && m_lease.isValid(now);
+    return m_isActive && m_isRebuilt && m_release != Release::Pending && m_release != Release::InDoubt
+        && m_lease.isValid(now);
 }
 
 const JobRegistry &CellController::registry() const
@@ -64,6 +66,7 @@
 {
     advanceOwnership();
     if (!m_isActive) {
+        advanceHandover();
         return;
     }
     const TimePoint now = m_outbox.now.steady;
@@ -71,12 +74,12 @@
         if (m_pendingRead.value == 0 && now >= m_retryNotBefore) {
             m_pendingRead = m_outbox.send(ReadCell{{}, m_cell});
         }
-    } else if (!m_isStopping && isTick) {
+    } else if (!isGivingUp() && isTick) {
         m_hosts.advance(m_runs.registry(), *m_config, m_runs.roster(), m_lease.isValid(now));
         m_runs.cordon(m_hosts.cordoned(m_runs.roster()));
         m_runs.advance(*m_config, m_lease.isValid(now));
         dropExpiredJobs();
-    } else if (!m_isStopping) {
+    } else if (!isGivingUp()) {
         m_runs.advanceStarts(*m_config, m_lease.isValid(now));
     }
     answerTimedOutCallers();
@@ -86,7 +89,7 @@
 void CellController::advanceOwnership()
 {
     const TimePoint now = m_outbox.now.steady;
-    if (m_isActive && !m_isReleasing && m_lease.isKnown() && !m_lease.owns()) {
+    if (m_isActive && m_release != Release::Pending && m_lease.isKnown() && !m_lease.owns()) {
         deactivate(CellDecision::OwnershipLost, m_lease.owner() ? m_lease.owner()->host.name() : "no-owner");
     }
     const bool mayAcquire = !m_isActive && !m_isStopping && !m_writer.pending();
@@ -100,11 +103,26 @@
     write(std::move(transaction));
 }
 
+void CellController::advanceHandover()
+{
+    if (m_isStopping || m_writer.pending()) {
+        return;
+    }
+    if (auto request = m_handover.nextRequest(m_lease, m_outbox.now.steady)) {
+        m_outbox.add(std::move(*request));
+    }
+}
+
+bool CellController::isGivingUp() const
+{
+    return m_isStopping || m_release != Release::None;
+}
+
 void CellController::activate()
 {
     m_isActive = true;
     m_isRebuilt = false;
-    m_isReleasing = false;
+    m_release = Release::None;
     m_pendingRead = CallId{};
     m_outbox.epoch = m_lease.epoch();
     m_writer.clear();
@@ -123,7 +141,7 @@
     }
     m_isActive = false;
     m_isRebuilt = false;
-    m_isReleasing = false;
+    m_release = Release::None;
     m_runs.clear();
     m_writer.clear();
     m_hosts.clear();
@@ -144,10 +162,10 @@
     if (!transaction) {
         return;
     }
-    if (m_isStopping && !m_writer.hasWork()) {
+    if ((m_isStopping || m_release == Release::Requested) && !m_writer.hasWork()) {
         // The last changes go into the same transaction as the row that releases the cell.
         transaction->owner = m_lease.releasedRow();
-        m_isReleasing = true;
+        m_release = Release::Pending;
     }
     write(std::move(*transaction));
 }
@@ -168,7 +186,10 @@
     case CellWriteOutcome::Unknown:
         m_outbox.log(CellDecision::StoreWriteFailed, m_cell.name(), {}, m_lease.version(),
                      std::string(enumName(cellWriteOutcomeNames, event.outcome)));
-        m_isReleasing = false;
+        if (m_release != Release::InDoubt) {
+            const bool isInDoubt = m_release == Release::Pending && event.outcome == CellWriteOutcome::Unknown;
+            m_release = isInDoubt ? Release::InDoubt : Release::None;
+        }
         m_retryNotBefore = m_outbox.now.steady + storeRetryPause;
         m_writer.fail(m_outbox.now.steady);
         return;
@@ -203,16 +224,24 @@
         answerAll(job->cancellers, CallAnswer::Cancelled);
         m_runs.registry().retireIfDone(*job);
     }
-    if (m_isReleasing) {
-        deactivate(CellDecision::OwnershipReleased, "stopping");
+    if (m_release == Release::Pending) {
+        if (!m_isStopping) {
+            m_handover.recordRelease(m_outbox.now.steady);
+        }
+        deactivate(CellDecision::OwnershipReleased,
+                   m_isStopping ? std::string("stopping") : "fitter-host " + m_fitterHost.name());
         return;
     }
+    if (m_release == Release::InDoubt) {
+        // The transaction contained the owner's row, so the store cannot execute the release any more.
+        m_release = Release::None;
+    }
     m_runs.stored(done);
 }
 
 void CellController::onConflict(const CellWritten &event)
 {
-    m_isReleasing = false;
+    m_release = Release::None;
     m_writer.fail(m_outbox.now.steady);
     m_lease.observe(OwnerObserved{event.owner, event.version}, m_outbox.now.steady);
     m_outbox.log(CellDecision::StoreWriteFailed, m_cell.name(), event.owner ? event.owner->host.name() : std::string(),
@@ -342,7 +371,7 @@
 
 void CellController::on(const SubmitJob &event)
 {
-    if (!isServing(m_outbox.now.steady) || m_isStopping) {
+    if (!isServing(m_outbox.now.steady) || isGivingUp()) {
         answer(event.exchange, CallAnswer::Unavailable);
         return;
     }
@@ -439,6 +468,29 @@
     m_outbox.add(AnswerCall{event.exchange, CallAnswer::Pending, GraphState::Queued, pending, {}});
 }
 
+void CellController::on(const RequestHandover &event)
+{
+    const TimePoint now = m_outbox.now.steady;
+    const bool mayDecide = isServing(now) && !isGivingUp() && event.epoch == m_outbox.epoch;
+    if (!mayDecide || !m_handover.mayRelease(now)) {
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
+    if (!m_handover.isFitter(event.fitness)) {
+        answer(event.exchange, CallAnswer::Declined);
+        return;
+    }
+    m_release = Release::Requested;
+    m_fitterHost = event.host;
+    m_writer.requireOwner();
+    answer(event.exchange, CallAnswer::Accepted);
+}
+
+void CellController::on(const HandoverAnswered &event)
+{
+    m_handover.answered(event);
+}
+
 void CellController::answer(ExchangeId exchange, CallAnswer answer)
 {
     const bool isRefusal = answer == CallAnswer::Unavailable || answer == CallAnswer::Overloaded;
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cells/cell_handover.h"
 #include "core/cells/cell_lease.h"
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
@@ -44,6 +45,18 @@
     const WorkerRoster &roster() const;
 
 private:
+    /// Progress of an owner in giving up the cell.
+    enum class Release {
+        None,
+        /// Waits for a transaction that takes all changes.
+        Requested,
+        /// The pending transaction releases the cell.
+        Pending,
+        /// The transaction had no answer. Nothing is started until the next one has settled it, since another host may
+        /// own the cell.
+        InDoubt,
+    };
+
     void on(const OrderAnswered &event);
     void on(const LeaseRenewalAnswered &event);
     void on(const AdmissionAnswered &event);
@@ -61,11 +74,14 @@
     void on(const QueryJob &event);
     void on(const CancelJob &event);
     void on(const QueryPending &event);
+    void on(const RequestHandover &event);
+    void on(const HandoverAnswered &event);
     void on(const CellTick &event);
     void on(const CellStop &event);
 
     void advance(bool isTick);
     void advanceOwnership();
+    void advanceHandover();
     void advanceWrites();
     void dropExpiredJobs();
     void answerTimedOutCallers();
@@ -74,6 +90,7 @@
     void write(CellTransaction transaction);
     void onWritten(std::uint64_t version);
     void onConflict(const CellWritten &event);
+    bool isGivingUp() const;
     void applyConfig(Job &job) const;
     void answer(ExchangeId exchange, CallAnswer answer);
     void answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply);
@@ -85,6 +102,7 @@
     HostCapacity m_capacity;
     CellOutbox m_outbox;
     CellLease m_lease;
+    CellHandover m_handover;
     CellWriter m_writer;
     RunController m_runs;
     HostController m_hosts;
@@ -93,8 +111,9 @@
     bool m_isActive = false;
     bool m_isRebuilt = false;
     bool m_isStopping = false;
-    /// The pending transaction releases the cell.
-    bool m_isReleasing = false;
+    Release m_release = Release::None;
+    /// The host that asked for the cell.
+    HostId m_fitterHost;
     CallId m_pendingRead;
     TimePoint m_retryNotBefore;
     TimePoint m_nextDropCheck;
--- a/core/cells/cell_lease.cpp
+++ b/core/cells/cell_lease.cpp
@@ -56,9 +56,14 @@
     m_unchangedSince = sentAt;
 }
 
+bool CellLease::hasContact(TimePoint now) const
+{
+    return now - m_lastContact <= maxContactGap;
+}
+
 bool CellLease::mayTakeOver(TimePoint now) const
 {
-    if (!m_isKnown || now - m_lastContact > maxContactGap) {
+    if (!m_isKnown || !hasContact(now)) {
         return false;
     }
     const bool isFree = !m_owner || m_owner->host.empty();
--- a/core/cells/cell_lease.h
+++ b/core/cells/cell_lease.h
@@ -39,6 +39,8 @@
     /// Records that a write of @p row, sent at @p sentAt, has succeeded.
     void recordWrite(const OwnerRow &row, std::uint64_t version, TimePoint sentAt);
 
+    /// Whether the store has answered recently.
+    bool hasContact(TimePoint now) const;
     /// Whether this process may try to take over the cell now.
     bool mayTakeOver(TimePoint now) const;
     /// Whether this process is the owner by the last observed row; its lease may have expired.
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -328,9 +328,20 @@
     QueueId queue;
 };
 
-/// Result that is returned to a caller.
+/// Request of a fitter entry host that the owner releases the cell.
+struct RequestHandover
+{
+    ExchangeId exchange;
+    HostId host;
+    /// @c HostCapacity::ownerFitness of @c host.
+    double fitness = 0;
+    /// The ownership that is to end.
+    Epoch epoch = 0;
+};
+
+/// Result that is returned to a caller or to another entry host.
 enum class CallAnswer {
-    /// The job is stored.
+    /// The job is stored, or the owner is about to release the cell.
     Accepted,
     /// @c state holds the state of the job.
     State,
@@ -343,11 +354,13 @@
     Unavailable,
     /// The job may or may not have been accepted.
     InDoubt,
+    /// The owner keeps the cell.
+    Declined,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 8> callAnswerNames{
-    "accepted", "state", "pending", "cancelled", "no-such-job", "overloaded", "unavailable", "in-doubt",
+inline constexpr std::array<std::string_view, 9> callAnswerNames{
+    "accepted", "state", "pending", "cancelled", "no-such-job", "overloaded", "unavailable", "in-doubt", "declined",
 };
 
 struct AnswerCall
@@ -360,6 +373,13 @@
     Duration retryAfter{0};
 };
 
+/// The owner's answer to a request for a handover, or @c CallAnswer::Unavailable without one.
+struct HandoverAnswered
+{
+    ExchangeId exchange;
+    CallAnswer answer = CallAnswer::Unavailable;
+};
+
 // ---- process and log ----
 
 struct CellTick
@@ -421,14 +441,14 @@
     std::string reason;
 };
 
-using CellEvent
-    = std::variant<OrderAnswered, LeaseRenewalAnswered, AdmissionAnswered, CellWritten, CellReadDone, OwnerObserved,
-                   StoreContact, ConfigObserved, WorkersObserved, WavesObserved, HostsListed, HostOrderAnswered,
-                   WaveReported, SubmitJob, QueryJob, CancelJob, QueryPending, CellTick, CellStop>;
+using CellEvent = std::variant<OrderAnswered, LeaseRenewalAnswered, AdmissionAnswered, CellWritten, CellReadDone,
+                               OwnerObserved, StoreContact, ConfigObserved, WorkersObserved, WavesObserved, HostsListed,
+                               HostOrderAnswered, WaveReported, SubmitJob, QueryJob, CancelJob, QueryPending,
+                               RequestHandover, HandoverAnswered, CellTick, CellStop>;
 
 using CellEffect
     = std::variant<StartOrder, StopOrder, LeaseRenewalOrder, QueryAdmission, WriteCell, ReadCell, ListHosts,
-                   MaintainHost, MoveHost, ReportWave, AnswerCall, OwnershipChanged, DecisionLogEntry>;
+                   MaintainHost, MoveHost, ReportWave, AnswerCall, RequestHandover, OwnershipChanged, DecisionLogEntry>;
 
 using CellEffects = std::vector<CellEffect>;
 
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -139,6 +139,12 @@
     archive(question.exchange, question.queue);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, RequestHandover &question)
+{
+    archive(question.exchange, question.host, question.fitness, question.epoch);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, AnswerCall &answer)
 {
--- a/drivers/cell_codec.h
+++ b/drivers/cell_codec.h
@@ -25,8 +25,10 @@
 /// Largest row or message that is read.
 inline constexpr std::size_t mostCellBytes = 1 << 20;
 
-/// A caller's question that another entry host took in.
-using LinkQuestion = std::variant<cells::SubmitJob, cells::QueryJob, cells::CancelJob, cells::QueryPending>;
+/// A question of another entry host, or of a caller that it serves. New alternatives go to the end, since the encoding
+/// contains their positions.
+using LinkQuestion
+    = std::variant<cells::SubmitJob, cells::QueryJob, cells::CancelJob, cells::QueryPending, cells::RequestHandover>;
 
 std::string encodeRow(const cells::OwnerRow &row);
 std::string encodeRow(const cells::JobRow &row);
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -64,6 +64,7 @@
     m_store.operatorAnswered.connect([this](const servers::OperatorContact &contact) { m_front.post(contact); });
     m_cell.siteCalled.connect([this](const servers::SiteCall &call) { m_store.post(call); });
     m_cell.answered.connect([this](const cells::AnswerCall &answer) { m_front.post(answer); });
+    m_cell.handoverRequested.connect([this](const cells::RequestHandover &request) { m_front.post(request); });
     m_cell.ownerChanged.connect([this](const servers::OwnerKnown &owner) { m_front.post(owner); });
     m_cell.released.connect([this] {
         m_stop.post(servers::RightsReleased{});
@@ -72,6 +73,8 @@
     m_front.asked.connect([this](const servers::CellQuestion &question) {
         std::visit([this](const auto &ask) { m_cell.post(cells::CellEvent(ask)); }, question);
     });
+    m_front.handoverAnswered.connect(
+        [this](const cells::HandoverAnswered &answer) { m_cell.post(cells::CellEvent(answer)); });
     m_front.callMeasured.connect([this](const servers::CallMeasured &measured) { m_metrics.post(measured); });
     m_front.agesChanged.connect([this](const servers::BeliefAges &ages) { m_metrics.post(ages); });
     m_cell.decided.connect([this](const cells::DecisionLogEntry &entry) { m_metrics.post(entry); });
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -128,6 +128,11 @@
     answered.emit(answer);
 }
 
+void CellTask::apply(const cells::RequestHandover &request)
+{
+    handoverRequested.emit(request);
+}
+
 void CellTask::apply(const cells::OwnershipChanged &change)
 {
     m_owns = change.owns;
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -30,6 +30,7 @@
 
     sigc::signal<void(const SiteCall &)> siteCalled;
     sigc::signal<void(const cells::AnswerCall &)> answered;
+    sigc::signal<void(const cells::RequestHandover &)> handoverRequested;
     sigc::signal<void(const OwnerKnown &)> ownerChanged;
     /// The cell is not this process's any more, or never was.
     sigc::signal<void()> released;
@@ -50,6 +51,7 @@
     void apply(const cells::MoveHost &call);
     void apply(const cells::ReportWave &call);
     void apply(const cells::AnswerCall &answer);
+    void apply(const cells::RequestHandover &request);
     void apply(const cells::OwnershipChanged &change);
     void apply(const cells::DecisionLogEntry &entry);
     template<typename Order>
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -20,6 +20,7 @@
                           [](const cells::QueryJob &ask) { return ask.id.name(); },
                           [](const cells::CancelJob &ask) { return ask.id.name(); },
                           [](const cells::QueryPending &ask) { return ask.queue.name(); },
+                          [](const cells::RequestHandover &ask) { return ask.host.name(); },
                       },
                       question);
 }
@@ -32,6 +33,7 @@
                           [](const cells::QueryJob &) { return cells::CallAnswer::Unavailable; },
                           [](const cells::CancelJob &) { return cells::CallAnswer::InDoubt; },
                           [](const cells::QueryPending &) { return cells::CallAnswer::Unavailable; },
+                          [](const cells::RequestHandover &) { return cells::CallAnswer::Unavailable; },
                       },
                       question);
 }
@@ -223,6 +225,13 @@
     settle(message);
 }
 
+void SiteFrontTask::on(const cells::RequestHandover &message)
+{
+    const ExchangeId id{++m_lastId};
+    m_open[id] = Open{Source::Cell, message.exchange, message.host.name(), m_clock.now()};
+    forward(message, id, ownerTimeout);
+}
+
 void SiteFrontTask::settle(const cells::AnswerCall &answer)
 {
     const auto found = m_open.find(answer.exchange);
@@ -245,6 +254,9 @@
     case Source::Link:
         m_link.answer(open.exchange, drivers::HttpAnswer{drivers::httpStatus::ok, {}, drivers::encodeAnswer(answer)});
         return;
+    case Source::Cell:
+        handoverAnswered.emit(cells::HandoverAnswered{open.exchange, answer.answer});
+        return;
     }
 }
 
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -20,7 +20,8 @@
 class SiteFrontTask
 {
 public:
-    using Message = std::variant<cells::SiteConfigPtr, OperatorContact, OwnerKnown, cells::AnswerCall, StopStage>;
+    using Message = std::variant<cells::SiteConfigPtr, OperatorContact, OwnerKnown, cells::AnswerCall,
+                                 cells::RequestHandover, StopStage>;
 
     struct Ports
     {
@@ -46,6 +47,7 @@
     void post(Message message);
 
     sigc::signal<void(const CellQuestion &)> asked;
+    sigc::signal<void(const cells::HandoverAnswered &)> handoverAnswered;
     sigc::signal<void(const RequestStatus &)> statusChanged;
     sigc::signal<void(const CallMeasured &)> callMeasured;
     sigc::signal<void(const BeliefAges &)> agesChanged;
@@ -55,12 +57,14 @@
     enum class Source {
         Caller,
         Link,
+        /// The cell of this process, which is not the owner.
+        Cell,
     };
 
     struct Open
     {
         Source source = Source::Caller;
-        /// Id at the server that took it.
+        /// Id at the server or the cell that it came from.
         ExchangeId exchange;
         std::string subject;
         TimePoint since;
@@ -70,6 +74,7 @@
     void on(const OperatorContact &message);
     void on(const OwnerKnown &message);
     void on(const cells::AnswerCall &message);
+    void on(const cells::RequestHandover &message);
     void on(const StopStage &message);
 
     void take(const drivers::HttpRequest &request);
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -51,7 +51,8 @@
     std::uint64_t logLinesDropped = 0;
 };
 
-/// A caller's question for the cell of this process.
-using CellQuestion = std::variant<cells::SubmitJob, cells::QueryJob, cells::CancelJob, cells::QueryPending>;
+/// A question of a caller or of another entry host for the cell of this process.
+using CellQuestion
+    = std::variant<cells::SubmitJob, cells::QueryJob, cells::CancelJob, cells::QueryPending, cells::RequestHandover>;
 
 } // namespace radishvane::servers
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -8,6 +8,34 @@
 
 using namespace cells;
 
+namespace
+{
+
+constexpr HostCapacity littleCapacity{0.05, 1'000};
+
+/// Two entry hosts, of which "a" has little capacity and owns the cell, since "b" was restarting.
+void fillWithUnfitOwner(CellSite &site)
+{
+    site.addQueue("plans", "looms");
+    for (const char *id : {"w0", "w1", "w2", "w3"}) {
+        site.addWorker(id, "looms", 8'000);
+    }
+    site.addNode("a", littleCapacity);
+    site.addNode("b");
+    site.kill("b");
+    site.run(Duration(3'000));
+    ASSERT_EQ(site.owner(), "a");
+    site.restart("b");
+}
+
+/// Epoch of the ownership as the entry host @p name knows it.
+Epoch epochAt(CellSite &site, const std::string &name)
+{
+    return site.node(name).controller->owner()->epoch;
+}
+
+} // namespace
+
 TEST(CellJobs, RunThroughAllStepsAndStopWhenCancelled)
 {
     story("a site without faults, with two entry hosts and four workers", [] {
@@ -317,4 +345,161 @@
     });
 }
 
+TEST(CellOwner, HandsOverToAFitterHost)
+{
+    story("a host with little capacity owns the cell, and a fit host comes back", [] {
+        CellSite site;
+        fillWithUnfitOwner(site);
+        site.durations[JobId("j1")] = 4'000;
+        site.submit("a", "j1", "plans", graphOf(2, 6, 1'000, Duration(4'000)));
+        section("the fit host first observes the owner", [&] {
+            site.run(Duration(900));
+            EXPECT_EQ(site.owner(), "a");
+        });
+        section("then it owns the cell within a second, by one change of the owner", [&] {
+            for (int index = 0; index < 20; ++index) {
+                site.submit("a", "k" + std::to_string(index), "plans", graphOf(1, 1, 1'000, Duration(300)));
+                site.run(Duration(60));
+            }
+            EXPECT_EQ(site.owner(), "b");
+            EXPECT_EQ(site.handoverRequests, 1);
+            EXPECT_EQ(epochAt(site, "b"), 2);
+        });
+        section("callers of the former owner were answered, none of them in doubt", [&] {
+            for (int index = 0; index < 20; ++index) {
+                const auto answers = site.answers("k" + std::to_string(index));
+                ASSERT_EQ(answers.size(), 1) << index;
+                EXPECT_TRUE(answers[0] == CallAnswer::Accepted || answers[0] == CallAnswer::Unavailable) << index;
+            }
+        });
+        section("the runs continue, none is started twice, and the accepted jobs complete", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 12);
+            for (int index = 0; index < 20; ++index) {
+                const std::string job = "k" + std::to_string(index);
+                if (site.answers(job)[0] == CallAnswer::Accepted) {
+                    EXPECT_EQ(site.state(job), GraphState::Completed) << job;
+                }
+            }
+        });
+        section("the former owner takes over again when the fit host is gone", [&] {
+            site.kill("b");
+            site.run(Duration(5'000));
+            EXPECT_EQ(site.owner(), "a");
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, IsAskedOnceForAHandoverThatItDeclines)
+{
+    story("two fit hosts and one with little capacity", [] {
+        CellSite site;
+        fillLooms(site);
+        site.addNode("c", littleCapacity);
+        const Epoch epoch = epochAt(site, "a");
+        site.run(Duration(30'000));
+        section("the other fit host has asked the owner once", [&] { EXPECT_EQ(site.handoverRequests, 1); });
+        section("the owner is the same", [&] { EXPECT_EQ(epochAt(site, "a"), epoch); });
+        section("the next owner is asked once as well", [&] {
+            const std::string first = site.owner();
+            site.kill(first);
+            site.run(Duration(4'000));
+            site.restart(first);
+            site.run(Duration(30'000));
+            EXPECT_EQ(site.handoverRequests, 2);
+            EXPECT_EQ(epochAt(site, "a"), epoch + 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, ContinuesWhenTheReleaseFails)
+{
+    story("the write that releases the cell gets no answer, and would be carried out only later", [] {
+        CellSite site;
+        fillWithUnfitOwner(site);
+        site.loseNextRelease = 3'000;
+        section("the owner repeats its row and serves on under the same epoch", [&] {
+            site.run(Duration(3'000));
+            ASSERT_FALSE(site.loseNextRelease);
+            EXPECT_EQ(site.owner(), "a");
+            site.submit("a", "j1", "plans", graphOf(2, 6, 1'000, Duration(300)));
+            site.run(Duration(1'500));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(epochAt(site, "a"), 1);
+        });
+        section("it is asked again after a pause and hands over", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.handoverRequests, 2);
+            EXPECT_EQ(site.owner(), "b");
+            EXPECT_EQ(epochAt(site, "b"), 2);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, StartsNothingWhileItsReleaseIsInDoubt)
+{
+    story("the write that releases the cell is carried out, but its answer is lost", [] {
+        CellSite site;
+        fillWithUnfitOwner(site);
+        site.loseNextRelease = 6;
+        site.durations[JobId("j1")] = 100;
+        site.submit("a", "j1", "plans", graphOf(40, 1, 1'000, Duration(100)));
+        std::size_t runsBefore = 0;
+        section("the owner starts no further task and answers no caller", [&] {
+            while (site.loseNextRelease && site.time() < 6'000) {
+                site.run(Duration(10));
+            }
+            ASSERT_FALSE(site.loseNextRelease);
+            site.freeze("b");
+            site.node("a").cutFromStore = true;
+            runsBefore = site.runs("j1");
+            site.submit("a", "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(1'900));
+            EXPECT_EQ(site.runs("j1"), runsBefore);
+            EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Unavailable});
+            EXPECT_EQ(site.owner(), "");
+        });
+        section("the fit host takes over and completes the job", [&] {
+            site.node("a").cutFromStore = false;
+            site.thaw("b");
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.owner(), "b");
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 40);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, DoesNotReleaseRepeatedlyForAHostThatDoesNotTakeOver)
+{
+    story("a fit host asks for the cell and is frozen before it can take over", [] {
+        CellSite site;
+        fillWithUnfitOwner(site);
+        while (site.handoverRequests == 0 && site.time() < 6'000) {
+            site.run(Duration(10));
+        }
+        site.freeze("b");
+        section("the owner takes the cell again", [&] {
+            site.run(Duration(4'000));
+            ASSERT_EQ(site.owner(), "a");
+            EXPECT_EQ(epochAt(site, "a"), 2);
+        });
+        section("it keeps the cell for half a minute after the release, then hands over", [&] {
+            site.thaw("b");
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.owner(), "a");
+            EXPECT_EQ(epochAt(site, "a"), 2);
+            site.run(Duration(15'000));
+            EXPECT_EQ(site.owner(), "b");
+            EXPECT_EQ(epochAt(site, "b"), 3);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/core/cells/cell_property_test.cpp
+++ b/tests/core/cells/cell_property_test.cpp
@@ -153,8 +153,10 @@
     for (int index = 0; index < workers; ++index) {
         site.addWorker(workerName(index), "looms", 5'000);
     }
+    // With hosts of different capacity, fit ones also ask for the cell during the faults.
+    const double coresOfFirst = *rc::gen::element(1.0, 0.05);
     for (int index = 0; index < entryHosts; ++index) {
-        site.addNode(entryHostName(index));
+        site.addNode(entryHostName(index), HostCapacity{index == 0 ? coresOfFirst : 1, 1'000});
     }
     // A second pool with little demand and a standby pool, so that hosts also move during the faults.
     site.addQueue("weaves", "frames", 1'000);
--- /dev/null
+++ b/tests/drivers/cell_codec_test.cpp
@@ -0,0 +1,48 @@
+#include "drivers/cell_codec.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+using namespace cells;
+using namespace drivers;
+
+TEST(CellCodec, CarriesTheQuestionsOfEntryHosts)
+{
+    story("an entry host sends a question to the owner of the cell", [] {
+        section("a request for a handover arrives unchanged", [] {
+            const auto decoded
+                = decodeQuestion(encodeQuestion(RequestHandover{ExchangeId{7}, HostId("entry-a"), 0.75, 12}));
+            ASSERT_TRUE(decoded);
+            const auto &request = std::get<RequestHandover>(decoded.value());
+            EXPECT_EQ(request.exchange, ExchangeId{7});
+            EXPECT_EQ(request.host, HostId("entry-a"));
+            EXPECT_EQ(request.fitness, 0.75);
+            EXPECT_EQ(request.epoch, 12);
+        });
+        section("each question keeps its position in the encoding", [] {
+            // The first byte is the byte order, the next ones are the position.
+            const std::vector<LinkQuestion> questions{SubmitJob{}, QueryJob{}, CancelJob{}, QueryPending{},
+                                                      RequestHandover{}};
+            for (std::size_t position = 0; position < questions.size(); ++position) {
+                EXPECT_EQ(static_cast<std::size_t>(encodeQuestion(questions[position]).at(1)), position);
+            }
+        });
+        section("a question of an unknown kind is refused", [] {
+            std::string bytes = encodeQuestion(RequestHandover{});
+            bytes.at(1) = 99;
+            const auto decoded = decodeQuestion(bytes);
+            ASSERT_FALSE(decoded);
+            EXPECT_EQ(decoded.error().code, CellCodecError::Malformed);
+        });
+        section("the owner's answer that it keeps the cell arrives unchanged", [] {
+            const auto decoded = decodeAnswer(encodeAnswer(AnswerCall{ExchangeId{7}, CallAnswer::Declined, {}, 0, {}}));
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().answer, CallAnswer::Declined);
+        });
+    });
+}
+
+} // namespace radishvane::tests
--- a/tests/servers/site_test.cpp
+++ b/tests/servers/site_test.cpp
@@ -50,7 +50,7 @@
         }
     }
 
-    void start(int index)
+    void start(int index, const std::string &moreSettings = {})
     {
         const std::string settings = m_folder / ("entry-" + std::to_string(index) + ".yaml");
         std::ofstream(settings) << "host: entry-" << index << "\nzone: a\nlisten: " << address(index, 0)
@@ -58,7 +58,8 @@
                                 << "\nmetrics_listen: " << address(index, 3) << "\nstore: " << loopback << ':'
                                 << storePort() << "\nhost_service: " << loopback << ':' << storePort() + 1
                                 << "\nmost_hold_ms: 10000\nworker_stop_ms: 400\nkeys_within_ms: 5000\n"
-                                << "stop_within_s: 6\nkeep_ended_s: 120\n";
+                                << "stop_within_s: 6\nkeep_ended_s: 120\n"
+                                << moreSettings;
         m_entries[static_cast<std::size_t>(index)]
             = std::make_unique<Process>(binaries + "/main/radishvaned", std::vector<std::string>{"--site", settings},
                                         log("entry-" + std::to_string(index)));
@@ -277,6 +278,30 @@
     });
 }
 
+TEST(ProcessSite, HandsTheCellToAFitterHost)
+{
+    story("a host with little capacity is the only one that runs", [] {
+        Site site(24'500, {"--workers", "3"});
+        for (int index = 0; index < entryCount; ++index) {
+            site.entry(index).kill();
+        }
+        site.start(0, "cores: 0.05\n");
+        site.waitReady(0);
+        ASSERT_TRUE(site.waitFor([&] { return site.owner() == 0; }));
+        site.submit("00000000000000c1", steps(4), "ms=2500");
+        section("a fit host that starts gets the cell, and the job ends", [&] {
+            site.start(1);
+            site.waitReady(1);
+            EXPECT_TRUE(site.waitFor([&] { return site.owner() == 1; }));
+            EXPECT_TRUE(site.ends("00000000000000c1", "completed"));
+        });
+        section("the former owner goes on as a process and passes calls to the fit host", [&] {
+            EXPECT_TRUE(site.entry(0).running());
+            EXPECT_EQ(site.ask(site.port(0, 0), drivers::HttpMethod::Get, "/plans/00000000000000c1", {}, "key-1"), 200);
+        });
+    });
+}
+
 TEST(ProcessSite, BearsLostAnswersAndAnOutageOfTheStore)
 {
     story("the store's answers are lost, and then it is down", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -377,11 +377,19 @@
                 later(4, [this, caller, report] { give(caller, WaveReported{report.call, true}); });
             },
             [&](const AnswerCall &answer) {
+                const auto handover = m_handovers.find(answer.exchange);
+                if (handover != m_handovers.end()) {
+                    const auto [sender, exchange] = handover->second;
+                    m_handovers.erase(handover);
+                    give(sender, HandoverAnswered{exchange, answer.answer});
+                    return;
+                }
                 const auto asked = m_asked.find(answer.exchange);
                 if (asked != m_asked.end()) {
                     m_answers[asked->second].push_back(answer.answer);
                 }
             },
+            [&](const RequestHandover &request) { requestHandover(caller, request); },
             [](const OwnershipChanged &) {},
             [](const DecisionLogEntry &) {},
         },
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -85,6 +85,10 @@
     bool storeDown = false;
     /// The next write of rows gets no answer, and is carried out three seconds later.
     bool loseNextWrite = false;
+    /// The next write that releases the cell gets no answer, and is carried out after so many milliseconds.
+    std::optional<std::int64_t> loseNextRelease;
+    /// Requests of entry hosts for a handover.
+    std::uint64_t handoverRequests = 0;
     /// Workers for which the admission service gives tickets.
     std::set<std::string> admitted;
     std::int64_t storeDelay = 6;
@@ -181,6 +185,8 @@
     void write(const Caller &caller, const cells::WriteCell &call);
     cells::CellWritten carryOut(const cells::WriteCell &call);
     void read(const Caller &caller, const cells::ReadCell &call);
+    /// Carries a request for a handover to the owner that its sender knows.
+    void requestHandover(const Caller &caller, const cells::RequestHandover &request);
     void start(const Caller &caller, const cells::StartOrder &order);
     void stopTask(const Caller &caller, const cells::StopOrder &order);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
@@ -227,6 +233,8 @@
     std::map<std::uint64_t, cells::WaveRow> m_waveRows;
 
     std::map<ExchangeId, std::string> m_asked;
+    /// Senders of requests for a handover, with the ids of the requests there.
+    std::map<ExchangeId, std::pair<Caller, ExchangeId>> m_handovers;
     std::map<std::string, std::vector<cells::CallAnswer>> m_answers;
     std::map<JobId, cells::GraphSpec> m_specs;
     std::map<cells::TaskId, std::uint64_t> m_doneNoted;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -14,6 +14,7 @@
 using namespace cells;
 
 constexpr std::int64_t workerDelay = 2;
+constexpr std::int64_t linkDelay = 2;
 constexpr std::int64_t callTimeout = 1'200;
 constexpr std::int64_t mostHold = 10'000;
 constexpr std::int64_t maintenanceTime = 2'000;
@@ -33,6 +34,14 @@
         });
         return;
     }
+    if (loseNextRelease && call.transaction.owner && call.transaction.owner->host.empty()) {
+        later(*loseNextRelease, [this, call] { carryOut(call); });
+        later(callTimeout, [this, caller, call] {
+            give(caller, CellWritten{call.call, CellWriteOutcome::Unknown, 0, std::nullopt});
+        });
+        loseNextRelease.reset();
+        return;
+    }
     const bool holdsRows = !call.transaction.progress.empty();
     const bool isLost = loseNextWrite && holdsRows;
     if (isLost || chance(lostAnswers)) {
@@ -97,6 +106,24 @@
     later(storeDelay, [this, caller, call, contents] { give(caller, CellReadDone{call.call, contents}); });
 }
 
+// ---- other entry hosts ----
+
+void CellSite::requestHandover(const Caller &caller, const RequestHandover &request)
+{
+    ++handoverRequests;
+    const std::string owner = node(caller.node).controller->owner()->host.name();
+    if (!node(owner).alive || chance(lostAnswers)) {
+        later(callTimeout, [this, caller, request] {
+            give(caller, HandoverAnswered{request.exchange, CallAnswer::Unavailable});
+        });
+        return;
+    }
+    RequestHandover received = request;
+    received.exchange = ExchangeId{++m_exchanges};
+    m_handovers[received.exchange] = {caller, request.exchange};
+    later(linkDelay, [this, owner, received] { give(owner, received); });
+}
+
 // ---- workers ----
 
 ModelWorker *CellSite::reach(const WorkerAddress &address)
