--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -495,12 +495,20 @@
                 if (cancel != m_cancels.end() && answer.answer == CallAnswer::Cancelled) {
                     m_cancelled.insert(cancel->second);
                 }
+                const auto handover = m_handovers.find(answer.exchange);
+                if (handover != m_handovers.end()) {
+                    const auto [sender, exchange] = handover->second;
+                    m_handovers.erase(handover);
+                    give(sender, HandoverAnswered{exchange, answer.answer});
+                    return;
+                }
                 const auto asked = m_asked.find(answer.exchange);
                 if (asked != m_asked.end()) {
                     m_answers[asked->second].push_back(answer.answer);
                     m_retryAfter[asked->second] = answer.retryAfter;
                 }
             },
+            [&](const RequestHandover &request) { requestHandover(caller, request); },
             [](const OwnershipChanged &) {},
             [](const DecisionLogEntry &) {},
         },
