Take a worker with a full list of ends as not reconciled

What callers saw: tasks were started again after they had completed (TWICE), when more than 500 ends waited on a worker at a takeover. Cause: a worker lists 500 ends at a time. A new owner counted the worker as reconciled after its first answer, so that tasks of inherited jobs with ends beyond the 500th were taken as not on this worker and started elsewhere. Change: a worker whose list was full is not reconciled, and its host is not idle, until a shorter list has come, or until its leases have expired if it no longer answers. The model of a site lists at most 500 ends, too. No test covers the host that is not idle.

--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -120,6 +120,7 @@
         m_outbox.log(CellDecision::WorkerAdmitted, worker->id.name(), worker->pool.name(), worker->startedAtMs);
     }
     worker->fenced = true;
+    worker->hasUnlistedEnds = event.report.ended.size() >= maxListedEnds;
     applyEnded(*worker, event.report);
     applyRunning(*worker, event.report, worker->renewalSentAt);
     endUnlistedRuns(*worker, event.report, worker->renewalSentAt);
@@ -227,7 +228,7 @@
 
 void WorkerLeaseController::endUnlistedRuns(Worker &worker, const LeaseRenewalReport &report, TimePoint sent)
 {
-    if (report.ended.size() >= maxListedEnds) {
+    if (worker.hasUnlistedEnds) {
         return;
     }
     std::set<TaskId> listed;
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -19,7 +19,14 @@
 
 bool Worker::isReconciled(TimePoint now) const
 {
-    return fenced || incarnationEnded || now >= inheritedUntil;
+    if (incarnationEnded) {
+        return true;
+    }
+    if (hasUnlistedEnds) {
+        // The further ends come with the next lists, unless the worker no longer answers.
+        return (!fenced || unreachable) && now >= inheritedUntil;
+    }
+    return fenced || now >= inheritedUntil;
 }
 
 bool Worker::acceptsTasks(TimePoint now) const
@@ -35,7 +42,7 @@
 
 bool Worker::isIdle() const
 {
-    return tasks.empty() && foreignTasks.empty() && !hasUnknownTasks && hasStoredEnds();
+    return tasks.empty() && foreignTasks.empty() && !hasUnknownTasks && !hasUnlistedEnds && hasStoredEnds();
 }
 
 bool Worker::hasLabel(const std::string &label) const
@@ -219,6 +226,7 @@
     worker.startedAtMs = startedAtMs;
     worker.fenced = false;
     worker.unreachable = false;
+    worker.hasUnlistedEnds = false;
     worker.incarnationEnded = false;
     worker.previousDeadline = 0;
     worker.clock = 0;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -27,6 +27,8 @@
     bool recorded = false;
     /// The last call was not answered; the worker gets no lease renewal and no tasks until it answers.
     bool unreachable = false;
+    /// The worker's last list of ended runs was full, so it may have ended runs that the owner does not know.
+    bool hasUnlistedEnds = false;
     /// The incarnation is known to have ended, although discovery may still list the worker.
     bool incarnationEnded = false;
     /// Time at which the end of the incarnation was detected.
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -142,6 +142,33 @@
     });
 }
 
+TEST(CellOwner, StartsNoTaskWhoseEndIsBeyondAFullListOfEnds)
+{
+    story("600 tasks end on a worker, which lists 500 ends at a time, after the owner has crashed", [] {
+        CellSite site;
+        site.addQueue("plans", "looms");
+        site.addWorker("w0", "looms", 600'000);
+        site.addNode("a");
+        site.addNode("b");
+        site.run(Duration(2'000));
+        site.durations[JobId("j1")] = 2'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 600, 1'000, Duration(2'000)));
+        site.run(Duration(500));
+        site.addWorker("w1", "looms", 600'000);
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runningOn("w0"), 600);
+        site.kill(site.owner());
+        site.run(Duration(2'000));
+        ASSERT_EQ(site.worker("w0").ended.size(), 600);
+        section("the next owner starts none of them again, and the job completes", [&] {
+            site.run(Duration(5'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("j1"), 600);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, HandsOverWithinASecondWhenStopped)
 {
     story("the owner has work continuously and is asked to stop", [] {
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -19,6 +19,7 @@
 constexpr std::int64_t maintenanceTime = 2'000;
 constexpr std::int64_t moveTime = 1'500;
 constexpr std::int64_t startUp = 150;
+constexpr std::size_t maxListedEnds = 500;
 constexpr double atWork = 100;
 
 } // namespace
@@ -318,7 +319,8 @@
         row.load = worker->load;
         answer.report.running.push_back(row);
     }
-    answer.report.ended = worker->ended;
+    const auto listedEnds = static_cast<std::ptrdiff_t>(std::min(worker->ended.size(), maxListedEnds));
+    answer.report.ended.assign(worker->ended.begin(), worker->ended.begin() + listedEnds);
     later(workerDelay, [this, caller, answer] { give(caller, answer); });
 }
 
