Store the end of a job with its row without the payload

Cause: the rows of ended jobs stay for 120 s, so that callers can query them, with payloads of up to 4,000 bytes that nothing reads. Change: the transaction that stores the end of a job writes the job's row again without its payload, if that has 256 bytes or more. Both rows change together and on condition of the owner's version, so that no live job loses its payload; a late write of the first row fails on its condition. Deletions of dropped jobs count against the same limit of 90 rows. The format of the rows is unchanged. The model of a site checks that each start carries the payload of its job. Not measured: the time of a takeover, and the bytes that the second write of a row adds.

--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -22,7 +22,7 @@
     bool operator==(const OwnerRow &) const = default;
 };
 
-/// An accepted job; the row never changes.
+/// An accepted job. The row is written a second time when the job has ended, without a large payload.
 struct JobRow
 {
     JobId id;
--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -3,6 +3,24 @@
 namespace radishvane::cells
 {
 
+namespace
+{
+
+JobRow withoutPayload(JobRow row)
+{
+    row.spec.payload.clear();
+    return row;
+}
+
+/// Number of rows that a transaction writes and deletes, apart from those of the owner and of the workers.
+std::size_t rowCount(const CellTransaction &transaction)
+{
+    return transaction.jobs.size() + transaction.progress.size() + transaction.waves.size()
+        + 2 * transaction.deletedJobs.size();
+}
+
+} // namespace
+
 void CellWriter::clear()
 {
     *this = CellWriter{};
@@ -73,7 +91,7 @@
         transaction.waves.push_back(wave);
     }
     m_waves.clear();
-    while (!m_droppedJobs.empty() && transaction.jobs.size() + transaction.deletedJobs.size() < maxRows / 3) {
+    while (!m_droppedJobs.empty() && rowCount(transaction) + 2 <= maxRows) {
         transaction.deletedJobs.push_back(m_droppedJobs.pop());
     }
     return transaction;
@@ -97,8 +115,13 @@
     while (!m_changedJobs.empty() && transaction.progress.size() < maxRows / 3) {
         const JobId id = m_changedJobs.pop();
         const Job *job = registry.find(id);
-        if (job != nullptr && !job->endStored) {
-            transaction.progress.push_back(registry.progressRow(*job));
+        if (job == nullptr || job->endStored) {
+            continue;
+        }
+        transaction.progress.push_back(registry.progressRow(*job));
+        // An ended job needs no payload. Both rows change in one transaction, so that no live job loses its payload.
+        if (isFinal(job->state) && job->stored && job->row.spec.payload.size() >= minRemovedPayload) {
+            transaction.jobs.push_back(withoutPayload(job->row));
         }
     }
 }
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -23,6 +23,8 @@
     static constexpr std::size_t maxRows = 90;
     /// Payload limit of one transaction; the store accepts 1 MB per call, encoded in base64.
     static constexpr std::size_t maxPayloadBytes = 400'000;
+    /// Smaller payloads stay in the rows of ended jobs; removing them would not be worth another write.
+    static constexpr std::size_t minRemovedPayload = 256;
     /// Pause after a write that the store refused or left unanswered.
     static constexpr Duration retryPause{80};
 
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -1,3 +1,4 @@
+#include "drivers/cell_codec.h"
 #include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
 
@@ -169,6 +170,50 @@
     });
 }
 
+TEST(CellOwner, ReadsNoPayloadsOfEndedJobs)
+{
+    story("200 jobs with payloads of 4,000 bytes have ended and can still be queried, and 20 are waiting", [] {
+        CellSite site;
+        fillLooms(site);
+        const auto submit = [&site](const std::string &job) {
+            GraphSpec spec = graphOf(2, 1, 1'000, Duration(300));
+            spec.payload = std::string(4'000, job.front());
+            site.submit(site.owner(), job, "plans", spec);
+        };
+        for (int index = 0; index < 200; ++index) {
+            submit("e" + std::to_string(index));
+        }
+        site.run(Duration(8'000));
+        for (int index = 0; index < 200; ++index) {
+            ASSERT_EQ(site.state("e" + std::to_string(index)), GraphState::Completed) << index;
+        }
+        for (int index = 0; index < 20; ++index) {
+            site.durations[JobId("l" + std::to_string(index))] = 4'000;
+            submit("l" + std::to_string(index));
+        }
+        site.run(Duration(200));
+        section("a new owner would read little more than the rows of those that wait", [&] {
+            std::size_t bytes = 0;
+            for (const JobRow &row : site.stored().jobs) {
+                bytes += drivers::encodeRow(row).size();
+            }
+            for (const ProgressRow &row : site.stored().progress) {
+                bytes += drivers::encodeRow(row).size();
+            }
+            RecordProperty("bytesAtTakeover", std::to_string(bytes));
+            EXPECT_LT(bytes, 200'000);
+        });
+        section("it runs those that wait, with their payloads", [&] {
+            site.kill(site.owner());
+            site.run(Duration(16'000));
+            for (int index = 0; index < 20; ++index) {
+                EXPECT_EQ(site.state("l" + std::to_string(index)), GraphState::Completed) << index;
+            }
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, HandsOverWithinASecondWhenStopped)
 {
     story("the owner has work continuously and is asked to stop", [] {
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -202,4 +202,77 @@
     });
 }
 
+TEST(CellWriter, RemovesThePayloadOfAJobOnlyWithItsEnd)
+{
+    story("jobs with payloads of 4,000 bytes change and end", [] {
+        OwnersWriter owner;
+        const std::string payload(4'000, 'p');
+        section("a change of a job leaves its row as it is", [&] {
+            owner.addJob(JobId("j"), true, payload);
+            owner.writer.changeJob(JobId("j"));
+            EXPECT_FALSE(holds(owner.send().jobs, JobId("j")));
+            owner.writer.succeed();
+        });
+        const auto expectEndOfJob = [&owner] {
+            const CellTransaction &transaction = owner.send();
+            ASSERT_EQ(rowsOf(transaction.progress, JobId("j")), 1);
+            ASSERT_EQ(transaction.jobs.size(), 1);
+            EXPECT_EQ(transaction.jobs[0].id, JobId("j"));
+            EXPECT_EQ(transaction.jobs[0].spec.payload, "");
+            EXPECT_EQ(transaction.jobs[0].spec.steps.size(), 1);
+        };
+        section("its end is stored together with its row without the payload", [&] {
+            owner.registry.finish(*owner.registry.find(JobId("j")), GraphState::Completed, owner.now);
+            owner.writer.changeJob(JobId("j"));
+            expectEndOfJob();
+        });
+        section("after a transaction without a known outcome both rows are written again", [&] {
+            owner.writer.fail(owner.now);
+            expectEndOfJob();
+            owner.writer.succeed();
+            EXPECT_FALSE(owner.writer.hasWork());
+        });
+        section("a job that is cancelled before it is stored keeps its payload, in one row", [&] {
+            Job &job = owner.addJob(JobId("k"), false, payload);
+            owner.writer.addJob(JobId("k"));
+            owner.registry.finish(job, GraphState::Cancelled, owner.now);
+            owner.writer.changeJob(JobId("k"));
+            const CellTransaction &transaction = owner.send();
+            ASSERT_EQ(transaction.jobs.size(), 1);
+            EXPECT_EQ(transaction.jobs[0].spec.payload, payload);
+            owner.writer.succeed();
+        });
+        section("a small payload is not worth a row", [&] {
+            owner.registry.finish(owner.addJob(JobId("s"), true), GraphState::Completed, owner.now);
+            owner.writer.changeJob(JobId("s"));
+            EXPECT_TRUE(owner.send().jobs.empty());
+            owner.writer.succeed();
+        });
+    });
+}
+
+TEST(CellWriter, KeepsToTheRowLimitOfATransaction)
+{
+    story("many jobs come, end and are dropped at the same time", [] {
+        OwnersWriter owner;
+        for (std::size_t number = 0; number < 4 * maxRowsOfAKind; ++number) {
+            owner.addJob(numbered("n", number), false);
+            owner.writer.addJob(numbered("n", number));
+            owner.registry.finish(owner.addJob(numbered("e", number), true, std::string(4'000, 'p')),
+                                  GraphState::Completed, owner.now);
+            owner.writer.changeJob(numbered("e", number));
+            owner.writer.dropJob(numbered("d", number));
+        }
+        std::size_t deleted = 0;
+        while (owner.writer.hasWork()) {
+            const CellTransaction &transaction = owner.send();
+            deleted += transaction.deletedJobs.size();
+            EXPECT_LE(transaction.jobs.size() + transaction.progress.size() + 2 * transaction.deletedJobs.size(),
+                      CellWriter::maxRows);
+            owner.writer.succeed();
+        }
+        EXPECT_EQ(deleted, 4 * maxRowsOfAKind);
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -135,6 +135,8 @@
     std::size_t hostsIn(const std::string &pool) const;
     std::int64_t time() const;
     WallTime wall() const;
+    /// What a new owner reads from the store.
+    cells::CellContents stored() const;
 
     std::vector<std::string> broken;
     std::set<std::uint64_t> completedWaves;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -84,6 +84,11 @@
         later(callTimeout, [this, caller, call] { give(caller, CellReadDone{call.call, std::nullopt}); });
         return;
     }
+    later(storeDelay, [this, caller, call, contents = stored()] { give(caller, CellReadDone{call.call, contents}); });
+}
+
+CellContents CellSite::stored() const
+{
     CellContents contents;
     for (const auto &[id, row] : m_jobs) {
         contents.jobs.push_back(row);
@@ -95,7 +100,7 @@
         contents.waves.push_back(row);
     }
     contents.roster = m_roster;
-    later(storeDelay, [this, caller, call, contents] { give(caller, CellReadDone{call.call, contents}); });
+    return contents;
 }
 
 // ---- workers ----
@@ -187,6 +192,9 @@
         broken.push_back("a start after its end was noted: " + what);
     }
     const GraphSpec &spec = m_specs[order.task.job];
+    if (order.payload != spec.payload) {
+        broken.push_back("a start without the payload of its job: " + what);
+    }
     for (const std::uint32_t earlier : spec.steps[order.task.step].after) {
         for (std::uint32_t index = 0; index < spec.steps[earlier].count; ++index) {
             if (m_done.count(TaskId{order.task.job, order.task.occurrence, earlier, index}) == 0) {
