--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -24,6 +24,7 @@
 constexpr std::int64_t maxOrderAge = 500;
 /// A service task is away when it has not been at work for this time.
 constexpr std::int64_t noticeTime = 5'500;
+constexpr std::size_t maxListedEnds = 500;
 constexpr double atWork = 100;
 /// Size of a call without its payload.
 constexpr std::size_t callBytes = 600;
@@ -128,6 +129,11 @@
         later(callTimeout, [this, caller, call] { give(caller, CellReadDone{call.call, std::nullopt}); });
         return;
     }
+    later(storeDelay, [this, caller, call, contents = stored()] { give(caller, CellReadDone{call.call, contents}); });
+}
+
+CellContents CellSite::stored() const
+{
     CellContents contents;
     for (const auto &[id, row] : m_jobs) {
         contents.jobs.push_back(row);
@@ -139,7 +145,7 @@
         contents.waves.push_back(row);
     }
     contents.roster = m_roster;
-    later(storeDelay, [this, caller, call, contents] { give(caller, CellReadDone{call.call, contents}); });
+    return contents;
 }
 
 // ---- other entry hosts ----
@@ -257,6 +263,9 @@
         }
     }
     const GraphSpec &spec = m_specs[order.task.job];
+    if (order.payload != spec.payload) {
+        broken.push_back("a start without the payload of its job: " + what);
+    }
     for (const std::uint32_t earlier : spec.steps[order.task.step].after) {
         for (std::uint32_t index = 0; index < spec.steps[earlier].count; ++index) {
             if (m_done.count(TaskId{order.task.job, order.task.occurrence, earlier, index}) == 0) {
@@ -437,7 +446,8 @@
         row.load = worker->load;
         answer.report.running.push_back(row);
     }
-    answer.report.ended = worker->ended;
+    const auto listedEnds = static_cast<std::ptrdiff_t>(std::min(worker->ended.size(), maxListedEnds));
+    answer.report.ended.assign(worker->ended.begin(), worker->ended.begin() + listedEnds);
     later(workerDelay, [this, caller, answer] { give(caller, answer); });
 }
 
