Count the calls of a task by kind of peer

Cause: logs and metrics could not tell a full link from a slow processor: nothing counted the bytes and calls out of a host, how long a call waits before it is written, or how late a task's ticks come. Change: HttpClient counts, for its task, calls, bytes and outcomes by kind of peer (HttpCall::peer), the time until a call is written and until its answer. A call waits until its last byte has left the buffer of its connection; bytes in the buffer of a connection that the library has closed do not count as written. Long polls do not count for the time of answers. The metrics page takes histograms with labels that add up over intervals. A client without statistics counts nothing, as before. Before: not counted.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http_client.h"
 
+#include "core/base/overloaded.h"
 #include "drivers/evhttp_text.h"
 #include "drivers/time_value.h"
 
@@ -24,6 +25,27 @@
     return bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
 }
 
+CallEnd endOf(const HttpOutcome &outcome)
+{
+    return std::visit(Overloaded{
+                          [](const HttpAnswer &) { return CallEnd::Answered; },
+                          [](HttpFailure failure) {
+                              switch (failure) {
+                              case HttpFailure::NotSent:
+                                  return CallEnd::NotSent;
+                              case HttpFailure::ConnectionLost:
+                                  return CallEnd::ConnectionLost;
+                              case HttpFailure::TimedOut:
+                                  return CallEnd::TimedOut;
+                              case HttpFailure::AnswerIncomplete:
+                                  break;
+                              }
+                              return CallEnd::AnswerIncomplete;
+                          },
+                      },
+                      outcome);
+}
+
 bool hasLength(evhttp_request *request)
 {
     evkeyvalq *headers = evhttp_request_get_input_headers(request);
@@ -45,10 +67,12 @@
     evbuffer_cb_entry *watch = nullptr;
     bool written = false;
     bool timedOut = false;
+    CallStatistics::Call counted;
 };
 
-HttpClient::HttpClient(EventLoop &loop)
+HttpClient::HttpClient(EventLoop &loop, TaskStatistics *statistics)
     : m_loop(loop)
+    , m_statistics(statistics)
     , m_closeEvent(event_new(
           loop.base(), -1, 0,
           [](evutil_socket_t, short, void *self) {
@@ -89,12 +113,18 @@
     exchange->call = call;
     exchange->onOutcome = std::move(onOutcome);
     exchange->connection = connect(call);
+    if (m_statistics != nullptr) {
+        exchange->counted = m_statistics->calls().start(call.peer, call.answerDelay > Duration{0});
+    }
     exchange->watch = evbuffer_add_cb(
         outputOf(exchange->connection),
         [](evbuffer *, const evbuffer_cb_info *info, void *target) {
             auto *watched = static_cast<Exchange *>(target);
             // Bytes that are queued may be written at any moment, so they already count.
             watched->written = watched->written || info->n_added > 0;
+            if (watched->client != nullptr && info->n_deleted > 0) {
+                watched->client->countWritten(*watched, info->n_deleted);
+            }
         },
         exchange.get());
 
@@ -154,11 +184,19 @@
 {
     evbuffer_remove_cb_entry(outputOf(exchange.connection), exchange.watch);
     HttpOutcome outcome = outcomeOf(exchange, request);
+    countEnd(exchange, outcome);
     keepOrClose(exchange, outcome);
     const auto found = m_exchanges.find(exchange.id);
     const std::unique_ptr<Exchange> ended = std::move(found->second);
     m_exchanges.erase(found);
-    ended->onOutcome(std::move(outcome));
+    const auto handle = [&] {
+        ended->onOutcome(std::move(outcome));
+    };
+    if (m_statistics != nullptr) {
+        m_statistics->measure(handle);
+    } else {
+        handle();
+    }
 }
 
 HttpOutcome HttpClient::outcomeOf(const Exchange &exchange, evhttp_request *request) const
@@ -185,6 +223,24 @@
     return answer;
 }
 
+void HttpClient::countWritten(Exchange &exchange, std::size_t bytes) const
+{
+    // The library also empties the buffer of a connection that it has closed.
+    const bool isOpen = bufferevent_getfd(evhttp_connection_get_bufferevent(exchange.connection)) >= 0;
+    if (m_statistics != nullptr && isOpen) {
+        m_statistics->calls().write(exchange.counted, bytes, evbuffer_get_length(outputOf(exchange.connection)) == 0);
+    }
+}
+
+void HttpClient::countEnd(Exchange &exchange, const HttpOutcome &outcome) const
+{
+    if (m_statistics == nullptr) {
+        return;
+    }
+    const auto *answer = std::get_if<HttpAnswer>(&outcome);
+    m_statistics->calls().end(exchange.counted, endOf(outcome), answer == nullptr ? 0 : answer->body.size());
+}
+
 void HttpClient::keepOrClose(const Exchange &exchange, const HttpOutcome &outcome)
 {
     evhttp_connection *connection = exchange.connection;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -2,6 +2,7 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/http_types.h"
+#include "drivers/task_statistics.h"
 
 #include <cstdint>
 #include <functional>
@@ -46,6 +47,10 @@
     bool freshConnection = false;
     /// When not empty, sent as X-Request-Id; the connection is used again only when the answer repeats it.
     std::string requestId;
+    /// Under which the call is counted.
+    PeerKind peer = PeerKind::Other;
+    /// Long poll: the peer may delay its answer by this time, which the timeout includes.
+    Duration answerDelay{0};
 };
 
 using HttpOutcome = std::variant<HttpAnswer, HttpFailure>;
@@ -60,7 +65,8 @@
     static constexpr std::size_t mostIdlePerEndpoint = 16;
     static constexpr std::size_t mostAnswerBytes = 16 << 20;
 
-    explicit HttpClient(EventLoop &loop);
+    /// @param statistics counts the calls and the time of their handlers if not null, and has to outlive the client.
+    explicit HttpClient(EventLoop &loop, TaskStatistics *statistics = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -75,12 +81,15 @@
     evhttp_connection *connect(const HttpCall &call);
     void finish(Exchange &exchange, evhttp_request *request);
     HttpOutcome outcomeOf(const Exchange &exchange, evhttp_request *request) const;
+    void countWritten(Exchange &exchange, std::size_t bytes) const;
+    void countEnd(Exchange &exchange, const HttpOutcome &outcome) const;
     void keepOrClose(const Exchange &exchange, const HttpOutcome &outcome);
     void closeLater(evhttp_connection *connection);
     static void done(evhttp_request *request, void *target);
     static void idleClosed(evhttp_connection *connection, void *self);
 
     EventLoop &m_loop;
+    TaskStatistics *m_statistics;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
     std::map<Endpoint, std::vector<evhttp_connection *>> m_idle;
--- a/drivers/metrics_page.cpp
+++ b/drivers/metrics_page.cpp
@@ -5,6 +5,16 @@
 namespace radishvane::drivers
 {
 
+namespace
+{
+
+std::string inBraces(const std::string &labels)
+{
+    return labels.empty() ? std::string() : '{' + labels + '}';
+}
+
+} // namespace
+
 void MetricsPage::count(const std::string &name, const std::string &labels, std::uint64_t more)
 {
     m_counters[name][labels] += more;
@@ -12,16 +22,22 @@
 
 void MetricsPage::gauge(const std::string &name, double value)
 {
-    m_gauges[name] = value;
+    gauge(name, {}, value);
+}
+
+void MetricsPage::gauge(const std::string &name, const std::string &labels, double value)
+{
+    m_gauges[name][labels] = value;
 }
 
 void MetricsPage::observe(const std::string &name, double milliseconds)
 {
-    Histogram &histogram = m_histograms[name];
-    for (std::size_t index = 0; index < bounds.size(); ++index) {
-        histogram.buckets[index] += milliseconds <= bounds[index] ? 1 : 0;
-    }
-    histogram.all(milliseconds);
+    m_histograms[name][{}].add(milliseconds);
+}
+
+void MetricsPage::observe(const std::string &name, const std::string &labels, const TimeHistogram &times)
+{
+    m_histograms[name][labels].add(times);
 }
 
 std::string MetricsPage::text() const
@@ -30,20 +46,27 @@
     for (const auto &[name, series] : m_counters) {
         page << "# TYPE " << name << " counter\n";
         for (const auto &[labels, value] : series) {
-            page << name << (labels.empty() ? std::string() : '{' + labels + '}') << ' ' << value << '\n';
+            page << name << inBraces(labels) << ' ' << value << '\n';
         }
     }
-    for (const auto &[name, value] : m_gauges) {
-        page << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
+    for (const auto &[name, series] : m_gauges) {
+        page << "# TYPE " << name << " gauge\n";
+        for (const auto &[labels, value] : series) {
+            page << name << inBraces(labels) << ' ' << value << '\n';
+        }
     }
-    for (const auto &[name, histogram] : m_histograms) {
+    for (const auto &[name, series] : m_histograms) {
         page << "# TYPE " << name << " histogram\n";
-        for (std::size_t index = 0; index < bounds.size(); ++index) {
-            page << name << "_bucket{le=\"" << bounds[index] << "\"} " << histogram.buckets[index] << '\n';
+        for (const auto &[labels, times] : series) {
+            const std::string prefix = labels.empty() ? std::string() : labels + ',';
+            for (std::size_t index = 0; index < TimeHistogram::bounds.size(); ++index) {
+                page << name << "_bucket{" << prefix << "le=\"" << TimeHistogram::bounds[index] << "\"} "
+                     << times.countUpTo(index) << '\n';
+            }
+            page << name << "_bucket{" << prefix << "le=\"+Inf\"} " << times.count() << '\n'
+                 << name << "_sum" << inBraces(labels) << ' ' << times.sum() << '\n'
+                 << name << "_count" << inBraces(labels) << ' ' << times.count() << '\n';
         }
-        page << name << "_bucket{le=\"+Inf\"} " << boost::accumulators::count(histogram.all) << '\n';
-        page << name << "_sum " << boost::accumulators::sum(histogram.all) << '\n'
-             << name << "_count " << boost::accumulators::count(histogram.all) << '\n';
     }
     return page.str();
 }
--- /dev/null
+++ b/tests/drivers/http_client_test.cpp
@@ -0,0 +1,164 @@
+#include "drivers/http_client.h"
+
+#include "drivers/http_server.h"
+#include "drivers/one_shot.h"
+#include "tests/support/manual_clock.h"
+#include "tests/support/story.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+
+namespace radishvane::tests
+{
+
+namespace
+{
+
+using drivers::CallEnd;
+using drivers::PeerCalls;
+using drivers::PeerKind;
+
+constexpr auto loopback = "127.0.0.1";
+constexpr std::uint16_t port = 21'610;
+
+/// A listening socket that no process accepts from: the kernel takes connections, and nobody reads.
+int listenWithoutReader()
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    listen(listener, 4);
+    return listener;
+}
+
+/// A client whose calls are counted by a clock that stands still unless it is moved.
+struct CountedClient
+{
+    drivers::EventLoop loop;
+    ManualClock clock;
+    drivers::TaskStatistics statistics{clock, Duration(25)};
+    drivers::HttpClient client{loop, &statistics};
+    std::optional<drivers::HttpOutcome> outcome;
+
+    void send(const std::string &body, Duration timeout, Duration answerDelay = Duration{0})
+    {
+        drivers::HttpCall call;
+        call.endpoint = Endpoint{loopback, port};
+        call.method = drivers::HttpMethod::Post;
+        call.target = "/";
+        call.body = body;
+        call.timeout = timeout;
+        call.peer = PeerKind::Worker;
+        call.answerDelay = answerDelay;
+        client.send(call, [this](drivers::HttpOutcome &&result) {
+            outcome = std::move(result);
+            loop.stop();
+        });
+    }
+
+    PeerCalls taken()
+    {
+        return statistics.take().calls[static_cast<std::size_t>(PeerKind::Worker)];
+    }
+};
+
+std::uint64_t ended(const PeerCalls &calls, CallEnd end)
+{
+    return calls.ends[static_cast<std::size_t>(end)];
+}
+
+} // namespace
+
+TEST(HttpClient, CountsWhatACallWaitedForAndHowItEnded)
+{
+    story("a peer that answers", [] {
+        CountedClient counted;
+        drivers::HttpServer *self = nullptr;
+        drivers::HttpServer server(
+            counted.loop, {},
+            [&](drivers::HttpRequest &&request) {
+                counted.clock.advance(Duration(300));
+                self->answer(request.id, {drivers::httpStatus::ok, {}, "whole"});
+            },
+            [](ExchangeId) {});
+        self = &server;
+        ASSERT_TRUE(server.listen({loopback, port}));
+        section("a call waits as long as its connection is not made", [&] {
+            counted.send("question", Duration(3'000));
+            counted.clock.advance(Duration(40));
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(calls.calls, 1U);
+            EXPECT_EQ(calls.waiting, 1U);
+            EXPECT_EQ(calls.bytesWritten, 0U);
+            EXPECT_EQ(calls.wait.count(), 0U);
+        });
+        section("its wait ends when it is written, and its time with the answer", [&] {
+            counted.loop.run();
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(calls.calls, 0U);
+            EXPECT_EQ(calls.waiting, 0U);
+            EXPECT_GT(calls.bytesWritten, std::string("question").size());
+            EXPECT_EQ(calls.bytesRead, std::string("whole").size());
+            EXPECT_EQ(calls.wait.longest(), 40);
+            EXPECT_EQ(calls.answer.longest(), 340);
+            EXPECT_EQ(ended(calls, CallEnd::Answered), 1U);
+        });
+        section("a call whose answer may be delayed does not count for the time of answers", [&] {
+            counted.send("question", Duration(3'000), Duration(1'000));
+            counted.loop.run();
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(ended(calls, CallEnd::Answered), 1U);
+            EXPECT_EQ(calls.wait.count(), 1U);
+            EXPECT_EQ(calls.answer.count(), 0U);
+        });
+    });
+    story("a peer that is not there", [] {
+        CountedClient counted;
+        counted.send("question", Duration(3'000));
+        counted.clock.advance(Duration(7));
+        counted.loop.run();
+        section("a call to it waited until its end, and is not sent", [&] {
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(ended(calls, CallEnd::NotSent), 1U);
+            EXPECT_EQ(calls.bytesWritten, 0U);
+            EXPECT_EQ(calls.waiting, 0U);
+            EXPECT_EQ(calls.wait.longest(), 7);
+            EXPECT_EQ(calls.answer.count(), 0U);
+        });
+    });
+    story("a peer that does not read", [] {
+        const int listener = listenWithoutReader();
+        CountedClient counted;
+        constexpr std::size_t bodySize = 32 << 20;
+        counted.send(std::string(bodySize, 'x'), Duration(400));
+        drivers::runOnce(counted.loop, Duration(200), [&] { counted.loop.stop(); });
+        counted.loop.run();
+        section("a call that fills the buffer of its connection still waits", [&] {
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(calls.waiting, 1U);
+            EXPECT_GT(calls.bytesWritten, 0U);
+            EXPECT_LT(calls.bytesWritten, bodySize);
+        });
+        section("and times out without the bytes that were left", [&] {
+            counted.loop.run();
+            const PeerCalls calls = counted.taken();
+            EXPECT_EQ(calls.waiting, 0U);
+            EXPECT_EQ(calls.wait.count(), 1U);
+            EXPECT_LT(calls.bytesWritten, bodySize / 2);
+            EXPECT_EQ(ended(calls, CallEnd::TimedOut), 1U);
+        });
+        close(listener);
+    });
+}
+
+} // namespace radishvane::tests
