Report the load of an entry host in metrics and in one log line

Cause: an owner that loses its cell under load looked the same in logs and metrics whether its link was full, its processor too slow, its store slow, or its rebuilds too long. Change: the cell, store and front tasks report their counters to MetricsTask once a second: calls, bytes and outcomes by kind of peer, waits and answers, delay of ticks, time of handlers. The cell's controller tells, as effects, the age of its lease when a renewal was answered (CellLeaseRenewed) and the time, jobs and bytes of a rebuild (CellRebuilt). The page shows all as radishvane_peer_*, radishvane_tick_delay_milliseconds, radishvane_handling_milliseconds, radishvane_cell_lease_age_milliseconds and radishvane_cell_rebuild_*. The event load holds the totals and the longest times of an interval: every 2 s at the owner, every 10 s elsewhere, on the arrival of a report, so that no timer is added. Before: none of these figures. Conclusion: the age of workers' leases and the bytes of a host's answers to callers are not measured.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -103,6 +103,7 @@
 void CellController::activate()
 {
     m_isActive = true;
+    m_activatedAt = m_outbox.now.steady;
     m_isRebuilt = false;
     m_isReleasing = false;
     m_pendingRead = CallId{};
@@ -180,6 +181,9 @@
     CellWriter::Pending done = m_writer.succeed();
     const CellTransaction &transaction = done.transaction;
     if (transaction.owner) {
+        if (m_isActive) {
+            m_outbox.add(CellLeaseRenewed{m_lease.age(m_outbox.now.steady)});
+        }
         m_lease.recordWrite(*transaction.owner, version, done.sent);
     }
     if (m_isReleasing) {
@@ -237,6 +241,7 @@
     m_hosts.restore(event.contents->waves);
     m_hosts.observe(m_knownWaves);
     m_isRebuilt = true;
+    m_outbox.add(CellRebuilt{m_outbox.now.steady - m_activatedAt, event.contents->jobs.size(), event.bytes});
     m_outbox.log(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
 }
 
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -96,6 +96,7 @@
     /// The pending transaction releases the cell.
     bool m_isReleasing = false;
     CallId m_pendingRead;
+    TimePoint m_activatedAt;
     TimePoint m_retryNotBefore;
     TimePoint m_nextDropCheck;
     TimePoint m_nextTimeoutCheck;
--- a/core/cells/cell_lease.cpp
+++ b/core/cells/cell_lease.cpp
@@ -83,6 +83,11 @@
     return owns() && now - m_renewedAt >= renewInterval;
 }
 
+TimePoint::duration CellLease::age(TimePoint now) const
+{
+    return now - m_renewedAt;
+}
+
 OwnerRow CellLease::nextRow() const
 {
     const Epoch last = m_owner ? m_owner->epoch : 0;
--- a/core/cells/cell_lease.h
+++ b/core/cells/cell_lease.h
@@ -46,6 +46,8 @@
     /// Whether this process is the owner and its lease has not expired, so that it may order starts.
     bool isValid(TimePoint now) const;
     bool isRenewalDue(TimePoint now) const;
+    /// Time since the sending of the last successful write of the row.
+    TimePoint::duration age(TimePoint now) const;
     /// Row that takes over the cell or renews the lease.
     OwnerRow nextRow() const;
     /// Row without an owner, which releases the cell.
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -196,6 +196,8 @@
     CallId call;
     /// Empty if the store did not answer.
     std::optional<CellContents> contents;
+    /// Size of the rows that were read.
+    std::uint64_t bytes = 0;
 };
 
 /// The owner's row as read from the store; no owner if the row does not exist.
@@ -378,6 +380,22 @@
     Epoch epoch = 0;
 };
 
+/// The store has written a renewal of the cell's lease.
+struct CellLeaseRenewed
+{
+    /// Time since the sending of the renewal before; the lease has expired meanwhile if it exceeds CellLease::duration.
+    TimePoint::duration age{0};
+};
+
+/// The owner has rebuilt the state of its cell.
+struct CellRebuilt
+{
+    /// Time since the cell was taken.
+    TimePoint::duration time{0};
+    std::uint64_t jobs = 0;
+    std::uint64_t bytes = 0;
+};
+
 /// Decisions that are written to the log.
 enum class CellDecision {
     OwnershipTaken,
@@ -426,9 +444,9 @@
                    StoreContact, ConfigObserved, WorkersObserved, WavesObserved, HostsListed, HostOrderAnswered,
                    WaveReported, SubmitJob, QueryJob, CancelJob, QueryPending, CellTick, CellStop>;
 
-using CellEffect
-    = std::variant<StartOrder, StopOrder, LeaseRenewalOrder, QueryAdmission, WriteCell, ReadCell, ListHosts,
-                   MaintainHost, MoveHost, ReportWave, AnswerCall, OwnershipChanged, DecisionLogEntry>;
+using CellEffect = std::variant<StartOrder, StopOrder, LeaseRenewalOrder, QueryAdmission, WriteCell, ReadCell,
+                                ListHosts, MaintainHost, MoveHost, ReportWave, AnswerCall, OwnershipChanged,
+                                CellLeaseRenewed, CellRebuilt, DecisionLogEntry>;
 
 using CellEffects = std::vector<CellEffect>;
 
--- a/drivers/event_log.h
+++ b/drivers/event_log.h
@@ -29,10 +29,11 @@
     CallRefused,
     CallAnswered,
     LogLinesDropped,
+    Load,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 13> hostEventNames{
+inline constexpr std::array<std::string_view, 14> hostEventNames{
     "started",
     "stopped",
     "reload",
@@ -46,6 +47,7 @@
     "call-refused",
     "call-answered",
     "log-lines-dropped",
+    "load",
 };
 
 /// Structured log: one JSON object a line on standard output, written without blocking.
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -45,7 +45,7 @@
     , m_front(m_loop, m_clock, m_log,
               servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
               settings.keysWithin)
-    , m_metrics(m_loop, settings.metricsListen)
+    , m_metrics(m_loop, m_clock, m_log, settings.metricsListen)
     , m_stop(m_loop, m_clock, std::min(leaveWait, settings.stopWithin / 2),
              std::min(finishWait, settings.stopWithin / 4))
 {
@@ -76,6 +76,11 @@
     m_front.agesChanged.connect([this](const servers::BeliefAges &ages) { m_metrics.post(ages); });
     m_cell.decided.connect([this](const cells::DecisionLogEntry &entry) { m_metrics.post(entry); });
     m_cell.writeMeasured.connect([this](const servers::WriteMeasured &measured) { m_metrics.post(measured); });
+    m_cell.leaseRenewed.connect([this](const cells::CellLeaseRenewed &renewal) { m_metrics.post(renewal); });
+    m_cell.rebuilt.connect([this](const cells::CellRebuilt &rebuild) { m_metrics.post(rebuild); });
+    m_cell.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
+    m_store.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
+    m_front.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
     m_front.statusChanged.connect([this](const servers::RequestStatus &status) { m_stop.post(status); });
     m_stop.stageChanged.connect([this](servers::StopStage stage) {
         m_front.post(stage);
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -15,11 +15,14 @@
     , m_host(host)
     , m_admission(admission)
     , m_controller(cell, host, incarnation, link, times, capacity)
-    , m_http(loop)
-    , m_mailbox(
-          loop,
-          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
-    , m_timer(loop, tickInterval, [this] { handle(cells::CellTick{}); })
+    , m_statistics(clock, tickInterval)
+    , m_http(loop, &m_statistics)
+    , m_mailbox(loop,
+                [this](Message &&message) {
+                    m_statistics.measure(
+                        [&] { std::visit([this](const auto &alternative) { on(alternative); }, message); });
+                })
+    , m_timer(loop, tickInterval, [this] { onTick(); })
 {
 }
 
@@ -49,6 +52,14 @@
     }
 }
 
+void CellTask::onTick()
+{
+    if (m_statistics.tick()) {
+        loadMeasured.emit(std::make_shared<const TaskLoad>(TaskLoad{SiteTask::Cell, m_statistics.take()}));
+    }
+    m_statistics.measure([this] { handle(cells::CellTick{}); });
+}
+
 void CellTask::tellOwner()
 {
     const auto &owner = m_controller.owner();
@@ -134,6 +145,16 @@
     siteCalled.emit(change);
 }
 
+void CellTask::apply(const cells::CellLeaseRenewed &renewal)
+{
+    leaseRenewed.emit(renewal);
+}
+
+void CellTask::apply(const cells::CellRebuilt &rebuild)
+{
+    rebuilt.emit(rebuild);
+}
+
 void CellTask::apply(const cells::DecisionLogEntry &entry)
 {
     decided.emit(entry);
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -35,6 +35,9 @@
     sigc::signal<void()> released;
     sigc::signal<void(const cells::DecisionLogEntry &)> decided;
     sigc::signal<void(const WriteMeasured &)> writeMeasured;
+    sigc::signal<void(const cells::CellLeaseRenewed &)> leaseRenewed;
+    sigc::signal<void(const cells::CellRebuilt &)> rebuilt;
+    sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
 
 private:
     void on(const cells::CellEvent &event);
@@ -51,10 +54,13 @@
     void apply(const cells::ReportWave &call);
     void apply(const cells::AnswerCall &answer);
     void apply(const cells::OwnershipChanged &change);
+    void apply(const cells::CellLeaseRenewed &renewal);
+    void apply(const cells::CellRebuilt &rebuild);
     void apply(const cells::DecisionLogEntry &entry);
     template<typename Order>
     void order(const Order &order);
     void tellOwner();
+    void onTick();
 
     const Clock &m_clock;
     drivers::EventLog &m_log;
@@ -67,6 +73,7 @@
     bool m_stopping = false;
     bool m_owns = false;
     bool m_toldReleased = false;
+    drivers::TaskStatistics m_statistics;
     drivers::HttpClient m_http;
     drivers::Mailbox<Message> m_mailbox;
     drivers::Timer m_timer;
--- a/servers/metrics_task.cpp
+++ b/servers/metrics_task.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-MetricsTask::MetricsTask(drivers::EventLoop &loop, Endpoint listen)
+MetricsTask::MetricsTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Endpoint listen)
     : m_listen(std::move(listen))
+    , m_loadLog(clock, log)
     , m_server(
           loop, drivers::HttpLimits{},
           [this](drivers::HttpRequest &&request) {
@@ -70,6 +71,51 @@
     m_page.gauge("radishvane_operator_contact_age_milliseconds", message.operatorContact);
     m_page.gauge("radishvane_owns_cell", message.ownsCell ? 1 : 0);
     m_page.gauge("radishvane_log_lines_dropped", static_cast<double>(message.logLinesDropped));
+    m_loadLog.setOwner(message.ownsCell);
+}
+
+void MetricsTask::on(const cells::CellLeaseRenewed &message)
+{
+    m_page.observe("radishvane_cell_lease_age_milliseconds", toMilliseconds(message.age));
+    m_loadLog.add(message);
+}
+
+void MetricsTask::on(const cells::CellRebuilt &message)
+{
+    m_page.observe("radishvane_cell_rebuild_milliseconds", toMilliseconds(message.time));
+    m_page.gauge("radishvane_cell_rebuild_jobs", static_cast<double>(message.jobs));
+    m_page.gauge("radishvane_cell_rebuild_bytes", static_cast<double>(message.bytes));
+    m_loadLog.add(message);
+}
+
+void MetricsTask::on(const TaskLoadPtr &message)
+{
+    const std::string task = label("task", enumName(siteTaskNames, message->task));
+    m_page.observe("radishvane_tick_delay_milliseconds", task, message->totals.tickDelay);
+    m_page.observe("radishvane_handling_milliseconds", task, message->totals.handling);
+    for (std::size_t index = 0; index < message->totals.calls.size(); ++index) {
+        show(static_cast<drivers::PeerKind>(index), message->totals.calls[index]);
+    }
+    m_loadLog.add(*message);
+}
+
+void MetricsTask::show(drivers::PeerKind kind, const drivers::PeerCalls &calls)
+{
+    // Each kind of peer is called by one task; the reports of the others must not overwrite its values.
+    if (calls.isIdle()) {
+        return;
+    }
+    const std::string peer = label("peer", enumName(drivers::peerKindNames, kind));
+    m_page.count("radishvane_peer_calls_total", peer, calls.calls);
+    m_page.count("radishvane_peer_bytes_written_total", peer, calls.bytesWritten);
+    m_page.count("radishvane_peer_bytes_read_total", peer, calls.bytesRead);
+    m_page.gauge("radishvane_peer_calls_waiting", peer, static_cast<double>(calls.waiting));
+    m_page.observe("radishvane_peer_wait_milliseconds", peer, calls.wait);
+    m_page.observe("radishvane_peer_answer_milliseconds", peer, calls.answer);
+    for (std::size_t index = 0; index < calls.ends.size(); ++index) {
+        m_page.count("radishvane_peer_call_ends_total", peer + ',' + label("outcome", drivers::callEndNames[index]),
+                     calls.ends[index]);
+    }
 }
 
 } // namespace radishvane::servers
--- a/servers/metrics_task.h
+++ b/servers/metrics_task.h
@@ -4,6 +4,7 @@
 #include "drivers/http_server.h"
 #include "drivers/mailbox.h"
 #include "drivers/metrics_page.h"
+#include "servers/load_log.h"
 #include "servers/site_messages.h"
 
 #include <variant>
@@ -15,9 +16,10 @@
 class MetricsTask
 {
 public:
-    using Message = std::variant<cells::DecisionLogEntry, CallMeasured, WriteMeasured, BeliefAges>;
+    using Message = std::variant<cells::DecisionLogEntry, CallMeasured, WriteMeasured, BeliefAges,
+                                 cells::CellLeaseRenewed, cells::CellRebuilt, TaskLoadPtr>;
 
-    MetricsTask(drivers::EventLoop &loop, Endpoint listen);
+    MetricsTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Endpoint listen);
 
     bool listen();
     void post(Message message);
@@ -27,9 +29,14 @@
     void on(const CallMeasured &message);
     void on(const WriteMeasured &message);
     void on(const BeliefAges &message);
+    void on(const cells::CellLeaseRenewed &message);
+    void on(const cells::CellRebuilt &message);
+    void on(const TaskLoadPtr &message);
+    void show(drivers::PeerKind kind, const drivers::PeerCalls &calls);
 
     Endpoint m_listen;
     drivers::MetricsPage m_page;
+    LoadLog m_loadLog;
     drivers::HttpServer m_server;
     drivers::Mailbox<Message> m_mailbox;
 };
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -50,8 +50,10 @@
     , m_log(log)
     , m_ports(std::move(ports))
     , m_authorizer(keysWithin)
+    , m_statistics(clock, statusInterval)
     , m_callers(
-          loop, drivers::HttpLimits{}, [this](drivers::HttpRequest &&request) { take(request); },
+          loop, drivers::HttpLimits{},
+          [this](drivers::HttpRequest &&request) { m_statistics.measure([&] { take(request); }); },
           [](ExchangeId) {
               // The question goes on: a job that was asked for is stored all the same.
           })
@@ -60,12 +62,16 @@
           [this](drivers::HttpRequest &&request) { m_ready.answer(request.id, platform::readyAnswer(isReady())); },
           [](ExchangeId) {})
     , m_link(
-          loop, drivers::HttpLimits{}, [this](drivers::HttpRequest &&request) { takeLink(request); }, [](ExchangeId) {})
-    , m_http(loop)
-    , m_mailbox(
-          loop,
-          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
-    , m_timer(loop, statusInterval, [this] { tellStatus(); })
+          loop, drivers::HttpLimits{},
+          [this](drivers::HttpRequest &&request) { m_statistics.measure([&] { takeLink(request); }); },
+          [](ExchangeId) {})
+    , m_http(loop, &m_statistics)
+    , m_mailbox(loop,
+                [this](Message &&message) {
+                    m_statistics.measure(
+                        [&] { std::visit([this](const auto &alternative) { on(alternative); }, message); });
+                })
+    , m_timer(loop, statusInterval, [this] { onTick(); })
 {
 }
 
@@ -183,6 +189,7 @@
     }
     drivers::HttpCall call;
     call.endpoint = m_owner.owner->link;
+    call.peer = drivers::PeerKind::EntryHost;
     call.method = drivers::HttpMethod::Post;
     call.target = linkPath;
     call.body = drivers::encodeQuestion(question);
@@ -248,6 +255,14 @@
     }
 }
 
+void SiteFrontTask::onTick()
+{
+    if (m_statistics.tick()) {
+        loadMeasured.emit(std::make_shared<const TaskLoad>(TaskLoad{SiteTask::Front, m_statistics.take()}));
+    }
+    m_statistics.measure([this] { tellStatus(); });
+}
+
 void SiteFrontTask::tellStatus()
 {
     RequestStatus status;
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -49,6 +49,7 @@
     sigc::signal<void(const RequestStatus &)> statusChanged;
     sigc::signal<void(const CallMeasured &)> callMeasured;
     sigc::signal<void(const BeliefAges &)> agesChanged;
+    sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
 
 private:
     /// Where a question came from, and so where its answer goes.
@@ -79,6 +80,7 @@
     void settle(const cells::AnswerCall &answer);
     bool isReady() const;
     void tellStatus();
+    void onTick();
 
     const Clock &m_clock;
     drivers::EventLog &m_log;
@@ -90,6 +92,7 @@
     TimePoint m_nextAges;
     std::uint64_t m_lastId = 0;
     std::map<ExchangeId, Open> m_open;
+    drivers::TaskStatistics m_statistics;
     drivers::HttpServer m_callers;
     drivers::HttpServer m_ready;
     drivers::HttpServer m_link;
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -2,9 +2,13 @@
 
 #include "core/cells/call_authorizer.h"
 #include "core/cells/cell_messages.h"
+#include "drivers/task_statistics.h"
 #include "servers/task_messages.h"
 
+#include <array>
+#include <memory>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace radishvane::servers
@@ -51,6 +55,26 @@
     std::uint64_t logLinesDropped = 0;
 };
 
+/// The tasks of an entry host whose load is measured.
+enum class SiteTask {
+    Cell,
+    Store,
+    Front,
+};
+
+/// Names in metrics and logs, in the order of the enumerators.
+inline constexpr std::array<std::string_view, 3> siteTaskNames{"cell", "store", "front"};
+
+/// What a task did since its last report.
+struct TaskLoad
+{
+    SiteTask task = SiteTask::Cell;
+    drivers::TaskTotals totals;
+};
+
+/// The totals are large, so that messages hold a pointer to them.
+using TaskLoadPtr = std::shared_ptr<const TaskLoad>;
+
 /// A caller's question for the cell of this process.
 using CellQuestion = std::variant<cells::SubmitJob, cells::QueryJob, cells::CancelJob, cells::QueryPending>;
 
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -18,13 +18,15 @@
                              const cells::CellId &cell, const Endpoint &store, const Endpoint &hostService)
     : m_clock(clock)
     , m_log(log)
-    , m_store(loop, store)
+    , m_statistics(clock, tickInterval)
+    , m_store(loop, store, &m_statistics)
     , m_cellStore(
           m_store, [this](const cells::CellEvent &event) { cellEvent.emit(event); },
           [this](const std::string &key, const std::string &problem) {
               noteBadRow(platform::cellsTable, platform::StoredRow{key, {}, 1, false}, problem);
           })
-    , m_hosts(loop, hostService, [this](const cells::CellEvent &event) { cellEvent.emit(event); })
+    , m_hosts(
+          loop, hostService, [this](const cells::CellEvent &event) { cellEvent.emit(event); }, &m_statistics)
     , m_owners(
           m_store, platform::ownersTable, cell.name(), platform::TableFollower::Pace{},
           [this](const auto &rows) { cellEvent.emit(platform::readOwner(rows)); },
@@ -49,9 +51,11 @@
           [this](platform::StoreFailure failure) {
               noteStore(false, std::string(enumName(platform::storeFailureNames, failure)));
           })
-    , m_mailbox(
-          loop,
-          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
+    , m_mailbox(loop,
+                [this](Message &&message) {
+                    m_statistics.measure(
+                        [&] { std::visit([this](const auto &alternative) { on(alternative); }, message); });
+                })
     , m_timer(loop, tickInterval, [this] { onTick(); })
 {
 }
@@ -171,12 +175,17 @@
 
 void SiteStoreTask::onTick()
 {
-    const TimePoint now = m_clock.now();
-    m_owners.tick(now);
-    m_operator.tick(now);
-    if (m_followsDiscovery) {
-        m_discovery.tick(now);
+    if (m_statistics.tick()) {
+        loadMeasured.emit(std::make_shared<const TaskLoad>(TaskLoad{SiteTask::Store, m_statistics.take()}));
     }
+    m_statistics.measure([this] {
+        const TimePoint now = m_clock.now();
+        m_owners.tick(now);
+        m_operator.tick(now);
+        if (m_followsDiscovery) {
+            m_discovery.tick(now);
+        }
+    });
 }
 
 } // namespace radishvane::servers
--- a/servers/site_store_task.h
+++ b/servers/site_store_task.h
@@ -35,6 +35,7 @@
     sigc::signal<void(const cells::CellEvent &)> cellEvent;
     sigc::signal<void(const cells::SiteConfigPtr &)> configChanged;
     sigc::signal<void(const OperatorContact &)> operatorAnswered;
+    sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
 
 private:
     void on(const SiteCall &message);
@@ -53,6 +54,7 @@
 
     const Clock &m_clock;
     drivers::EventLog &m_log;
+    drivers::TaskStatistics m_statistics;
     platform::StoreClient m_store;
     platform::CellStore m_cellStore;
     platform::HostClient m_hosts;
--- a/tests/servers/site_test.cpp
+++ b/tests/servers/site_test.cpp
@@ -160,6 +160,20 @@
         return false;
     }
 
+    /// The last line of an event in the log of a host; null if there is none.
+    json lastLine(int index, const std::string &name) const
+    {
+        json last;
+        std::ifstream stream(log("entry-" + std::to_string(index)));
+        for (std::string line; std::getline(stream, line);) {
+            json event = json::parse(line, nullptr, false);
+            if (event.is_object() && event.value("event", "") == name) {
+                last = std::move(event);
+            }
+        }
+        return last;
+    }
+
 private:
     /// The host that took the cell last, by the hosts' logs; -1 when none has.
     int lastOwner() const
@@ -248,6 +262,41 @@
                 EXPECT_NE(pages.find(line), std::string::npos) << line << " in\n" << pages;
             }
         });
+        section("the owner's metrics tell of its load by kind of peer and by task", [&] {
+            const int owner = site.owner();
+            for (const char *line :
+                 {"radishvane_peer_call_ends_total{peer=\"worker\",outcome=\"answered\"}",
+                  "radishvane_peer_bytes_written_total{peer=\"store\"}",
+                  "radishvane_peer_calls_total{peer=\"host-service\"}",
+                  "radishvane_peer_wait_milliseconds_count{peer=\"worker\"}",
+                  "radishvane_peer_answer_milliseconds_count{peer=\"worker\"}",
+                  "radishvane_peer_calls_waiting{peer=\"worker\"}", "radishvane_cell_lease_age_milliseconds_count",
+                  "radishvane_cell_rebuild_milliseconds_count 1",
+                  "radishvane_tick_delay_milliseconds_count{task=\"cell\"}",
+                  "radishvane_handling_milliseconds_count{task=\"store\"}"}) {
+                EXPECT_TRUE(site.waitFor([&] {
+                    site.ask(site.port(owner, 3), drivers::HttpMethod::Get, "/metrics", {}, {});
+                    return site.body().find(line) != std::string::npos;
+                })) << line;
+            }
+        });
+        section("other hosts count their calls to the owner", [&] {
+            const int other = (site.owner() + 1) % entryCount;
+            EXPECT_TRUE(site.waitFor([&] {
+                site.ask(site.port(other, 3), drivers::HttpMethod::Get, "/metrics", {}, {});
+                return site.body().find("radishvane_peer_calls_total{peer=\"entry-host\"}") != std::string::npos;
+            }));
+        });
+        section("the owner's log tells of its load as well", [&] {
+            const int owner = site.owner();
+            json load;
+            EXPECT_TRUE(site.waitFor([&] {
+                load = site.lastLine(owner, "load");
+                return load.contains("lease_age_ms") && load.contains("lease_renewals") && load.contains("store_calls")
+                    && load.contains("store_bytes");
+            }));
+            EXPECT_GE(std::stoll(load.value("interval_ms", "0")), 2'000);
+        });
         section("the queue's count of waiting jobs is 0", [&] {
             EXPECT_EQ(site.ask(site.port(1, 0), drivers::HttpMethod::Get, "/plans/", {}, "key-1"), 200);
             EXPECT_EQ(json::parse(site.body()).at("pending"), 0);
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -383,6 +383,8 @@
                 }
             },
             [](const OwnershipChanged &) {},
+            [](const CellLeaseRenewed &) {},
+            [](const CellRebuilt &) {},
             [](const DecisionLogEntry &) {},
         },
         effect);
