--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -80,7 +80,7 @@
 void CellSite::read(const Caller &caller, const ReadCell &call)
 {
     if (storeDown || node(caller.node).cutFromStore) {
-        later(callTimeout, [this, caller, call] { give(caller, CellReadDone{call.call, std::nullopt, 0}); });
+        later(callTimeout, [this, caller, call] { give(caller, CellReadDone{call.call, std::nullopt}); });
         return;
     }
     CellContents contents;
@@ -94,7 +94,7 @@
         contents.waves.push_back(row);
     }
     contents.roster = m_roster;
-    later(storeDelay, [this, caller, call, contents] { give(caller, CellReadDone{call.call, contents, 0}); });
+    later(storeDelay, [this, caller, call, contents] { give(caller, CellReadDone{call.call, contents}); });
 }
 
 // ---- workers ----
