--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -121,6 +121,7 @@
 void CellController::activate()
 {
     m_isActive = true;
+    m_activatedAt = m_outbox.now.steady;
     m_isRebuilt = false;
     m_release = Release::None;
     m_pendingRead = CallId{};
@@ -201,6 +202,9 @@
     CellWriter::Pending done = m_writer.succeed();
     const CellTransaction &transaction = done.transaction;
     if (transaction.owner) {
+        if (m_isActive) {
+            m_outbox.add(CellLeaseRenewed{m_lease.age(m_outbox.now.steady)});
+        }
         m_lease.recordWrite(*transaction.owner, version, done.sent);
     }
     if (!m_isActive) {
@@ -266,6 +270,7 @@
     m_hosts.restore(event.contents->waves);
     m_hosts.observe(m_knownWaves);
     m_isRebuilt = true;
+    m_outbox.add(CellRebuilt{m_outbox.now.steady - m_activatedAt, event.contents->jobs.size(), event.bytes});
     m_outbox.log(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
 }
 
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -116,6 +116,7 @@
     /// The host that asked for the cell.
     HostId m_fitterHost;
     CallId m_pendingRead;
+    TimePoint m_activatedAt;
     TimePoint m_retryNotBefore;
     TimePoint m_nextDropCheck;
     TimePoint m_nextTimeoutCheck;
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -510,6 +510,8 @@
             },
             [&](const RequestHandover &request) { requestHandover(caller, request); },
             [](const OwnershipChanged &) {},
+            [](const CellLeaseRenewed &) {},
+            [](const CellRebuilt &) {},
             [](const DecisionLogEntry &) {},
         },
         effect);
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -14,7 +14,7 @@
 using namespace cells;
 
 constexpr std::int64_t workerDelay = 2;
-constexpr std::int64_t linkDelay = 2;
+constexpr std::int64_t peerDelay = 2;
 constexpr std::int64_t callTimeout = 1'200;
 constexpr std::int64_t mostHold = 10'000;
 constexpr std::int64_t maintenanceTime = 2'000;
@@ -163,7 +163,7 @@
     RequestHandover received = request;
     received.exchange = ExchangeId{++m_exchanges};
     m_handovers[received.exchange] = {caller, request.exchange};
-    later(linkDelay, [this, owner, received] { give(owner, received); });
+    later(peerDelay, [this, owner, received] { give(owner, received); });
 }
 
 // ---- workers ----
