Deliver answers to calls that were sent before messages are held up

The model dropped answers to calls that it had not registered, so that hardly any task ran in CellOverload. Calls are dropped only after they were answered as unknown. More jobs, and owners that end while the store does not answer.

--- a/tests/core/cells/cell_overload_property_test.cpp
+++ b/tests/core/cells/cell_overload_property_test.cpp
@@ -18,7 +18,7 @@
 constexpr int entryHosts = 3;
 constexpr int workers = 4;
 constexpr int spareHosts = 2;
-constexpr int jobs = 24;
+constexpr int jobs = 48;
 
 /// What happens to a site whose links are full.
 enum class Disturbance {
@@ -136,6 +136,10 @@
     case Disturbance::StoreDown:
         site.storeDown = true;
         site.run(Duration(200 + 40 * step.target));
+        if (step.target % 2 == 0 && !owner.empty()) {
+            site.kill(owner);
+            site.restart(owner);
+        }
         site.storeDown = false;
         return;
     case Disturbance::LoseWrite:
@@ -200,6 +204,9 @@
     site.heldUp = *rc::gen::element(0.001, 0.005, 0.02, 0.1);
     site.maxHoldUp = *rc::gen::element<std::int64_t>(600, 2'000, 4'000);
     for (const DisturbanceEvent &step : drawSteps()) {
+        if (submitted < jobs) {
+            submit(site, submitted++);
+        }
         site.run(Duration(step.after));
         apply(site, step, submitted);
     }
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -355,7 +355,7 @@
 
 void CellSite::give(const Caller &caller, const CellEvent &event)
 {
-    if (heldUp == 0 && m_openCalls.empty()) {
+    if (heldUp == 0 && m_openCalls.empty() && m_unansweredCalls.empty()) {
         if (node(caller.node).life == caller.life) {
             give(caller.node, event);
         }
@@ -363,9 +363,15 @@
     }
     later(holdUp(caller.node, Direction::In), [this, caller, event] {
         const std::optional<CallId> call = callOf(event);
-        // A call that was answered as unknown gets no second answer.
-        const bool isOpen = !call || m_openCalls.erase({caller.node, caller.life, *call}) > 0;
-        if (isOpen && node(caller.node).life == caller.life) {
+        if (call) {
+            const OpenCall answered{caller.node, caller.life, *call};
+            m_openCalls.erase(answered);
+            // A call that was answered as unknown gets no second answer.
+            if (m_unansweredCalls.erase(answered) > 0) {
+                return;
+            }
+        }
+        if (node(caller.node).life == caller.life) {
             give(caller.node, event);
         }
     });
@@ -395,7 +401,12 @@
     }
     m_openCalls.insert({caller.node, caller.life, call});
     later(timeout, [this, caller, call, unknown] {
-        if (m_openCalls.erase({caller.node, caller.life, call}) > 0 && node(caller.node).life == caller.life) {
+        const OpenCall unanswered{caller.node, caller.life, call};
+        if (m_openCalls.erase(unanswered) == 0) {
+            return;
+        }
+        m_unansweredCalls.insert(unanswered);
+        if (node(caller.node).life == caller.life) {
             give(caller.node, unknown);
         }
     });
@@ -421,9 +432,6 @@
                          [this, caller, order, sentAt = m_now] { stopTask(caller, order, sentAt); });
             },
             [&](const QueryAdmission &ask) {
-                if (heldUp > 0) {
-                    m_openCalls.insert({caller.node, caller.life, ask.call});
-                }
                 AdmissionAnswered answer{ask.call, true, {}};
                 for (const WorkerId &worker : ask.workers) {
                     if (admitted.count(worker.name()) > 0) {
@@ -447,9 +455,6 @@
                          [this, caller, call] { read(caller, call); });
             },
             [&](const ListHosts &call) {
-                if (heldUp > 0) {
-                    m_openCalls.insert({caller.node, caller.life, call.call});
-                }
                 std::vector<SiteHost> hosts;
                 for (const auto &[id, model] : m_workers) {
                     if (!model.replaced) {
@@ -471,9 +476,6 @@
                          });
             },
             [&](const ReportWave &report) {
-                if (heldUp > 0) {
-                    m_openCalls.insert({caller.node, caller.life, report.call});
-                }
                 if (report.completed) {
                     completedWaves.insert(report.wave);
                 }
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -274,6 +274,8 @@
     std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
     std::map<std::string, std::int64_t> m_toldAt;
     std::set<OpenCall> m_openCalls;
+    /// Calls that were answered as unknown, since no answer came in time.
+    std::set<OpenCall> m_unansweredCalls;
     std::map<cells::TaskId, ListedEnd> m_listedDone;
     std::map<cells::TaskId, ServiceState> m_services;
     /// Jobs whose cancellation was requested or acknowledged.
