Show that a team can exceed its ceiling after a change of owner

Cause: the ledger of a team counts only the runs that the present owner knows. Jobs that it accepts itself start before all recorded workers have answered, also when the team is at its ceiling on a worker that does not answer. Not repaired: waiting for all workers delays every team with a ceiling; the cost is not measured.

--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -160,4 +160,32 @@
     });
 }
 
+TEST(CellTeams, DoNotExceedTheirCeilingWhileTheirRunsAreUnknownToTheNextOwner)
+{
+    story("a team is at its ceiling, the owner crashes, and the worker does not answer the next one", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.addTeam("dyers", 4'000);
+        site.durations[JobId("j1")] = 20'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(20'000)), "dyers");
+        site.run(Duration(2'000));
+        ASSERT_EQ(site.runningOn("w0"), 4);
+        site.addWorker("w1", "looms", 8'000);
+        site.run(Duration(400));
+        const std::string first = site.owner();
+        const std::string second = other(site);
+        site.worker("w0").cut = true;
+        site.kill(first);
+        section("a job that the next owner accepts waits for room below the ceiling", [&] {
+            while (site.owner() != second && site.time() < 15'000) {
+                site.run(Duration(20));
+            }
+            site.run(Duration(500));
+            site.submit(second, "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
+            site.run(Duration(1'000));
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
