Draw all disturbances in a property of overloaded cells

The numbers that RapidCheck draws shrink with the size of the list, so that only four of twelve disturbances came up. A second property draws all of them. It fails at case 11 of: a start after its end was noted. A case that was shrunk before shows an end that an owner reads after it has taken the run's lease as expired, ignores and acknowledges.

--- a/tests/core/cells/cell_overload_property_test.cpp
+++ b/tests/core/cells/cell_overload_property_test.cpp
@@ -162,19 +162,20 @@
     }
 }
 
-std::vector<DisturbanceEvent> drawSteps()
+/// Draws what happens to a site. A drawn number is below a part of its range that follows from @p size.
+std::vector<DisturbanceEvent> drawSteps(int size)
 {
-    const auto step = rc::gen::map(
-        rc::gen::tuple(rc::gen::inRange(1, 1'500), rc::gen::inRange(0, disturbances), rc::gen::inRange(0, 48)),
-        [](const std::tuple<int, int, int> &drawn) {
-            return DisturbanceEvent{std::get<0>(drawn), std::get<1>(drawn), std::get<2>(drawn)};
-        });
+    const auto step
+        = rc::gen::map(rc::gen::resize(size,
+                                       rc::gen::tuple(rc::gen::inRange(1, 1'500), rc::gen::inRange(0, disturbances),
+                                                      rc::gen::inRange(0, 48))),
+                       [](const std::tuple<int, int, int> &drawn) {
+                           return DisturbanceEvent{std::get<0>(drawn), std::get<1>(drawn), std::get<2>(drawn)};
+                       });
     return *rc::gen::resize(30, rc::gen::container<std::vector<DisturbanceEvent>>(step));
 }
 
-} // namespace
-
-RC_GTEST_PROP(CellOverload, KeepsTheRulesWhileMessagesAreHeldUpForSeconds, ())
+void checkRules(int size)
 {
     CellSite site(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
     site.addTeam("dyers", 6'000);
@@ -202,8 +203,9 @@
         site.addWave(1, {"l0", "l1", "l2", "l3"}, 1);
     }
     site.heldUp = *rc::gen::element(0.001, 0.005, 0.02, 0.1);
+    site.lostHostOrders = *rc::gen::element(0.0, 0.3);
     site.maxHoldUp = *rc::gen::element<std::int64_t>(600, 2'000, 4'000);
-    for (const DisturbanceEvent &step : drawSteps()) {
+    for (const DisturbanceEvent &step : drawSteps(size)) {
         if (submitted < jobs) {
             submit(site, submitted++);
         }
@@ -230,4 +232,16 @@
     }
 }
 
+} // namespace
+
+RC_GTEST_PROP(CellOverload, KeepsTheRulesWhileMessagesAreHeldUpForSeconds, ())
+{
+    checkRules(30);
+}
+
+RC_GTEST_PROP(CellOverload, KeepsTheRulesUnderAllDisturbances, ())
+{
+    checkRules(rc::kNominalSize);
+}
+
 } // namespace radishvane::tests
