Refuse jobs while the store does not answer

Cause: when a write of the store got no answer, the owner took further jobs until its lease ran out, and answered their callers in doubt after 1.2 s. Change: after a write without an answer, jobs are refused at once (Unavailable) until a write is answered. Refused writes do not count, since they are repeated within milliseconds.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -157,6 +157,7 @@
     if (!m_writer.pending() || m_writer.pending()->call != event.call) {
         return;
     }
+    m_isStoreSilent = event.outcome == CellWriteOutcome::Unknown;
     switch (event.outcome) {
     case CellWriteOutcome::Written:
         onWritten(event.version);
@@ -361,6 +362,11 @@
         }
         return;
     }
+    if (m_isStoreSilent) {
+        m_outbox.log(CellDecision::JobRefused, event.id.name(), {}, registry.live().size(), "store-silent");
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
     if (registry.live().size() >= maxLiveJobs) {
         m_outbox.log(CellDecision::JobRefused, event.id.name(), {}, registry.live().size(), "too-many-jobs");
         answer(event.exchange, CallAnswer::Overloaded);
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -98,6 +98,8 @@
     bool m_isReleasing = false;
     CallId m_pendingRead;
     TimePoint m_retryNotBefore;
+    /// The last write got no answer, so a job that is submitted now would probably be answered in doubt.
+    bool m_isStoreSilent = false;
     TimePoint m_nextDropCheck;
     TimePoint m_nextTimeoutCheck;
 
--- a/tests/core/cells/cell_overload_test.cpp
+++ b/tests/core/cells/cell_overload_test.cpp
@@ -219,6 +219,33 @@
     });
 }
 
+TEST(CellOverload, RefusesJobsWhileTheStoreDoesNotAnswer)
+{
+    story("the store fails, and the owner still holds its lease when its first write has got no answer", [] {
+        CellSite site;
+        fillLooms(site);
+        const std::string owner = site.owner();
+        site.submit(owner, "before", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(20));
+        site.storeDown = true;
+        site.submit(owner, "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(1'250));
+        ASSERT_EQ(site.owner(), owner);
+        section("it refuses a job at once", [&] {
+            site.submit(owner, "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            EXPECT_EQ(site.answers("j2"), std::vector{CallAnswer::Unavailable});
+        });
+        section("it accepts jobs when the store answers again", [&] {
+            site.storeDown = false;
+            site.run(Duration(3'000));
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(100));
+            EXPECT_EQ(site.answers("j2").back(), CallAnswer::Accepted);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOverload, StartsGangsWholeUnderThePacer)
 {
     story("a small owner and gangs that are larger than one burst", [] {
