Revert "Open checkpoints only for workers with ends that are not stored"

CellWriter.CountsEndsAsStoredUnderAStandingBacklog expects an entry for each worker, so that a change of ownership is seen to store nothing. The saving was not measured.

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -130,9 +130,6 @@
 {
     Checkpoint checkpoint{m_changedJobs.nextPlace(), {}};
     for (const auto &[id, worker] : roster.all()) {
-        if (worker.hasStoredEnds()) {
-            continue;
-        }
         checkpoint.ends[id] = {worker.startedAtMs, worker.processed};
     }
     m_checkpoints.push_back(std::move(checkpoint));
