--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -43,12 +43,15 @@
     OutcomeHandler onOutcome;
     evhttp_connection *connection = nullptr;
     evbuffer_cb_entry *watch = nullptr;
+    /// Ends the wait for a connection; only while the call waits.
+    event *expiry = nullptr;
     bool written = false;
     bool timedOut = false;
 };
 
-HttpClient::HttpClient(EventLoop &loop)
+HttpClient::HttpClient(EventLoop &loop, std::size_t mostPerEndpoint)
     : m_loop(loop)
+    , m_mostPerEndpoint(mostPerEndpoint)
     , m_closeEvent(event_new(
           loop.base(), -1, 0,
           [](evutil_socket_t, short, void *self) {
@@ -68,11 +71,14 @@
     for (evhttp_connection *connection : m_closing) {
         evhttp_connection_free(connection);
     }
-    for (auto &[endpoint, connections] : m_idle) {
-        for (evhttp_connection *connection : connections) {
+    for (auto &[endpoint, peer] : m_peers) {
+        for (evhttp_connection *connection : peer.idle) {
             evhttp_connection_set_closecb(connection, nullptr, nullptr);
             evhttp_connection_free(connection);
         }
+        for (const std::unique_ptr<Exchange> &exchange : peer.waiting) {
+            event_free(exchange->expiry);
+        }
     }
     for (auto &[id, exchange] : m_exchanges) {
         // Freeing a connection ends its request, whose handler must not run any more.
@@ -88,6 +94,51 @@
     exchange->id = ++m_lastId;
     exchange->call = call;
     exchange->onOutcome = std::move(onOutcome);
+    Peer &peer = m_peers[call.endpoint];
+    if (peer.active < m_mostPerEndpoint) {
+        dispatch(std::move(exchange));
+        return;
+    }
+    exchange->expiry = evtimer_new(
+        m_loop.base(),
+        [](evutil_socket_t, short, void *target) {
+            auto *waiting = static_cast<Exchange *>(target);
+            waiting->client->expire(*waiting);
+        },
+        exchange.get());
+    const timeval timeout = toTimeval(call.timeout);
+    evtimer_add(exchange->expiry, &timeout);
+    peer.waiting.push_back(std::move(exchange));
+}
+
+void HttpClient::expire(Exchange &exchange)
+{
+    std::deque<std::unique_ptr<Exchange>> &waiting = m_peers[exchange.call.endpoint].waiting;
+    const auto found = std::find_if(waiting.begin(), waiting.end(),
+                                    [&exchange](const auto &candidate) { return candidate.get() == &exchange; });
+    const std::unique_ptr<Exchange> ended = std::move(*found);
+    waiting.erase(found);
+    event_free(ended->expiry);
+    ended->onOutcome(HttpFailure::NotSent);
+}
+
+void HttpClient::dispatchWaiting(const Endpoint &endpoint)
+{
+    Peer &peer = m_peers[endpoint];
+    if (peer.waiting.empty() || peer.active >= m_mostPerEndpoint) {
+        return;
+    }
+    std::unique_ptr<Exchange> next = std::move(peer.waiting.front());
+    peer.waiting.pop_front();
+    event_free(next->expiry);
+    next->expiry = nullptr;
+    dispatch(std::move(next));
+}
+
+void HttpClient::dispatch(std::unique_ptr<Exchange> exchange)
+{
+    const HttpCall &call = exchange->call;
+    ++m_peers[call.endpoint].active;
     exchange->connection = connect(call);
     exchange->watch = evbuffer_add_cb(
         outputOf(exchange->connection),
@@ -118,8 +169,10 @@
     const timeval timeout = toTimeval(call.timeout);
     evhttp_connection_set_timeout_tv(exchange->connection, &timeout);
     evhttp_connection *connection = exchange->connection;
+    const evhttp_cmd_type command = toCommand(call.method);
+    const std::string target = call.target;
     m_exchanges.emplace(exchange->id, std::move(exchange));
-    evhttp_make_request(connection, request, toCommand(call.method), call.target.c_str());
+    evhttp_make_request(connection, request, command, target.c_str());
 }
 
 std::size_t HttpClient::open() const
@@ -129,7 +182,7 @@
 
 evhttp_connection *HttpClient::connect(const HttpCall &call)
 {
-    std::vector<evhttp_connection *> &idle = m_idle[call.endpoint];
+    std::vector<evhttp_connection *> &idle = m_peers[call.endpoint].idle;
     if (!call.freshConnection && !idle.empty()) {
         evhttp_connection *connection = idle.back();
         idle.pop_back();
@@ -158,6 +211,8 @@
     const auto found = m_exchanges.find(exchange.id);
     const std::unique_ptr<Exchange> ended = std::move(found->second);
     m_exchanges.erase(found);
+    --m_peers[ended->call.endpoint].active;
+    dispatchWaiting(ended->call.endpoint);
     ended->onOutcome(std::move(outcome));
 }
 
@@ -189,7 +244,7 @@
 {
     evhttp_connection *connection = exchange.connection;
     const auto *answer = std::get_if<HttpAnswer>(&outcome);
-    std::vector<evhttp_connection *> &idle = m_idle[exchange.call.endpoint];
+    std::vector<evhttp_connection *> &idle = m_peers[exchange.call.endpoint].idle;
     const bool repeatsId = answer != nullptr
         && (exchange.call.requestId.empty()
             || headerValue(answer->headers, requestIdHeader) == exchange.call.requestId);
@@ -201,6 +256,8 @@
         closeLater(connection);
         return;
     }
+    const timeval timeout = toTimeval(idleTimeout);
+    evhttp_connection_set_timeout_tv(connection, &timeout);
     evhttp_connection_set_closecb(connection, &HttpClient::idleClosed, this);
     idle.push_back(connection);
 }
@@ -215,7 +272,8 @@
 void HttpClient::idleClosed(evhttp_connection *connection, void *self)
 {
     auto *client = static_cast<HttpClient *>(self);
-    for (auto &[endpoint, idle] : client->m_idle) {
+    for (auto &[endpoint, peer] : client->m_peers) {
+        std::vector<evhttp_connection *> &idle = peer.idle;
         const auto found = std::find(idle.begin(), idle.end(), connection);
         if (found != idle.end()) {
             idle.erase(found);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -4,7 +4,9 @@
 #include "drivers/http_types.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -58,9 +60,14 @@
 
     /// Connections kept open to one endpoint for later calls.
     static constexpr std::size_t mostIdlePerEndpoint = 16;
+    /// An idle connection is closed after this time.
+    static constexpr Duration idleTimeout{3'000};
     static constexpr std::size_t mostAnswerBytes = 16 << 20;
 
-    explicit HttpClient(EventLoop &loop);
+    /// @param mostPerEndpoint limit of the calls to one endpoint that are under way. Further calls wait in order, and
+    /// end
+    ///        as not sent if that takes longer than their timeout, which starts anew when the call is sent.
+    explicit HttpClient(EventLoop &loop, std::size_t mostPerEndpoint = std::numeric_limits<std::size_t>::max());
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -72,6 +79,17 @@
 private:
     struct Exchange;
 
+    /// The connections to one endpoint, and the calls that wait for one.
+    struct Peer
+    {
+        std::vector<evhttp_connection *> idle;
+        std::size_t active = 0;
+        std::deque<std::unique_ptr<Exchange>> waiting;
+    };
+
+    void dispatch(std::unique_ptr<Exchange> exchange);
+    void dispatchWaiting(const Endpoint &endpoint);
+    void expire(Exchange &exchange);
     evhttp_connection *connect(const HttpCall &call);
     void finish(Exchange &exchange, evhttp_request *request);
     HttpOutcome outcomeOf(const Exchange &exchange, evhttp_request *request) const;
@@ -83,7 +101,8 @@
     EventLoop &m_loop;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> m_exchanges;
-    std::map<Endpoint, std::vector<evhttp_connection *>> m_idle;
+    std::size_t m_mostPerEndpoint;
+    std::map<Endpoint, Peer> m_peers;
     std::vector<evhttp_connection *> m_closing;
     event *m_closeEvent;
 };
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -15,7 +15,7 @@
     , m_host(host)
     , m_admission(admission)
     , m_controller(cell, host, incarnation, link, times, capacity)
-    , m_http(loop)
+    , m_http(loop, mostCallsPerWorker)
     , m_mailbox(
           loop,
           [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -21,6 +21,9 @@
     using Message = std::variant<cells::CellEvent>;
 
     static constexpr Duration tickInterval{25};
+    /// Limit of calls to one worker that are under way, which bounds its connections: a lease renewal that waits for
+    /// an end, and a few orders.
+    static constexpr std::size_t mostCallsPerWorker = 5;
 
     CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
              const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
