--- /dev/null
+++ b/core/cells/job_queue.cpp
@@ -0,0 +1,48 @@
+#include "core/cells/job_queue.h"
+
+namespace radishvane::cells
+{
+
+void JobQueue::push(const JobId &job)
+{
+    if (m_places.try_emplace(job, m_nextPlace).second) {
+        m_jobs.emplace(m_nextPlace, job);
+        ++m_nextPlace;
+    }
+}
+
+void JobQueue::pushFront(const JobId &job)
+{
+    const auto [place, isNew] = m_places.try_emplace(job, 0);
+    if (!isNew) {
+        m_jobs.erase(place->second);
+    }
+    --m_lowestPlace;
+    place->second = m_lowestPlace;
+    m_jobs.emplace(m_lowestPlace, job);
+}
+
+JobId JobQueue::pop()
+{
+    JobId job = std::move(m_jobs.begin()->second);
+    m_jobs.erase(m_jobs.begin());
+    m_places.erase(job);
+    return job;
+}
+
+bool JobQueue::empty() const
+{
+    return m_jobs.empty();
+}
+
+std::int64_t JobQueue::firstPlace() const
+{
+    return m_jobs.empty() ? m_nextPlace : m_jobs.begin()->first;
+}
+
+std::int64_t JobQueue::nextPlace() const
+{
+    return m_nextPlace;
+}
+
+} // namespace radishvane::cells
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/worker_roster.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace radishvane::cells
@@ -121,10 +122,15 @@
 std::vector<WorkerId> WorkerRoster::replaced(const HostList &list) const
 {
     std::vector<WorkerId> ids;
+    if (!list.requestedAt) {
+        return ids;
+    }
     for (const auto &[id, worker] : m_workers) {
         const auto host = list.hosts.find(worker.host);
         const bool answers = worker.fenced && !worker.unreachable;
-        if (worker.incarnationEnded || !worker.recorded || answers || host == list.hosts.end()) {
+        // A list that was requested before the worker's last answer says nothing about its end.
+        const bool isOlder = *list.requestedAt <= worker.clockAt;
+        if (worker.incarnationEnded || !worker.recorded || answers || isOlder || host == list.hosts.end()) {
             continue;
         }
         const SiteHostState state = host->second.state;
@@ -192,14 +198,10 @@
     return m_workers;
 }
 
-bool WorkerRoster::hasUnreconciledWorker(const PoolId &pool, TimePoint now) const
+bool WorkerRoster::hasUnreconciledWorker(TimePoint now) const
 {
-    for (const auto &[id, worker] : m_workers) {
-        if (worker.pool == pool && worker.recorded && !worker.isReconciled(now)) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [now](const auto &pair) { return !pair.second.isReconciled(now); });
 }
 
 RosterRow WorkerRoster::row(TimePoint now) const
--- /dev/null
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -0,0 +1,163 @@
+#include "tests/support/cell_stories.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+using namespace cells;
+
+namespace
+{
+
+/// Submits a job of @p count tasks that run for a long time, and waits until all of them run.
+void submitLongJob(CellSite &site, const std::string &job, std::uint32_t count)
+{
+    site.durations[JobId(job)] = 20'000;
+    site.submit(site.owner(), job, "plans", graphOf(1, count, 1'000, Duration(20'000)));
+    for (int waited = 0; waited < 4'000 && site.runs(job) < count; waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_EQ(site.runs(job), count);
+}
+
+} // namespace
+
+TEST(CellWorkers, KeepTheirRunsWhenAnOlderListOfHostsShowsAnotherWorker)
+{
+    story("a host starts another worker, and lists of hosts arrive seconds late", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.hostListDelay = 4'500;
+        site.run(Duration(1'000));
+        site.replace("w0", "x0");
+        site.run(Duration(400));
+        submitLongJob(site, "j1", 4);
+        site.run(Duration(1'200));
+        ASSERT_EQ(site.runningOn("x0"), 4);
+        site.addWorker("w1", "looms", 8'000);
+        section("the new worker does not answer when a list from before its start arrives", [&] {
+            site.worker("x0").cut = true;
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runningOn("x0"), 4);
+            EXPECT_EQ(site.runs("j1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, WaitsForWorkersOfThePoolThatAQueueUsedBefore)
+{
+    story("a queue gets another pool while its tasks run, and the owner crashes", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        submitLongJob(site, "j1", 4);
+        site.addWorker("f0", "frames", 8'000);
+        site.run(Duration(400));
+        site.worker("w0").cut = true;
+        site.kill(site.owner());
+        site.addQueue("plans", "frames");
+        section("the next owner starts no task again that may still run in the former pool", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("f0"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, WaitsForARecordedWorkerWhoseAddressHasChanged)
+{
+    story("the owner crashes, and discovery lists a worker that does not answer at another address", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        submitLongJob(site, "j1", 4);
+        site.addWorker("w1", "looms", 8'000);
+        site.run(Duration(400));
+        site.worker("w0").cut = true;
+        site.kill(site.owner());
+        site.worker("w0").entry.endpoint.port = 2;
+        section("the next owner starts no task again that may still run on the worker", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, WaitsForAnIncarnationThatStartedWhileTheListOfWorkersWasStored)
+{
+    story("a worker restarts while a list of workers with its former incarnation is being stored", [] {
+        for (int offset = 0; offset < 800; offset += 40) {
+            CellSite site;
+            fillLooms(site, 1);
+            const std::string first = site.owner();
+            site.durations[JobId("j1")] = 20'000;
+            site.submit(first, "j1", "plans", graphOf(1, 16, 1'000, Duration(20'000)));
+            site.run(Duration(1'000));
+            site.storeDelay = 250;
+            site.addWorker("w1", "looms", 500);
+            site.run(Duration(offset));
+            site.crash("w0");
+            site.revive("w0");
+            site.loseNextWrite = true;
+            for (int waited = 0; waited < 1'600 && site.runningOn("w0") == 0; waited += 5) {
+                site.run(Duration(5));
+            }
+            site.kill(first);
+            site.storeDelay = 6;
+            site.worker("w0").cut = true;
+            site.addWorker("w2", "looms", 8'000);
+            section("the next owner starts no task again that may still run on the new incarnation", [&] {
+                site.run(Duration(12'000));
+                EXPECT_EQ(site.runningOn("w2"), 8);
+            });
+            expectNothingBroken(site);
+        }
+    });
+}
+
+TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
+{
+    story("a host has started another worker while discovery still lists the former one, which was idle", [] {
+        CellSite site;
+        fillLooms(site, 3);
+        site.addQueue("quotes", "frames");
+        site.addWorker("f0", "frames", 8'000);
+        site.run(Duration(1'000));
+        site.replace("w0", "a0");
+        site.worker("w0").listed = true;
+        site.run(Duration(400));
+        submitLongJob(site, "j1", 4);
+        ASSERT_EQ(site.runningOn("a0"), 4);
+        section("the host does not move while tasks run on its worker", [&] {
+            for (int index = 0; index < 20; ++index) {
+                site.submit(site.owner(), "q" + std::to_string(index), "quotes", graphOf(1, 16, 1'000, Duration(600)));
+            }
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runningOn("a0"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWaves, SkipAHostThatHasStartedAnotherWorkerSinceTheListOfHosts)
+{
+    story("a host of a wave has started another worker, and lists of hosts arrive seconds late", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        site.hostListDelay = 3'000;
+        site.run(Duration(500));
+        site.replace("w0", "a0");
+        site.run(Duration(300));
+        submitLongJob(site, "j1", 12);
+        site.addWave(1, {"w0"}, 1);
+        section("the host is not maintained while tasks run on its worker", [&] {
+            site.run(Duration(8'000));
+            EXPECT_TRUE(site.isMaintained("a0"));
+        });
+        expectNothingBroken(site);
+    });
+}
+
+} // namespace radishvane::tests
