Bound the connections of a cell's owner to each worker

Cause: each start of a burst took a connection of its own, 26,604 new ones in 60 s, which were closed after 1.2 s idle; the owner's processor is the limit of its starts a second. Change: at most five calls to one worker are under way, further ones wait in order; a call that waits longer than its timeout was certainly not sent. Test: HttpClient.OpensNoMoreConnectionsToAPeerThanItMay.

--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -16,7 +16,7 @@
     , m_admission(admission)
     , m_controller(cell, host, incarnation, link, times, capacity)
     , m_statistics(clock, tickInterval)
-    , m_http(loop, &m_statistics)
+    , m_http(loop, &m_statistics, mostCallsPerWorker)
     , m_mailbox(loop,
                 [this](Message &&message) {
                     m_statistics.measure(
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http_client.h"
 
+#include "core/base/enum_names.h"
 #include "drivers/http_server.h"
 #include "drivers/one_shot.h"
 #include "tests/support/manual_clock.h"
@@ -10,8 +11,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace radishvane::tests
 {
@@ -161,4 +164,76 @@
     });
 }
 
+TEST(HttpClient, OpensNoMoreConnectionsToAPeerThanItMay)
+{
+    story("a client that may have two calls to a peer under way sends four", [] {
+        drivers::EventLoop loop;
+        drivers::HttpClient client{loop, nullptr, 2};
+        std::vector<std::string> outcomes;
+        const auto send = [&](const std::string &body, Duration timeout) {
+            drivers::HttpCall call;
+            call.endpoint = Endpoint{loopback, port};
+            call.method = drivers::HttpMethod::Post;
+            call.target = "/";
+            call.body = body;
+            call.timeout = timeout;
+            client.send(call, [&outcomes, &loop, body](drivers::HttpOutcome &&outcome) {
+                const auto *failure = std::get_if<drivers::HttpFailure>(&outcome);
+                const std::string how
+                    = failure == nullptr ? "answered" : std::string(enumName(drivers::httpFailureNames, *failure));
+                outcomes.push_back(body + ' ' + how);
+                if (outcomes.size() == 4) {
+                    loop.stop();
+                }
+            });
+        };
+        section("the peer answers: at most two requests are there at a time, and all are answered in order", [&] {
+            std::vector<ExchangeId> held;
+            std::size_t mostHeld = 0;
+            drivers::HttpServer *self = nullptr;
+            drivers::HttpServer server(
+                loop, {},
+                [&](drivers::HttpRequest &&request) {
+                    held.push_back(request.id);
+                    mostHeld = std::max(mostHeld, held.size());
+                    drivers::runOnce(loop, Duration(20), [&] {
+                        self->answer(held.front(), {drivers::httpStatus::ok, {}, {}});
+                        held.erase(held.begin());
+                    });
+                },
+                [](ExchangeId) {});
+            self = &server;
+            ASSERT_TRUE(server.listen({loopback, port}));
+            for (const char *body : {"a", "b", "c", "d"}) {
+                send(body, Duration(3'000));
+            }
+            loop.run();
+            EXPECT_EQ(mostHeld, 2U);
+            EXPECT_EQ(outcomes, (std::vector<std::string>{"a answered", "b answered", "c answered", "d answered"}));
+        });
+    });
+    story("the peer accepts connections and does not answer", [] {
+        const int listener = listenWithoutReader();
+        drivers::EventLoop loop;
+        drivers::HttpClient client{loop, nullptr, 1};
+        std::vector<drivers::HttpFailure> failures;
+        for (const Duration timeout : {Duration(600), Duration(100)}) {
+            drivers::HttpCall call;
+            call.endpoint = Endpoint{loopback, port};
+            call.timeout = timeout;
+            client.send(call, [&](drivers::HttpOutcome &&outcome) {
+                failures.push_back(std::get<drivers::HttpFailure>(outcome));
+                if (failures.size() == 2) {
+                    loop.stop();
+                }
+            });
+        }
+        loop.run();
+        section("a call that waited longer than its timeout is certain not to have been sent", [&] {
+            EXPECT_EQ(failures, (std::vector{drivers::HttpFailure::NotSent, drivers::HttpFailure::TimedOut}));
+        });
+        close(listener);
+    });
+}
+
 } // namespace radishvane::tests
