--- a/core/cells/host_capacity.h
+++ b/core/cells/host_capacity.h
@@ -16,7 +16,7 @@
     /// Part of the resources that the owner of a busy cell needs, from 0 to 1; limited by the scarcer resource.
     double ownerFitness() const
     {
-        // Documented in docs/CAPACITY.md: costs of an owner at the rate of starts of one full cell.
+        // docs/CAPACITY.md works out what an owner needs.
         constexpr double ownerCores = 0.25;
         constexpr double ownerLinkMbps = 100;
         return std::min({1.0, cores / ownerCores, linkMbps / ownerLinkMbps});
