--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -22,7 +22,6 @@
     : m_cell(std::move(cell))
     , m_host(host)
     , m_times(times)
-    , m_capacity(capacity)
     , m_lease(std::move(host), incarnation, std::move(link), capacity)
     , m_handover(m_host, capacity)
     , m_runs(m_outbox, m_writer, times, capacity)
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -27,6 +27,7 @@
     static constexpr std::size_t maxLiveJobs = 4'000;
     /// Recommended delay before a refused caller retries.
     static constexpr Duration retryAfter{1'000};
+    /// Limit of the delay that is recommended when the backlog of starts is long.
     static constexpr Duration maxRetryAfter{30'000};
     /// A caller whose job is not stored after this time receives an answer that its acceptance is in doubt.
     static constexpr Duration storeTimeout{1'200};
@@ -100,7 +101,6 @@
     CellId m_cell;
     HostId m_host;
     CellTimes m_times;
-    HostCapacity m_capacity;
     CellOutbox m_outbox;
     CellLease m_lease;
     CellHandover m_handover;
