Complete tasks whose end is reported after the lease of their worker

Callers saw a task run again although a run of it had ended as done: the worker completed it while its reports were held up, the owner took the lease as expired, then read the end, ignored it and acknowledged it.

Cause: the end of a run that the owner had given up was not taken as a proof, and was forgotten by the worker with the acknowledgement.

Change: such an end completes the task. If the task runs again meanwhile, that run is stopped, and the task is stored as done before the end is acknowledged, so that the next owner does not start it either.

Ruled out: waiting for the report of a worker whose lease has expired; the worker may never answer.

Before: the three new tests of CellWorkers fail ("a start after its end was noted"). After: they pass, with the other tests of cells.

--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -244,17 +244,33 @@
         finish(job, GraphState::Failed, now);
         return EndEffect::JobEnded;
     }
-    if (!task.progress.done) {
-        return EndEffect::TaskWaits;
-    }
+    return task.progress.done ? countDone(id, now) : EndEffect::TaskWaits;
+}
+
+EndEffect JobRegistry::complete(const TaskId &id, RunNumber run, TimePoint now)
+{
+    Step &taskStep = *step(id);
+    Task &task = taskStep.tasks[id.index];
+    task.progress.done = true;
+    task.progress.endedRun = std::max(task.progress.endedRun, run);
+    taskStep.waiting.erase(id.index);
+    return countDone(id, now);
+}
+
+EndEffect JobRegistry::countDone(const TaskId &id, TimePoint now)
+{
+    Job &job = *find(id.job);
     Occurrence &occurrence = job.open.at(id.occurrence);
+    Step &taskStep = occurrence.steps[id.step];
     ++occurrence.tasksDone;
-    if (++taskStep->done == taskStep->tasks.size()) {
+    if (++taskStep.done == taskStep.tasks.size()) {
         ++occurrence.stepsDone;
     }
-    if (occurrence.stepsDone < occurrence.steps.size()) {
-        return EndEffect::TaskDone;
-    }
+    return closeOccurrences(job, now);
+}
+
+EndEffect JobRegistry::closeOccurrences(Job &job, TimePoint now)
+{
     // Occurrences are closed in order, so that firstOpen alone tells which ones are done.
     while (!job.open.empty() && job.open.begin()->first == job.firstOpen
            && job.open.begin()->second.stepsDone == job.open.begin()->second.steps.size()) {
@@ -342,7 +358,8 @@
         for (const Step &step : occurrence.steps) {
             std::vector<TaskProgress> &tasks = progress.emplace_back();
             for (const Task &task : step.tasks) {
-                tasks.push_back(task.progress);
+                TaskProgress &stored = tasks.emplace_back(task.progress);
+                stored.done = stored.done || task.isDoneEarlier;
             }
         }
     }
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -54,6 +54,9 @@
     /// Earlier owners have counted the failures of runs up to this one.
     RunNumber countedRun = 0;
     std::optional<Run> run;
+    /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
+    /// run has ended.
+    bool isDoneEarlier = false;
     /// The task does not start again before this time.
     TimePoint notBefore;
     /// Worker of the last run that failed. Other workers are preferred for the next run.
@@ -147,6 +150,10 @@
     Run &begin(const TaskId &id, Run run);
     /// Ends the task's current run. The job fails when a task reaches @p maxFailures failures.
     EndEffect end(const TaskId &id, RunNumber run, RunEnd how, std::uint32_t maxFailures, TimePoint now);
+    /// Completes a task without a current run, because a run that had been given up turned out to be done.
+    EndEffect complete(const TaskId &id, RunNumber run, TimePoint now);
+    /// Closes the occurrences that are done, and completes the job with the last one.
+    EndEffect closeOccurrences(Job &job, TimePoint now);
     /// Counts the failure of a run that is not the task's current run.
     EndEffect countFailure(const TaskId &id, RunNumber run, std::uint32_t maxFailures, TimePoint now);
     /// Removes a run that never started on its worker, and makes its task wait again.
@@ -166,6 +173,7 @@
 private:
     Step *step(const TaskId &id);
     void requeue(Step &step, const TaskId &id);
+    EndEffect countDone(const TaskId &id, TimePoint now);
 
     struct QueueWork
     {
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -40,7 +40,12 @@
         m_registry.restore(row, now);
     }
     for (const JobId &id : m_registry.live()) {
-        m_registry.openDueOccurrences(*m_registry.find(id), now);
+        Job &job = *m_registry.find(id);
+        m_registry.openDueOccurrences(job, now);
+        // An earlier owner stores a task as done while a run of it is being stopped.
+        if (m_registry.closeOccurrences(job, now.steady) == EndEffect::JobEnded) {
+            m_writer.changeJob(id);
+        }
     }
     observe(entries);
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -102,7 +102,8 @@
     m_outbox.log(CellDecision::TaskEnded, taskName(id), task->run->worker.name(), number,
                  std::string(enumName(runEndNames, how)));
     release(id);
-    const EndEffect effect = m_registry.end(id, number, how, maxFailures(id.job), m_outbox.now.steady);
+    const RunEnd counted = task->isDoneEarlier ? RunEnd::Done : how;
+    const EndEffect effect = m_registry.end(id, number, counted, maxFailures(id.job), m_outbox.now.steady);
     m_planningRequested = true;
     if (how == RunEnd::Done) {
         endGang(id, number);
@@ -121,6 +122,33 @@
     }
 }
 
+void RunLedger::recordEarlierDone(const TaskId &id, RunNumber run)
+{
+    // When one member of a gang is done, the run of all its members is done.
+    for (const TaskId &member : otherGangMembers(id)) {
+        completeEarlier(member, run);
+    }
+    completeEarlier(id, run);
+}
+
+void RunLedger::completeEarlier(const TaskId &id, RunNumber run)
+{
+    Task *task = m_registry.task(id);
+    if (task == nullptr || task->progress.done || task->isDoneEarlier || m_registry.spec(id)->isService
+        || isFinal(m_registry.find(id.job)->state)) {
+        return;
+    }
+    m_outbox.log(CellDecision::TaskEnded, taskName(id), {}, run, "done-earlier");
+    if (task->run) {
+        task->isDoneEarlier = true;
+        m_writer.changeJob(id.job);
+        requestStop(id, "done-earlier");
+        return;
+    }
+    m_planningRequested = true;
+    applyEffect(id, m_registry.complete(id, run, m_outbox.now.steady));
+}
+
 void RunLedger::applyEffect(const TaskId &id, EndEffect effect)
 {
     Job &job = *m_registry.find(id.job);
@@ -137,7 +165,12 @@
 
 void RunLedger::withdrawRun(const TaskId &id)
 {
-    const RunNumber number = m_registry.task(id)->run->number;
+    const Task &task = *m_registry.task(id);
+    if (task.isDoneEarlier) {
+        endRun(id, RunEnd::Stopped);
+        return;
+    }
+    const RunNumber number = task.run->number;
     release(id);
     m_registry.withdraw(id, number);
     m_planningRequested = true;
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -51,6 +51,8 @@
     void endRun(const TaskId &id, RunEnd how);
     /// Counts the failure of a run that was given up or that an earlier owner started.
     void countFailure(const TaskId &id, RunNumber run);
+    /// Records that a run that was given up is done. The task does not start again; its current run is stopped.
+    void recordEarlierDone(const TaskId &id, RunNumber run);
     /// Removes the task's current run, which never started on its worker.
     void withdrawRun(const TaskId &id);
     /// Requests the stop of the task's current run.
@@ -72,6 +74,7 @@
 private:
     std::vector<TaskId> otherGangMembers(const TaskId &id) const;
     void endGang(const TaskId &id, RunNumber number);
+    void completeEarlier(const TaskId &id, RunNumber run);
     /// Stores the changes of a job after the end of a run, and stops the other runs of a job that has ended.
     void applyEffect(const TaskId &id, EndEffect effect);
     std::uint32_t maxFailures(const JobId &id) const;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -131,34 +131,55 @@
 void WorkerLeaseController::applyEnded(Worker &worker, const LeaseRenewalReport &report)
 {
     for (const EndedRow &row : report.ended) {
-        if (row.number <= worker.processed) {
-            continue;
-        }
-        worker.processed = row.number;
-        Task *task = m_registry.task(row.task);
-        const bool isInherited = task != nullptr && !task->run && !task->progress.done
-            && row.run > task->progress.endedRun && m_registry.find(row.task.job)->inherited;
-        if (isInherited) {
-            // An earlier owner started the run, and it ended before this owner saw it active.
-            m_runs.allocate(worker, row.task);
-            Run run;
-            run.number = row.run;
-            run.worker = worker.id;
-            run.phase = RunPhase::Running;
-            m_registry.begin(row.task, std::move(run));
-            task = m_registry.task(row.task);
-        }
-        if (task == nullptr || !task->run || task->run->number != row.run || task->run->worker != worker.id) {
-            if (task != nullptr && row.how == RunEnd::Failed) {
-                m_runs.countFailure(row.task, row.run);
-            }
-            continue;
+        if (row.number > worker.processed) {
+            worker.processed = row.number;
+            applyEnd(worker, row);
         }
-        if (!row.checkpoint.empty()) {
-            task->progress.checkpoint = row.checkpoint;
-        }
-        m_runs.recordOutcome(worker, row.how);
-        m_runs.endRun(row.task, row.how);
+    }
+}
+
+void WorkerLeaseController::applyEnd(Worker &worker, const EndedRow &row)
+{
+    Task *task = m_registry.task(row.task);
+    if (task == nullptr) {
+        return;
+    }
+    const bool isInherited = !task->run && !task->progress.done && row.run > task->progress.endedRun
+        && m_registry.find(row.task.job)->inherited;
+    if (isInherited) {
+        // An earlier owner started the run, and it ended before this owner saw it active.
+        m_runs.allocate(worker, row.task);
+        Run run;
+        run.number = row.run;
+        run.worker = worker.id;
+        run.phase = RunPhase::Running;
+        m_registry.begin(row.task, std::move(run));
+    }
+    if (!task->run || task->run->number != row.run || task->run->worker != worker.id) {
+        applyEarlierEnd(row);
+        return;
+    }
+    if (!row.checkpoint.empty()) {
+        task->progress.checkpoint = row.checkpoint;
+    }
+    m_runs.recordOutcome(worker, row.how);
+    m_runs.endRun(row.task, row.how);
+}
+
+void WorkerLeaseController::applyEarlierEnd(const EndedRow &row)
+{
+    switch (row.how) {
+    case RunEnd::Done:
+        m_runs.recordEarlierDone(row.task, row.run);
+        return;
+    case RunEnd::Failed:
+        m_runs.countFailure(row.task, row.run);
+        return;
+    case RunEnd::Stopped:
+    case RunEnd::LeaseExpired:
+    case RunEnd::GangBroken:
+    case RunEnd::GangIncomplete:
+        return;
     }
 }
 
--- a/core/cells/worker_lease_controller.h
+++ b/core/cells/worker_lease_controller.h
@@ -46,6 +46,9 @@
 private:
     void sendRenewal(Worker &worker);
     void applyEnded(Worker &worker, const LeaseRenewalReport &report);
+    void applyEnd(Worker &worker, const EndedRow &row);
+    /// Records the end of a run that is not the current run of its task.
+    void applyEarlierEnd(const EndedRow &row);
     void applyRunning(Worker &worker, const LeaseRenewalReport &report, TimePoint sent);
     void endUnlistedRuns(Worker &worker, const LeaseRenewalReport &report, TimePoint sent);
     bool adopt(Worker &worker, const RunningRow &row);
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -8,6 +8,27 @@
 
 using namespace cells;
 
+namespace
+{
+
+/// Runs a task whose worker becomes unreachable before the task is done, until the task runs again.
+/// @return the workers of the first and of the second run.
+std::pair<std::string, std::string> runAgainAfterLostLease(CellSite &site, const std::string &job)
+{
+    site.durations[JobId(job)] = 4'000;
+    site.submit(site.owner(), job, "plans", graphOf(1, 1, 1'000, Duration(4'000)));
+    site.run(Duration(2'000));
+    const std::string first = site.runningOn("w0") > 0 ? "w0" : "w1";
+    const std::string second = first == "w0" ? "w1" : "w0";
+    site.worker(first).cut = true;
+    site.durations[JobId(job)] = 60'000;
+    site.run(Duration(10'000));
+    EXPECT_EQ(site.runningOn(second), 1);
+    return {first, second};
+}
+
+} // namespace
+
 TEST(CellWorkers, LoseTasksWhenTheLeaseExpires)
 {
     story("a worker becomes unreachable while it runs tasks", [] {
@@ -33,6 +54,70 @@
     });
 }
 
+TEST(CellWorkers, CompleteATaskWhoseEndIsReportedAfterTheLeaseHasExpired)
+{
+    story("a worker becomes unreachable, completes its task, and its lease expires", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.durations[JobId("j1")] = 4'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(4'000)));
+        site.run(Duration(2'000));
+        ASSERT_EQ(site.runningOn("w0"), 1);
+        site.worker("w0").cut = true;
+        site.run(Duration(10'000));
+        ASSERT_EQ(site.state("j1"), GraphState::Running);
+        section("the task does not run again when the worker reports its end", [&] {
+            site.worker("w0").cut = false;
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runs("j1"), 1);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, CompleteATaskThatRunsAgainElsewhere)
+{
+    story("a task runs again after the lease of its first worker has expired", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        const auto [first, second] = runAgainAfterLostLease(site, "j1");
+        section("the first worker reports that the task is done while the second one is unreachable", [&] {
+            site.worker(second).cut = true;
+            site.worker(first).cut = false;
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.runs("j1"), 2);
+        });
+        section("the next owner knows the end, and the task does not run a third time", [&] {
+            const std::string next = other(site);
+            site.kill(site.owner());
+            site.run(Duration(4'000));
+            ASSERT_EQ(site.owner(), next);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            site.worker(second).cut = false;
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("j1"), 2);
+            EXPECT_EQ(site.runningOn(second), 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, StopARunOfATaskThatIsDone)
+{
+    story("a task runs again, and then the end of its first run is reported", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        const auto [first, second] = runAgainAfterLostLease(site, "j1");
+        site.worker(first).cut = false;
+        site.run(Duration(3'000));
+        EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        EXPECT_EQ(site.runningOn(second), 0);
+        EXPECT_EQ(site.runs("j1"), 2);
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellWorkers, KeepTheirLeaseDeadlineWhenQueriesAreNotSent)
 {
     story("a worker was granted a lease, and later queries cannot be sent", [] {
