Keep runs that a restarted worker may have started

Callers saw a task run twice at the same time: a worker restarted under its id, and got a start order before the owner knew. The new incarnation carried the order out; the owner then took the restart as the end of all runs that it had ordered there, and started the task elsewhere.

Cause: a restart was taken as a proof about orders that were sent after it, and its time was not compared with the last list of the former incarnation. A new owner also took a recorded worker that had restarted as having nothing to ask it for.

Change: a run that no list of the former incarnation has shown stays in doubt until the new one lists it, or has accepted a stop of it and then does not list it. A restart does not end the wait of a new owner for a recorded worker.

Evidence: CellOverload.KeepsTheRulesUnderAllDisturbances, "two runs at a time: j21.0.0.0 run 2 at 15344 on spare0, also on f1". Before: CellWorkers.ThatHaveRestartedMayRunOrdersForTheirFormerIncarnation and CellOwner.WaitsForARecordedWorkerThatHasRestarted fail with two runs at a time. After: they pass.

--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -41,6 +41,10 @@
     TimePoint listedAt;
     bool stopRequested = false;
     bool stopAccepted = false;
+    TimePoint stopAcceptedAt;
+    /// The worker restarted after the order was sent. Its new incarnation may carry out the order until it has accepted
+    /// a stop of the run, since the order's deadline refers to the former clock.
+    bool hasWorkerRestarted = false;
     /// The pending stop call; 0 when there is none.
     CallId stop;
     TimePoint stopNotBefore;
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -264,12 +264,39 @@
 {
     m_outbox.log(CellDecision::WorkerRestarted, worker.id.name(), worker.pool.name(),
                  static_cast<std::uint64_t>(startedAtMs));
+    const std::set<TaskId> unlisted = unlistedTasks(worker);
+    for (const TaskId &id : unlisted) {
+        worker.tasks.erase(id);
+    }
     endAllRuns(worker, CellDecision::WorkerRestarted);
     m_roster.beginIncarnation(worker, startedAtMs);
+    worker.tasks = unlisted;
+    for (const TaskId &id : unlisted) {
+        Run &run = *m_registry.task(id)->run;
+        run.phase = RunPhase::InDoubt;
+        run.hasWorkerRestarted = true;
+        run.stopRequested = false;
+        run.stopAccepted = false;
+        run.stop = CallId{};
+        worker.settledAt = m_outbox.now.steady + restartSettleTime;
+        m_outbox.log(CellDecision::OrderInDoubt, taskName(id), worker.id.name(), run.number, "worker-restarted");
+    }
     worker.recorded = false;
     m_writer.changeRoster();
 }
 
+std::set<TaskId> RunLedger::unlistedTasks(const Worker &worker)
+{
+    std::set<TaskId> tasks;
+    for (const TaskId &id : worker.tasks) {
+        const Task *task = m_registry.task(id);
+        if (task != nullptr && task->run && task->run->listedAt == TimePoint{}) {
+            tasks.insert(id);
+        }
+    }
+    return tasks;
+}
+
 void RunLedger::clearForeign(Worker &worker)
 {
     for (const auto &[task, usage] : worker.foreignTasks) {
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -27,6 +27,9 @@
     static constexpr Duration avoidanceTime{3'000};
     /// At most one in this many workers of a pool is avoided at the same time.
     static constexpr std::size_t workersPerAvoided = 3;
+    /// Time after a restart of a worker until orders to its former incarnation have certainly lost their effect: they
+    /// may be carried out seconds late, and then bring a lease.
+    static constexpr Duration restartSettleTime{20'000};
 
     RunLedger(CellOutbox &outbox, CellWriter &writer);
 
@@ -61,7 +64,8 @@
     void jobEnded(const JobId &id, const std::string &reason);
     void stopGang(const TaskId &id, const std::string &reason);
 
-    /// Ends all runs of the previous incarnation of a worker and begins a new one.
+    /// Ends all runs of the previous incarnation of a worker and begins a new one, which may have received the orders
+    /// of runs that the previous one never listed.
     void endIncarnation(Worker &worker, std::int64_t startedAtMs);
     /// Ends all runs on a worker whose lease has expired or which is lost.
     void endAllRuns(Worker &worker, CellDecision why);
@@ -73,6 +77,8 @@
 
 private:
     std::vector<TaskId> otherGangMembers(const TaskId &id) const;
+    /// Returns the tasks on a worker that no list of the worker has shown.
+    std::set<TaskId> unlistedTasks(const Worker &worker);
     void endGang(const TaskId &id, RunNumber number);
     void completeEarlier(const TaskId &id, RunNumber run);
     /// Stores the changes of a job after the end of a run, and stops the other runs of a job that has ended.
--- a/core/cells/stop_controller.cpp
+++ b/core/cells/stop_controller.cpp
@@ -80,6 +80,7 @@
         return;
     }
     run.stopAccepted = true;
+    run.stopAcceptedAt = m_outbox.now.steady;
 }
 
 void StopController::drainWorkers()
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -205,6 +205,7 @@
             continue;
         }
         Run &run = *task->run;
+        run.hasWorkerRestarted = false;
         if (run.phase != RunPhase::Running) {
             run.phase = RunPhase::Running;
             run.confirmedAt = sent;
@@ -240,6 +241,7 @@
     run.phase = RunPhase::Running;
     run.confirmedAt = m_outbox.now.steady;
     run.progressAt = m_outbox.now.steady;
+    run.listedAt = m_outbox.now.steady;
     run.percent = row.percent;
     m_registry.begin(row.task, std::move(run));
     // No owner grants a longer lease.
@@ -258,13 +260,20 @@
     }
     std::vector<TaskId> neverStarted;
     std::vector<TaskId> lost;
+    std::vector<TaskId> unstopped;
     for (const TaskId &id : worker.tasks) {
         const Task *task = m_registry.task(id);
         if (listed.count(id) > 0 || task == nullptr || !task->run) {
             continue;
         }
         const Run &run = *task->run;
-        if (run.phase == RunPhase::InDoubt && report.clock > run.startDeadline) {
+        if (run.hasWorkerRestarted) {
+            if (run.stopAccepted && run.stopAcceptedAt < sent) {
+                neverStarted.push_back(id);
+            } else {
+                unstopped.push_back(id);
+            }
+        } else if (run.phase == RunPhase::InDoubt && report.clock > run.startDeadline) {
             neverStarted.push_back(id);
         } else if (run.phase == RunPhase::Running && run.confirmedAt < sent) {
             lost.push_back(id);
@@ -273,6 +282,9 @@
     for (const TaskId &id : neverStarted) {
         m_runs.withdrawRun(id);
     }
+    for (const TaskId &id : unstopped) {
+        m_runs.requestStop(id, "worker-restarted");
+    }
     for (const TaskId &id : lost) {
         m_outbox.log(CellDecision::TaskEnded, taskName(id), worker.id.name(), 0, "not-listed");
         m_runs.endRun(id, RunEnd::LeaseExpired);
@@ -315,7 +327,7 @@
 {
     const TimePoint now = m_outbox.now.steady;
     for (auto &[id, worker] : m_roster.all()) {
-        if (worker.fenced && !worker.tasks.empty() && worker.hasLeaseExpired(now)) {
+        if (!worker.tasks.empty() && worker.hasLeaseExpired(now)) {
             m_runs.endAllRuns(worker, CellDecision::WorkerLost);
         }
         if (worker.recorded && worker.holdsNoLease(now)) {
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -68,7 +68,7 @@
 
 bool Worker::hasLeaseExpired(TimePoint now) const
 {
-    return now >= inheritedUntil && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
+    return now >= inheritedUntil && now >= settledAt && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
 }
 
 bool Worker::holdsNoLease(TimePoint now) const
@@ -234,7 +234,6 @@
     worker.clock = 0;
     worker.clockAt = TimePoint{};
     worker.leaseDeadline = 0;
-    worker.inheritedUntil = TimePoint{};
     worker.processed = 0;
     worker.stored = 0;
     worker.acknowledged = 0;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -47,6 +47,8 @@
     std::int64_t previousDeadline = 0;
     /// All runs that an earlier owner started on the worker have ended by this time.
     TimePoint inheritedUntil;
+    /// Orders that were sent to the former incarnation have lost their effect by this time.
+    TimePoint settledAt;
 
     /// The pending lease renewal; 0 if none.
     CallId renewal;
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -117,6 +117,62 @@
     });
 }
 
+TEST(CellWorkers, ThatHaveRestartedMayRunOrdersForTheirFormerIncarnation)
+{
+    story("a worker restarts under the same id, and gets a start order before discovery lists the new incarnation", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(1'010));
+        section("the order arrives: the task does not start again", [&] {
+            site.durations[JobId("j1")] = 2'000;
+            site.crash("w0");
+            site.revive("w0");
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(2'000)));
+            site.run(Duration(30));
+            site.addWorker("w1", "looms", 8'000);
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("j1"), 1);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        section("the order is lost: the task starts when the worker has accepted a stop of the lost run", [&] {
+            site.worker("w1").listed = false;
+            site.crash("w1");
+            site.run(Duration(12'000));
+            site.crash("w0");
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(30));
+            site.revive("w0");
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("j2"), 1);
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, WaitsForARecordedWorkerThatHasRestarted)
+{
+    story("a worker restarts and runs an order for its former incarnation, and the owner crashes", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(1'010));
+        site.durations[JobId("j1")] = 20'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+        site.run(Duration(30));
+        ASSERT_EQ(site.runs("j1"), 1);
+        site.addWorker("w1", "looms", 8'000);
+        site.kill(site.owner());
+        site.worker("w0").cut = true;
+        section("the next owner starts the task elsewhere only after the lease has expired", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
 {
     story("a host has started another worker while discovery still lists the former one, which was idle", [] {
