Give the two tests of the HTTP client ports of their own

HttpClient.OpensNoMoreConnectionsToAPeerThanItMay failed once in the whole check ("server.listen: false"): CTest runs it beside the other test of the client, which listened on the same port. The tests are otherwise as they were.

--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -27,10 +27,12 @@
 using drivers::PeerKind;
 
 constexpr auto loopback = "127.0.0.1";
-constexpr std::uint16_t port = 21'610;
+// Tests run at the same time, so each has a port of its own.
+constexpr std::uint16_t countedPort = 21'610;
+constexpr std::uint16_t limitedPort = 21'611;
 
 /// A listening socket that no process accepts from: the kernel takes connections, and nobody reads.
-int listenWithoutReader()
+int listenWithoutReader(std::uint16_t port)
 {
     const int listener = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
@@ -56,7 +58,7 @@
     void send(const std::string &body, Duration timeout, Duration answerDelay = Duration{0})
     {
         drivers::HttpCall call;
-        call.endpoint = Endpoint{loopback, port};
+        call.endpoint = Endpoint{loopback, countedPort};
         call.method = drivers::HttpMethod::Post;
         call.target = "/";
         call.body = body;
@@ -95,7 +97,7 @@
             },
             [](ExchangeId) {});
         self = &server;
-        ASSERT_TRUE(server.listen({loopback, port}));
+        ASSERT_TRUE(server.listen({loopback, countedPort}));
         section("a call waits as long as its connection is not made", [&] {
             counted.send("question", Duration(3'000));
             counted.clock.advance(Duration(40));
@@ -140,7 +142,7 @@
         });
     });
     story("a peer that does not read", [] {
-        const int listener = listenWithoutReader();
+        const int listener = listenWithoutReader(countedPort);
         CountedClient counted;
         constexpr std::size_t bodySize = 32 << 20;
         counted.send(std::string(bodySize, 'x'), Duration(400));
@@ -172,7 +174,7 @@
         std::vector<std::string> outcomes;
         const auto send = [&](const std::string &body, Duration timeout) {
             drivers::HttpCall call;
-            call.endpoint = Endpoint{loopback, port};
+            call.endpoint = Endpoint{loopback, limitedPort};
             call.method = drivers::HttpMethod::Post;
             call.target = "/";
             call.body = body;
@@ -203,7 +205,7 @@
                 },
                 [](ExchangeId) {});
             self = &server;
-            ASSERT_TRUE(server.listen({loopback, port}));
+            ASSERT_TRUE(server.listen({loopback, limitedPort}));
             for (const char *body : {"a", "b", "c", "d"}) {
                 send(body, Duration(3'000));
             }
@@ -213,13 +215,13 @@
         });
     });
     story("the peer accepts connections and does not answer", [] {
-        const int listener = listenWithoutReader();
+        const int listener = listenWithoutReader(limitedPort);
         drivers::EventLoop loop;
         drivers::HttpClient client{loop, nullptr, 1};
         std::vector<drivers::HttpFailure> failures;
         for (const Duration timeout : {Duration(600), Duration(100)}) {
             drivers::HttpCall call;
-            call.endpoint = Endpoint{loopback, port};
+            call.endpoint = Endpoint{loopback, limitedPort};
             call.timeout = timeout;
             client.send(call, [&](drivers::HttpOutcome &&outcome) {
                 failures.push_back(std::get<drivers::HttpFailure>(outcome));
