Count what unknown runs of an earlier owner may use against the ceilings

Callers saw: after a change of owner a team ran more than its ceiling (rule QUOTA). A job that the new owner accepted itself started at once, while a recorded worker that did not answer still ran tasks of the same team.

Cause: the ledger of the teams contains known runs only. Inherited jobs wait until every recorded worker is reconciled, jobs accepted since do not.

Change: while a worker is not reconciled, each planning pass reserves for a team with a ceiling the needs of its inherited tasks without a known run, at most what the workers that are not reconciled can hold (unlimited if one of them is not in discovery). A step counts unless a run of a step before it is known, since the end of the step before may be unknown as well. The bound falls as workers answer or their leases expire. Processor of best-effort tasks is not bounded by the workers, since they reserve none.

Two new stories fail without the bound, and with a reservation that does not end.

--- /dev/null
+++ b/core/cells/inherited_usage.cpp
@@ -0,0 +1,100 @@
+#include "core/cells/inherited_usage.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace radishvane::cells
+{
+
+namespace
+{
+
+/// Usage of a team's tasks, split by whether the capacity of a worker limits it.
+struct Usage
+{
+    Resources reserved;
+    /// Processor of best-effort tasks, which counts against the ceiling and reserves nothing on the worker.
+    std::uint64_t bestEffortCpu = 0;
+};
+
+bool hasCeiling(const SiteConfig &config, const TeamId &team)
+{
+    const auto known = config.teams.find(team);
+    return known != config.teams.end() && !(known->second.ceiling == Resources{});
+}
+
+/// Capacity of the workers that are not reconciled; empty if that of one of them is unknown.
+std::optional<Resources> unreconciledRoom(const WorkerRoster &roster, TimePoint now)
+{
+    Resources room;
+    for (const auto &[id, worker] : roster.all()) {
+        if (worker.isReconciled(now)) {
+            continue;
+        }
+        if (!worker.entry) {
+            return std::nullopt;
+        }
+        room += worker.room();
+    }
+    return room;
+}
+
+/// Whether an earlier owner may have started the step. The ends of the steps before it may be unknown, unless a run of
+/// them is known.
+bool mayHaveStarted(const Occurrence &occurrence, const StepSpec &spec)
+{
+    return std::all_of(spec.after.begin(), spec.after.end(),
+                       [&](std::uint32_t earlier) { return occurrence.steps[earlier].onWorker.empty(); });
+}
+
+void addUsage(Usage &usage, const StepSpec &spec, std::uint64_t tasks)
+{
+    const Resources reserved = spec.reserved();
+    usage.reserved += Resources{reserved.cpu * tasks, reserved.memoryMb * tasks, reserved.accelerators * tasks};
+    usage.bestEffortCpu += spec.bestEffort ? spec.needs.cpu * tasks : 0;
+}
+
+void addUnknownRuns(Usage &usage, const Job &job)
+{
+    for (const auto &[number, occurrence] : job.open) {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
+            const StepSpec &spec = job.row.spec.steps[index];
+            if (mayHaveStarted(occurrence, spec)) {
+                addUsage(usage, spec, occurrence.steps[index].waiting.size());
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::map<TeamId, Resources> inheritedUsage(const JobRegistry &registry, const WorkerRoster &roster,
+                                           const SiteConfig &config, TimePoint now)
+{
+    std::map<TeamId, Resources> result;
+    const bool isAnyLimited = std::any_of(config.teams.begin(), config.teams.end(),
+                                          [&config](const auto &team) { return hasCeiling(config, team.first); });
+    if (!isAnyLimited || !roster.hasUnreconciledWorker(now)) {
+        return result;
+    }
+    std::map<TeamId, Usage> usages;
+    for (const JobId &id : registry.live()) {
+        const Job &job = *registry.find(id);
+        if (job.inherited && hasCeiling(config, job.row.team)) {
+            addUnknownRuns(usages[job.row.team], job);
+        }
+    }
+    const std::optional<Resources> room = unreconciledRoom(roster, now);
+    for (const auto &[team, usage] : usages) {
+        Resources &bound = result[team];
+        bound = usage.reserved;
+        if (room) {
+            bound = Resources{std::min(bound.cpu, room->cpu), std::min(bound.memoryMb, room->memoryMb),
+                              std::min(bound.accelerators, room->accelerators)};
+        }
+        bound.cpu += usage.bestEffortCpu;
+    }
+    return result;
+}
+
+} // namespace radishvane::cells
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/run_ledger.h"
 
 #include "core/base/enum_names.h"
+#include "core/cells/inherited_usage.h"
 
 #include <algorithm>
 #include <utility>
@@ -43,6 +44,11 @@
     return m_teams;
 }
 
+void RunLedger::reserveInheritedUsage(const SiteConfig &config)
+{
+    m_teams.reserve(inheritedUsage(m_registry, m_roster, config, m_outbox.now.steady));
+}
+
 std::set<TaskId> &RunLedger::pendingStops()
 {
     return m_pendingStops;
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -37,6 +37,8 @@
     JobRegistry &registry();
     WorkerRoster &roster();
     const TeamLedger &teams() const;
+    /// Reserves what the teams may use in unknown runs of earlier owners, until the next call.
+    void reserveInheritedUsage(const SiteConfig &config);
     /// Runs for which a stop was requested and not yet accepted by the worker.
     std::set<TaskId> &pendingStops();
 
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -77,6 +77,7 @@
     m_nextPlan = now + Duration(m_registry.live().size() / jobsPerMillisecond);
     CandidateWorkers candidates(m_roster, now);
     const bool mayStartInherited = !m_roster.hasUnreconciledWorker(now);
+    m_runs.reserveInheritedUsage(config);
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
         const Job &job = *m_registry.find(ready.job);
--- /dev/null
+++ b/tests/core/cells/inherited_usage_test.cpp
@@ -0,0 +1,99 @@
+#include "tests/support/cell_stories.h"
+#include "tests/support/story.h"
+
+#include <gtest/gtest.h>
+
+namespace radishvane::tests
+{
+
+using namespace cells;
+
+namespace
+{
+
+constexpr std::uint32_t waitingTasks = 40;
+
+/// The owner crashes while the only worker, which has @p cpu, runs tasks of a job with many more and does not answer
+/// the next owner. A worker with more capacity than all teams may use joins.
+void takeOverWithoutTheWorker(CellSite &site, std::uint64_t cpu)
+{
+    site.addQueue("plans", "looms");
+    site.addWorker("w0", "looms", cpu);
+    site.addNode("a");
+    site.addNode("b");
+    site.run(Duration(2'000));
+    site.durations[JobId("j1")] = 60'000;
+    site.submit(site.owner(), "j1", "plans", graphOf(1, waitingTasks, 1'000, Duration(60'000)), "dyers");
+    site.run(Duration(2'000));
+    ASSERT_EQ(site.runningOn("w0"), cpu / 1'000);
+    const std::string second = other(site);
+    site.worker("w0").cut = true;
+    site.kill(site.owner());
+    for (int waited = 0; waited < 10'000 && site.owner() != second; waited += 20) {
+        site.run(Duration(20));
+    }
+    ASSERT_EQ(site.owner(), second);
+    site.addWorker("w1", "looms", 100'000);
+    site.run(Duration(600));
+}
+
+} // namespace
+
+TEST(CellTeams, AreHeldUpByNoMoreThanTheWorkersThatDoNotAnswerCanHold)
+{
+    story("a small worker does not answer the next owner, and many tasks of a team have no known run", [] {
+        CellSite site;
+        site.addTeam("dyers", 10'000);
+        takeOverWithoutTheWorker(site, 2'000);
+        site.durations[JobId("j2")] = 60'000;
+        site.submit(site.owner(), "j2", "plans", graphOf(1, 40, 1'000, Duration(60'000)), "dyers");
+        site.run(Duration(500));
+        section("a new job of the team uses the rest of the ceiling", [&] { EXPECT_EQ(site.runningOn("w1"), 8); });
+        expectNothingBroken(site);
+    });
+    story("a worker with capacity for the whole ceiling does not answer the next owner", [] {
+        CellSite site;
+        site.addTeam("dyers", 4'000);
+        takeOverWithoutTheWorker(site, 4'000);
+        section("jobs of other teams start at once", [&] {
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "weavers");
+            site.run(Duration(500));
+            EXPECT_EQ(site.runs("j2"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellTeams, RegainTheirCeilingWhenAWorkerOfTheFormerOwnerAnswersOrItsLeasesExpire)
+{
+    const auto begin = [](CellSite &site) {
+        site.addTeam("dyers", 4'000);
+        takeOverWithoutTheWorker(site, 4'000);
+        site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
+        site.run(Duration(500));
+        ASSERT_EQ(site.runningOn("w1"), 0);
+    };
+    story("a worker whose tasks have ended answers the next owner after a while", [&] {
+        CellSite site;
+        begin(site);
+        site.crash("w0");
+        site.revive("w0");
+        site.worker("w0").cut = false;
+        section("the team's jobs start", [&] {
+            site.run(Duration(1'500));
+            EXPECT_EQ(site.runningOn("w0") + site.runningOn("w1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+    story("a worker does not answer the next owner until its leases have expired", [&] {
+        CellSite site;
+        begin(site);
+        section("the team's jobs start", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 4);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+} // namespace radishvane::tests
