Fence hosts that an earlier owner has ordered before tasks start there

What callers saw: tasks of the present owner were ended by an order of an earlier one. The list of ends on that worker was lost with it, so that a task ran again whose end had been noted (TWICE), and a wave took more hosts down than it may (AVAIL).

Cause: an order for a host (MoveHost, MaintainHost) may be carried out seconds after it was sent. The next owner did not know of it, started tasks on the host, or counted the host as up. The same owner forgot an order without an answer when the repeated one was refused.

Change: the row "host-orders" of the cell names the hosts with orders under way. It is written before an order is sent; the end of an order is written with the next transaction, whatever causes it. A new owner reads the row. The hosts there get no new tasks and count as down for waves until the owner has fenced them with a move to the pool in which they are, under a token of its epoch, and has a newer list of hosts. The same holds for an owner's own orders without an answer. The model of a site no longer excepts orders of former owners from its check for moves of hosts with tasks.

Alternatives: fencing every host at each takeover takes seconds at the rate that the host service accepts; orders for hosts have no deadline.

Evidence: CellOverload.KeepsTheRulesUnderAllDisturbances, 150 cases.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -75,10 +75,11 @@
         }
     } else if (!isGivingUp() && isTick) {
         m_hosts.advance(m_runs.registry(), *m_config, m_runs.roster(), m_lease.isValid(now));
-        m_runs.cordon(m_hosts.cordoned(m_runs.roster()));
+        cordonHosts();
         m_runs.advance(*m_config, m_lease.isValid(now));
         dropExpiredJobs();
     } else if (!isGivingUp()) {
+        m_hosts.sendStored(m_lease.isValid(now));
         m_runs.advanceStarts(*m_config, m_lease.isValid(now));
     }
     answerTimedOutCallers();
@@ -112,6 +113,12 @@
     }
 }
 
+void CellController::cordonHosts()
+{
+    m_runs.cordon(m_hosts.cordoned(m_runs.roster()));
+    m_runs.withholdTasks(m_hosts.hostsWithOrders());
+}
+
 bool CellController::isGivingUp() const
 {
     return m_isStopping || m_release != Release::None;
@@ -241,6 +248,9 @@
         m_release = Release::None;
     }
     m_runs.stored(done);
+    if (transaction.hostOrders) {
+        m_hosts.stored(*transaction.hostOrders);
+    }
 }
 
 void CellController::onConflict(const CellWritten &event)
@@ -267,8 +277,9 @@
         applyConfig(job);
     }
     m_hosts.restoreForecast(m_runs.registry(), *m_config);
-    m_hosts.restore(event.contents->waves);
+    m_hosts.restore(event.contents->waves, event.contents->hostOrders);
     m_hosts.observe(m_knownWaves);
+    cordonHosts();
     m_isRebuilt = true;
     m_outbox.add(CellRebuilt{m_outbox.now.steady - m_activatedAt, event.contents->jobs.size(), event.bytes});
     m_outbox.log(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
@@ -327,7 +338,7 @@
     m_entries = event.workers;
     if (m_isActive && m_isRebuilt) {
         m_runs.observe(m_entries);
-        m_runs.cordon(m_hosts.cordoned(m_runs.roster()));
+        cordonHosts();
     }
 }
 
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -87,6 +87,8 @@
     void advanceWrites();
     void dropExpiredJobs();
     void answerTimedOutCallers();
+    /// Keeps new tasks off the hosts that are about to be moved or maintained.
+    void cordonHosts();
     void activate();
     void deactivate(CellDecision decision, const std::string &reason);
     void write(CellTransaction transaction);
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -435,16 +435,17 @@
     WorkerAvoided,
     HostMaintained,
     HostMoved,
+    HostFenced,
     WaveCompleted,
     StoreWriteFailed,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 19> cellDecisionNames{
-    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt",       "job-accepted",
-    "job-refused",     "job-ended",       "task-started",       "task-ended",         "task-stopped",
-    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",        "worker-avoided",
-    "host-maintained", "host-moved",      "wave-completed",     "store-write-failed",
+inline constexpr std::array<std::string_view, 20> cellDecisionNames{
+    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt",   "job-accepted",
+    "job-refused",     "job-ended",       "task-started",       "task-ended",     "task-stopped",
+    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",    "worker-avoided",
+    "host-maintained", "host-moved",      "host-fenced",        "wave-completed", "store-write-failed",
 };
 
 /// Log entry for one decision, with its subject and reason.
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -79,6 +79,12 @@
     std::vector<KnownWorker> workers;
 };
 
+/// Hosts with orders that may still be carried out. A host is stored here before an order for it is sent.
+struct HostOrdersRow
+{
+    std::vector<HostId> hosts;
+};
+
 /// Progress of a maintenance wave: the hosts whose maintenance orders were accepted.
 struct WaveRow
 {
@@ -98,6 +104,7 @@
     std::vector<ProgressRow> progress;
     std::optional<RosterRow> roster;
     std::vector<WaveRow> waves;
+    std::optional<HostOrdersRow> hostOrders;
     /// Jobs whose rows are deleted.
     std::vector<JobId> deletedJobs;
 };
@@ -109,6 +116,8 @@
     std::vector<ProgressRow> progress;
     RosterRow roster;
     std::vector<WaveRow> waves;
+    /// Empty if the row does not exist.
+    HostOrdersRow hostOrders;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -1,5 +1,7 @@
 #include "core/cells/cell_writer.h"
 
+#include <utility>
+
 namespace radishvane::cells
 {
 
@@ -51,6 +53,12 @@
     m_waves[wave.number] = wave;
 }
 
+void CellWriter::changeHostOrders(HostOrdersRow row, Urgency urgency)
+{
+    m_hostOrders = std::move(row);
+    m_areHostOrdersUrgent = m_areHostOrdersUrgent || urgency == Urgency::Now;
+}
+
 void CellWriter::requireOwner()
 {
     m_isOwnerRequired = true;
@@ -58,8 +66,8 @@
 
 bool CellWriter::hasWork() const
 {
-    return m_isRosterChanged || m_isOwnerRequired || !m_newJobs.empty() || !m_changedJobs.empty()
-        || !m_droppedJobs.empty() || !m_waves.empty();
+    return m_isRosterChanged || m_isOwnerRequired || m_areHostOrdersUrgent || !m_newJobs.empty()
+        || !m_changedJobs.empty() || !m_droppedJobs.empty() || !m_waves.empty();
 }
 
 const std::optional<CellWriter::Pending> &CellWriter::pending() const
@@ -87,6 +95,8 @@
         transaction.roster = roster.row(now);
         m_isRosterChanged = false;
     }
+    transaction.hostOrders = std::exchange(m_hostOrders, std::nullopt);
+    m_areHostOrdersUrgent = false;
     for (const auto &[number, wave] : m_waves) {
         transaction.waves.push_back(wave);
     }
@@ -162,6 +172,10 @@
     for (const WaveRow &wave : transaction.waves) {
         m_waves.try_emplace(wave.number, wave);
     }
+    if (transaction.hostOrders) {
+        m_hostOrders = m_hostOrders ? m_hostOrders : transaction.hostOrders;
+        m_areHostOrdersUrgent = true;
+    }
     m_isRosterChanged = m_isRosterChanged || transaction.roster.has_value();
     m_isOwnerRequired = true;
     m_notBefore = now + retryPause;
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -28,6 +28,13 @@
     /// Pause after a write that the store refused or left unanswered.
     static constexpr Duration retryPause{80};
 
+    /// When a change has to be stored.
+    enum class Urgency {
+        Now,
+        /// In the next transaction, whatever causes it.
+        WithNextWrite,
+    };
+
     /// For each worker the incarnation and the number of an ended run; the ends up to this one are stored.
     using Ends = std::map<WorkerId, std::pair<std::int64_t, std::uint64_t>>;
 
@@ -47,6 +54,7 @@
     void dropJob(const JobId &job);
     void changeRoster();
     void changeWave(const WaveRow &wave);
+    void changeHostOrders(HostOrdersRow row, Urgency urgency);
     /// Includes the owner's row in the next transaction, so that the store cannot execute an earlier one after it.
     void requireOwner();
 
@@ -79,6 +87,8 @@
     JobQueue m_changedJobs;
     JobQueue m_droppedJobs;
     std::map<std::uint64_t, WaveRow> m_waves;
+    std::optional<HostOrdersRow> m_hostOrders;
+    bool m_areHostOrdersUrgent = false;
     bool m_isRosterChanged = false;
     bool m_isOwnerRequired = false;
     TimePoint m_notBefore;
--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 HostController::HostController(CellOutbox &outbox, CellWriter &writer, HostId holder)
-    : m_outbox(outbox), m_writer(writer), m_holder(std::move(holder))
+    : m_outbox(outbox), m_writer(writer), m_holder(std::move(holder)), m_orders(writer)
 {
 }
 
@@ -32,14 +32,17 @@
     m_mover.clear(m_outbox.now.steady);
     m_forecast.clear();
     m_pendingLists.clear();
+    m_orders.clear();
+    m_plannedOrders.clear();
     m_pendingOrders.clear();
     m_pendingReports.clear();
     m_cordonedByWaves.clear();
 }
 
-void HostController::restore(const std::vector<WaveRow> &rows)
+void HostController::restore(const std::vector<WaveRow> &waves, const HostOrdersRow &orders)
 {
-    m_waves.restore(rows);
+    m_waves.restore(waves);
+    m_orders.restore(orders);
 }
 
 void HostController::observe(const std::vector<Wave> &waves)
@@ -81,8 +84,35 @@
         return;
     }
     requestHostList();
+    m_orders.observe(m_list);
     advanceWaves(roster);
     advanceMoves(registry, config, roster);
+    fenceHosts();
+    sendStored(mayOrder);
+}
+
+void HostController::stored(const HostOrdersRow &row)
+{
+    m_orders.stored(row);
+}
+
+void HostController::sendStored(bool mayOrder)
+{
+    if (!mayOrder || m_plannedOrders.empty()) {
+        return;
+    }
+    const auto firstUnstored
+        = std::stable_partition(m_plannedOrders.begin(), m_plannedOrders.end(),
+                                [this](const auto &pair) { return m_orders.isStored(pair.first); });
+    for (auto planned = m_plannedOrders.begin(); planned != firstUnstored; ++planned) {
+        std::visit([this](const auto &order) { send(order); }, planned->second);
+    }
+    m_plannedOrders.erase(m_plannedOrders.begin(), firstUnstored);
+}
+
+std::set<HostId> HostController::hostsWithOrders() const
+{
+    return m_orders.hosts();
 }
 
 std::set<WorkerId> HostController::cordoned(const WorkerRoster &roster) const
@@ -98,14 +128,14 @@
     if (now < m_nextList) {
         return;
     }
-    const bool isActive = m_waves.isOpen() || !m_mover.moving().empty();
+    const bool isActive = m_waves.isOpen() || !m_mover.moving().empty() || !m_orders.hosts().empty();
     m_nextList = now + (isActive ? listInterval : idleListInterval);
     m_pendingLists[m_outbox.send(ListHosts{})] = now;
 }
 
 void HostController::advanceWaves(const WorkerRoster &roster)
 {
-    const WavePlan plan = m_waves.plan(m_list, roster, m_mover.moving(), m_outbox.now.steady);
+    const WavePlan plan = m_waves.plan(m_list, roster, m_mover.moving(), m_orders.inDoubt(), m_outbox.now.steady);
     for (const WaveRow &row : plan.changedRows) {
         m_writer.changeWave(row);
         if (row.completed) {
@@ -113,7 +143,7 @@
         }
     }
     for (const auto &[host, wave] : plan.hostsToMaintain) {
-        send(Maintenance{host, wave});
+        planOrder(host, Maintenance{host, wave});
     }
     for (const auto &[wave, completed] : plan.reports) {
         m_pendingReports[m_outbox.send(ReportWave{{}, wave, completed})] = wave;
@@ -129,11 +159,26 @@
     }
     m_nextPlan = now + planInterval + Duration(registry.live().size() / jobsPerMillisecond);
     const std::map<PoolId, PoolDemand> demands = computePoolDemands(registry, config, m_forecast, m_outbox.now);
-    for (const PlannedMove &move : m_mover.plan(demands, config, m_list, roster, m_waves.occupiedHosts(), now)) {
-        send(move);
+    std::set<HostId> occupied = m_waves.occupiedHosts();
+    occupied.merge(m_orders.inDoubt());
+    for (const PlannedMove &move : m_mover.plan(demands, config, m_list, roster, occupied, now)) {
+        planOrder(move.host, move);
+    }
+}
+
+void HostController::fenceHosts()
+{
+    for (const HostFencing &order : m_orders.planFencing(m_list, m_mover.moving(), m_outbox.now.steady)) {
+        planOrder(order.host, order);
     }
 }
 
+void HostController::planOrder(const HostId &host, HostOrder order)
+{
+    m_orders.plan(host);
+    m_plannedOrders.emplace_back(host, std::move(order));
+}
+
 void HostController::send(const Maintenance &order)
 {
     MaintainHost call;
@@ -146,16 +191,27 @@
 }
 
 void HostController::send(const PlannedMove &order)
+{
+    sendMove(order.host, order.to, order);
+    m_outbox.log(CellDecision::HostMoved, order.host.name(), {}, 0,
+                 "ordered " + order.from.name() + " to " + order.to.name() + " needed " + withOneDecimal(order.needed)
+                     + " serving " + withOneDecimal(order.serving));
+}
+
+void HostController::send(const HostFencing &order)
+{
+    sendMove(order.host, order.pool, order);
+    m_outbox.log(CellDecision::HostFenced, order.host.name(), {}, 0, "ordered " + order.pool.name());
+}
+
+void HostController::sendMove(const HostId &host, const PoolId &pool, const HostOrder &order)
 {
     MoveHost call;
-    call.host = order.host;
-    call.pool = order.to;
+    call.host = host;
+    call.pool = pool;
     call.holder = m_holder;
     call.fence = m_outbox.nextHostFence();
     m_pendingOrders[m_outbox.send(call)] = order;
-    m_outbox.log(CellDecision::HostMoved, order.host.name(), {}, 0,
-                 "ordered " + order.from.name() + " to " + order.to.name() + " needed " + withOneDecimal(order.needed)
-                     + " serving " + withOneDecimal(order.serving));
 }
 
 void HostController::answered(const HostsListed &event)
@@ -194,12 +250,19 @@
         Overloaded{
             [&](const Maintenance &maintenance) {
                 m_outbox.log(CellDecision::HostMaintained, maintenance.host.name(), {}, maintenance.wave, outcome);
+                m_orders.answered(maintenance.host, event.outcome);
                 return m_waves.handleOutcome(maintenance.host, maintenance.wave, event.outcome, now);
             },
             [&](const PlannedMove &move) {
                 m_outbox.log(CellDecision::HostMoved, move.host.name(), {}, 0, outcome);
+                m_orders.answered(move.host, event.outcome);
                 return m_mover.handleOutcome(move.host, event.outcome, now);
             },
+            [&](const HostFencing &fencing) {
+                m_outbox.log(CellDecision::HostFenced, fencing.host.name(), {}, 0, outcome);
+                m_orders.answered(fencing, event.outcome, now);
+                return WorkerId();
+            },
         },
         order);
     return event.outcome == HostOrderOutcome::Accepted && !worker.empty() ? std::optional(worker) : std::nullopt;
--- a/core/cells/host_controller.h
+++ b/core/cells/host_controller.h
@@ -3,6 +3,7 @@
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
 #include "core/cells/host_mover.h"
+#include "core/cells/host_order_ledger.h"
 #include "core/cells/wave_controller.h"
 
 #include <map>
@@ -32,7 +33,7 @@
     HostController(CellOutbox &outbox, CellWriter &writer, HostId holder);
 
     void clear();
-    void restore(const std::vector<WaveRow> &rows);
+    void restore(const std::vector<WaveRow> &waves, const HostOrdersRow &orders);
     void observe(const std::vector<Wave> &waves);
     /// Fills the demand forecast with the jobs of the last seconds, including those that a former owner accepted.
     void restoreForecast(const JobRegistry &registry, const SiteConfig &config);
@@ -41,6 +42,12 @@
     /// Sends the orders and reports that are due.
     /// @param mayOrder whether the lease of the cell is valid.
     void advance(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster, bool mayOrder);
+    /// Records that the store names the hosts of @p row.
+    void stored(const HostOrdersRow &row);
+    /// Sends the planned orders for hosts that the store names.
+    void sendStored(bool mayOrder);
+    /// Hosts with orders that may still be carried out; their workers get no new tasks.
+    std::set<HostId> hostsWithOrders() const;
     /// Workers that get no new tasks and are drained.
     std::set<WorkerId> cordoned(const WorkerRoster &roster) const;
 
@@ -57,13 +64,17 @@
         HostId host;
         std::uint64_t wave = 0;
     };
-    using HostOrder = std::variant<Maintenance, PlannedMove>;
+    using HostOrder = std::variant<Maintenance, PlannedMove, HostFencing>;
 
     void requestHostList();
     void advanceWaves(const WorkerRoster &roster);
     void advanceMoves(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster);
+    void fenceHosts();
+    void planOrder(const HostId &host, HostOrder order);
     void send(const Maintenance &order);
     void send(const PlannedMove &order);
+    void send(const HostFencing &order);
+    void sendMove(const HostId &host, const PoolId &pool, const HostOrder &order);
 
     CellOutbox &m_outbox;
     CellWriter &m_writer;
@@ -71,11 +82,14 @@
     HostList m_list;
     WaveController m_waves;
     HostMover m_mover;
+    HostOrderLedger m_orders;
     DemandForecast m_forecast;
     /// Workers that are cordoned for waves.
     std::set<WorkerId> m_cordonedByWaves;
     /// Time of each pending request for the list.
     std::map<CallId, TimePoint> m_pendingLists;
+    /// Orders that wait until the store names their hosts.
+    std::vector<std::pair<HostId, HostOrder>> m_plannedOrders;
     std::map<CallId, HostOrder> m_pendingOrders;
     std::map<CallId, std::uint64_t> m_pendingReports;
     TimePoint m_nextList;
--- /dev/null
+++ b/core/cells/host_order_ledger.cpp
@@ -0,0 +1,145 @@
+#include "core/cells/host_order_ledger.h"
+
+#include <algorithm>
+
+namespace radishvane::cells
+{
+
+HostOrderLedger::HostOrderLedger(CellWriter &writer) : m_writer(writer)
+{
+}
+
+void HostOrderLedger::clear()
+{
+    m_hosts.clear();
+}
+
+void HostOrderLedger::restore(const HostOrdersRow &row)
+{
+    for (const HostId &host : row.hosts) {
+        HostOrders &orders = m_hosts[host];
+        orders.isStored = true;
+        orders.isInDoubt = true;
+    }
+}
+
+void HostOrderLedger::observe(const HostList &list)
+{
+    std::vector<HostId> known;
+    for (const auto &[host, orders] : m_hosts) {
+        if (!orders.isPending && orders.fencedAt && list.requestedAt && *list.requestedAt > *orders.fencedAt) {
+            known.push_back(host);
+        }
+    }
+    for (const HostId &host : known) {
+        settle(host);
+    }
+}
+
+void HostOrderLedger::plan(const HostId &host)
+{
+    const auto [place, isNew] = m_hosts.try_emplace(host);
+    place->second.isPending = true;
+    if (isNew) {
+        m_writer.changeHostOrders(row(), CellWriter::Urgency::Now);
+    }
+}
+
+bool HostOrderLedger::isStored(const HostId &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second.isStored;
+}
+
+void HostOrderLedger::stored(const HostOrdersRow &row)
+{
+    for (const HostId &host : row.hosts) {
+        const auto found = m_hosts.find(host);
+        if (found != m_hosts.end()) {
+            found->second.isStored = true;
+        }
+    }
+}
+
+void HostOrderLedger::answered(const HostId &host, HostOrderOutcome outcome)
+{
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end()) {
+        return;
+    }
+    HostOrders &orders = found->second;
+    orders.isPending = false;
+    if (outcome == HostOrderOutcome::Unknown) {
+        orders.isInDoubt = true;
+    } else if (outcome == HostOrderOutcome::Accepted || !orders.isInDoubt) {
+        settle(host);
+    }
+}
+
+void HostOrderLedger::answered(const HostFencing &fencing, HostOrderOutcome outcome, TimePoint now)
+{
+    const auto found = m_hosts.find(fencing.host);
+    if (found == m_hosts.end()) {
+        return;
+    }
+    HostOrders &orders = found->second;
+    orders.isPending = false;
+    orders.notBefore = now + retryInterval;
+    if (outcome == HostOrderOutcome::Accepted) {
+        orders.fencedAt = now;
+    }
+}
+
+std::vector<HostFencing> HostOrderLedger::planFencing(const HostList &list, const std::set<HostId> &excluded,
+                                                      TimePoint now)
+{
+    std::vector<HostFencing> due;
+    for (auto &[host, orders] : m_hosts) {
+        const auto listed = list.hosts.find(host);
+        const bool isUp = listed != list.hosts.end() && listed->second.state == SiteHostState::Up;
+        const bool needsFencing = orders.isInDoubt && !orders.isPending && !orders.fencedAt;
+        if (!needsFencing || !isUp || excluded.count(host) > 0 || now < orders.notBefore) {
+            continue;
+        }
+        orders.isPending = true;
+        due.push_back(HostFencing{host, listed->second.pool});
+    }
+    return due;
+}
+
+std::set<HostId> HostOrderLedger::hosts() const
+{
+    std::set<HostId> hosts;
+    for (const auto &[host, orders] : m_hosts) {
+        hosts.insert(host);
+    }
+    return hosts;
+}
+
+std::set<HostId> HostOrderLedger::inDoubt() const
+{
+    std::set<HostId> hosts;
+    for (const auto &[host, orders] : m_hosts) {
+        if (orders.isInDoubt) {
+            hosts.insert(host);
+        }
+    }
+    return hosts;
+}
+
+void HostOrderLedger::settle(const HostId &host)
+{
+    m_hosts.erase(host);
+    m_writer.changeHostOrders(row(), CellWriter::Urgency::WithNextWrite);
+}
+
+HostOrdersRow HostOrderLedger::row() const
+{
+    HostOrdersRow row;
+    for (const auto &[host, orders] : m_hosts) {
+        row.hosts.push_back(host);
+    }
+    return row;
+}
+
+} // namespace radishvane::cells
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -154,6 +154,13 @@
     }
 }
 
+void RunController::withholdTasks(const std::set<HostId> &hosts)
+{
+    for (auto &[id, worker] : m_roster.all()) {
+        worker.isHostInDoubt = hosts.count(worker.host) > 0;
+    }
+}
+
 void RunController::answered(const OrderAnswered &event)
 {
     if (!m_starts.answered(event)) {
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -52,6 +52,9 @@
     /// Assigns no new tasks to @p workers and drains them.
     void cordon(const std::set<WorkerId> &workers);
 
+    /// Assigns no new tasks to workers on @p hosts.
+    void withholdTasks(const std::set<HostId> &hosts);
+
     JobRegistry &registry();
     const JobRegistry &registry() const;
     const WorkerRoster &roster() const;
--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -80,7 +80,7 @@
         entry.accepted = true;
         break;
     case HostOrderOutcome::Unknown:
-        // The host counts as down until a list shows it up after @c restartTime; then the order is sent again.
+        // The host counts as down until it is fenced and a list shows it up; then the order is sent again.
         entry.stage = HostStage::Down;
         entry.accepted = false;
         break;
@@ -144,9 +144,9 @@
 }
 
 WavePlan WaveController::plan(const HostList &list, const WorkerRoster &roster, const std::set<HostId> &moving,
-                              TimePoint now)
+                              const std::set<HostId> &inDoubt, TimePoint now)
 {
-    const View view{list, roster, moving, now};
+    const View view{list, roster, moving, inDoubt, now};
     WavePlan plan;
     for (auto &[number, state] : m_waves) {
         if (!state.completed && list.requestedAt) {
@@ -184,11 +184,13 @@
         if (entry.stage != HostStage::Down || !isRecent || !view.isUp(host)) {
             continue;
         }
+        if (view.inDoubt.count(host) > 0) {
+            continue;
+        }
         entry.since = view.now;
         if (!entry.accepted) {
-            // The order may still be carried out, so the host keeps counting as down and the order is sent again.
-            entry.stage = HostStage::Ordered;
-            plan.hostsToMaintain.emplace_back(host, state.wave.number);
+            // The host refuses the order that had no answer, so it is ordered again when its workers are idle.
+            entry.stage = HostStage::Draining;
             continue;
         }
         entry.stage = HostStage::Done;
@@ -210,7 +212,7 @@
     std::vector<std::tuple<double, HostId>> waiting;
     for (auto &[host, entry] : state.hosts) {
         if (entry.stage != HostStage::Waiting || !view.isUp(host) || view.moving.count(host) > 0
-            || isOccupiedByOtherWave(host, state.wave.number)) {
+            || view.inDoubt.count(host) > 0 || isOccupiedByOtherWave(host, state.wave.number)) {
             continue;
         }
         const Worker *worker = view.roster.find(view.find(host)->worker);
@@ -240,7 +242,8 @@
         const SiteHost *listed = view.find(host);
         const bool isListedDown = listed != nullptr && listed->state == SiteHostState::Maintained;
         const bool isOrdered = entry.stage == HostStage::Down || entry.stage == HostStage::Ordered;
-        down += isOrdered || (isListedDown && entry.stage != HostStage::Done) ? 1 : 0;
+        const bool mayGoDown = listed != nullptr && view.inDoubt.count(host) > 0;
+        down += isOrdered || mayGoDown || (isListedDown && entry.stage != HostStage::Done) ? 1 : 0;
         draining += entry.stage == HostStage::Draining ? 1 : 0;
     }
     const std::size_t maxDraining
@@ -262,7 +265,8 @@
         const bool isEmpty = std::all_of(workers.begin(), workers.end(), [&view](const Worker *worker) {
             return worker->isReconciled(view.now) && worker->tasks.empty() && worker->hasStoredEnds();
         });
-        if (!isEmpty || !view.isUp(host) || down >= state.wave.maxHostsDown || view.now < entry.notBefore) {
+        if (!isEmpty || view.inDoubt.count(host) > 0 || !view.isUp(host) || down >= state.wave.maxHostsDown
+            || view.now < entry.notBefore) {
             continue;
         }
         entry.stage = HostStage::Ordered;
--- a/core/cells/wave_controller.h
+++ b/core/cells/wave_controller.h
@@ -44,7 +44,9 @@
     void handleReportOutcome(std::uint64_t wave, bool written);
 
     /// @param moving hosts that are moving to another pool.
-    WavePlan plan(const HostList &list, const WorkerRoster &roster, const std::set<HostId> &moving, TimePoint now);
+    /// @param inDoubt hosts that count as down, since an earlier order may still be carried out.
+    WavePlan plan(const HostList &list, const WorkerRoster &roster, const std::set<HostId> &moving,
+                  const std::set<HostId> &inDoubt, TimePoint now);
     /// Whether a wave is not completed.
     bool isOpen() const;
     /// Hosts that a wave drains or has ordered down.
@@ -88,6 +90,7 @@
         const HostList &list;
         const WorkerRoster &roster;
         const std::set<HostId> &moving;
+        const std::set<HostId> &inDoubt;
         TimePoint now;
 
         const SiteHost *find(const HostId &host) const;
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -32,8 +32,8 @@
 
 bool Worker::acceptsTasks(TimePoint now) const
 {
-    return fenced && recorded && !cordoned && !unreachable && !incarnationEnded && !hasUnknownTasks && entry
-        && entry->state == WorkerState::Ready && now >= avoidedUntil;
+    return fenced && recorded && !cordoned && !isHostInDoubt && !unreachable && !incarnationEnded && !hasUnknownTasks
+        && entry && entry->state == WorkerState::Ready && now >= avoidedUntil;
 }
 
 bool Worker::hasStoredEnds() const
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -35,6 +35,8 @@
     TimePoint incarnationEndedAt;
     /// The worker gets no new tasks, so that its host can be maintained or moved.
     bool cordoned = false;
+    /// An order may still end the worker's host. The worker gets no new tasks, but is not drained.
+    bool isHostInDoubt = false;
     /// Time at which the worker was last not cordoned.
     TimePoint cordonedAt;
 
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -115,6 +115,12 @@
     listField(archive, row.ordered);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, HostOrdersRow &row)
+{
+    listField(archive, row.hosts);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, SubmitJob &question)
 {
@@ -213,6 +219,11 @@
     return encode(row);
 }
 
+std::string encodeRow(const cells::HostOrdersRow &row)
+{
+    return encode(row);
+}
+
 std::string encodeQuestion(const LinkQuestion &question)
 {
     return encode(question);
@@ -248,6 +259,11 @@
     return decode<cells::WaveRow>(bytes);
 }
 
+CellDecoded<cells::HostOrdersRow> decodeHostOrdersRow(std::string_view bytes)
+{
+    return decode<cells::HostOrdersRow>(bytes);
+}
+
 CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes)
 {
     return decode<LinkQuestion>(bytes);
--- a/drivers/cell_codec.h
+++ b/drivers/cell_codec.h
@@ -35,6 +35,7 @@
 std::string encodeRow(const cells::ProgressRow &row);
 std::string encodeRow(const cells::RosterRow &row);
 std::string encodeRow(const cells::WaveRow &row);
+std::string encodeRow(const cells::HostOrdersRow &row);
 std::string encodeQuestion(const LinkQuestion &question);
 std::string encodeAnswer(const cells::AnswerCall &answer);
 
@@ -43,6 +44,7 @@
 CellDecoded<cells::ProgressRow> decodeProgressRow(std::string_view bytes);
 CellDecoded<cells::RosterRow> decodeRosterRow(std::string_view bytes);
 CellDecoded<cells::WaveRow> decodeWaveRow(std::string_view bytes);
+CellDecoded<cells::HostOrdersRow> decodeHostOrdersRow(std::string_view bytes);
 CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes);
 CellDecoded<cells::AnswerCall> decodeAnswer(std::string_view bytes);
 
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -288,6 +288,7 @@
     std::map<JobId, cells::ProgressRow> m_progress;
     cells::RosterRow m_roster;
     std::map<std::uint64_t, cells::WaveRow> m_waveRows;
+    cells::HostOrdersRow m_hostOrders;
 
     std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
     std::map<std::string, std::int64_t> m_toldAt;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -120,6 +120,9 @@
     if (transaction.roster) {
         m_roster = *transaction.roster;
     }
+    if (transaction.hostOrders) {
+        m_hostOrders = *transaction.hostOrders;
+    }
     return CellWritten{call.call, CellWriteOutcome::Written, m_version, std::nullopt};
 }
 
@@ -145,6 +148,7 @@
         contents.waves.push_back(row);
     }
     contents.roster = m_roster;
+    contents.hostOrders = m_hostOrders;
     return contents;
 }
 
@@ -571,9 +575,7 @@
     if (m_maintainedUntil.count(id) > 0 || m_movingUntil.count(id) > 0) {
         return HostOrderOutcome::Busy;
     }
-    // An order of a former owner that is held up may meet tasks of the next one, which cannot know of it.
-    const bool isOfPresentOwner = m_owner && order.fence >> 32 == m_owner->epoch;
-    if (!moved.running.empty() && isOfPresentOwner) {
+    if (!moved.running.empty()) {
         broken.push_back("a host is moved with tasks on it: " + id);
     }
     ++moves;
