Count unknown runs of aborted jobs against the ceilings of their teams

Callers saw: a team over its ceiling after a change of owner, when a job of it was cancelled while its tasks ran on a worker that did not answer.

Cause: only live jobs were searched for inherited tasks without a known run. A job that was cancelled or has failed is removed from them as soon as its end is stored and it has no known run, and is never among them if the owner before stored the end.

Change: the registry lists the jobs that have failed or were cancelled, and their tasks count too while a worker is not reconciled. The progress of such a job is not kept, so all its tasks count, at most what the workers that are not reconciled can hold.

--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -66,6 +66,15 @@
     }
 }
 
+/// Adds the usage of an aborted job whose end is stored, so that the progress of its tasks is unknown.
+void addAbortedRuns(Usage &usage, const Job &job)
+{
+    const std::uint64_t occurrences = job.row.spec.occurrences() - job.firstOpen;
+    for (const StepSpec &spec : job.row.spec.steps) {
+        addUsage(usage, spec, spec.count * occurrences);
+    }
+}
+
 } // namespace
 
 std::map<TeamId, Resources> inheritedUsage(const JobRegistry &registry, const WorkerRoster &roster,
@@ -84,6 +93,12 @@
             addUnknownRuns(usages[job.row.team], job);
         }
     }
+    for (const JobId &id : registry.aborted()) {
+        const Job &job = *registry.find(id);
+        if (job.inherited && hasCeiling(config, job.row.team) && registry.live().count(id) == 0) {
+            addAbortedRuns(usages[job.row.team], job);
+        }
+    }
     const std::optional<Resources> room = unreconciledRoom(roster, now);
     for (const auto &[team, usage] : usages) {
         Resources &bound = result[team];
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -49,6 +49,7 @@
     m_jobs.clear();
     m_queueWork.clear();
     m_live.clear();
+    m_aborted.clear();
 }
 
 Job &JobRegistry::add(JobRow row, TimePoint now)
@@ -78,6 +79,7 @@
         job->endedAt = now.steady;
         job->open.clear();
         m_live.erase(row.id);
+        recordAborted(*job);
         return;
     }
     for (const auto &[number, progress] : row.open) {
@@ -167,9 +169,15 @@
     return m_live;
 }
 
+const std::set<JobId> &JobRegistry::aborted() const
+{
+    return m_aborted;
+}
+
 void JobRegistry::erase(const JobId &id)
 {
     m_live.erase(id);
+    m_aborted.erase(id);
     m_jobs.erase(id);
 }
 
@@ -317,6 +325,14 @@
 {
     job.state = state;
     job.endedAt = now;
+    recordAborted(job);
+}
+
+void JobRegistry::recordAborted(const Job &job)
+{
+    if (job.state != GraphState::Completed) {
+        m_aborted.insert(job.row.id);
+    }
 }
 
 bool JobRegistry::hasRuns(const Job &job)
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -145,6 +145,8 @@
     const std::map<JobId, Job> &jobs() const;
     /// Jobs that have not ended or that still have runs.
     const std::set<JobId> &live() const;
+    /// Jobs that have failed or were cancelled. Runs of them may go on until their workers have stopped them.
+    const std::set<JobId> &aborted() const;
     /// Removes a job that has ended and has no runs.
     void erase(const JobId &id);
 
@@ -178,6 +180,7 @@
     Step *step(const TaskId &id);
     void requeue(Step &step, const TaskId &id);
     EndEffect countDone(const TaskId &id, TimePoint now);
+    void recordAborted(const Job &job);
 
     struct QueueWork
     {
@@ -188,6 +191,7 @@
     std::map<JobId, Job> m_jobs;
     std::map<QueueId, QueueWork> m_queueWork;
     std::set<JobId> m_live;
+    std::set<JobId> m_aborted;
 };
 
 } // namespace radishvane::cells
--- a/tests/core/cells/inherited_usage_test.cpp
+++ b/tests/core/cells/inherited_usage_test.cpp
@@ -13,6 +13,17 @@
 
 constexpr std::uint32_t waitingTasks = 40;
 
+/// The owner crashes, and the other entry host takes over.
+void takeOver(CellSite &site)
+{
+    const std::string second = other(site);
+    site.kill(site.owner());
+    for (int waited = 0; waited < 10'000 && site.owner() != second; waited += 20) {
+        site.run(Duration(20));
+    }
+    ASSERT_EQ(site.owner(), second);
+}
+
 /// The owner crashes while the only worker, which has @p cpu, runs tasks of a job with many more and does not answer
 /// the next owner. A worker with more capacity than all teams may use joins.
 void takeOverWithoutTheWorker(CellSite &site, std::uint64_t cpu)
@@ -26,13 +37,8 @@
     site.submit(site.owner(), "j1", "plans", graphOf(1, waitingTasks, 1'000, Duration(60'000)), "dyers");
     site.run(Duration(2'000));
     ASSERT_EQ(site.runningOn("w0"), cpu / 1'000);
-    const std::string second = other(site);
     site.worker("w0").cut = true;
-    site.kill(site.owner());
-    for (int waited = 0; waited < 10'000 && site.owner() != second; waited += 20) {
-        site.run(Duration(20));
-    }
-    ASSERT_EQ(site.owner(), second);
+    takeOver(site);
     site.addWorker("w1", "looms", 100'000);
     site.run(Duration(600));
 }
@@ -96,4 +102,67 @@
     });
 }
 
+TEST(CellTeams, CountUnknownRunsOfJobsThatHaveBeenCancelled)
+{
+    story("the next owner cancels a job whose tasks still run on a worker that does not answer", [] {
+        CellSite site;
+        site.addTeam("dyers", 4'000);
+        takeOverWithoutTheWorker(site, 4'000);
+        site.cancel(site.owner(), "j1");
+        site.run(Duration(300));
+        section("the team's other jobs wait for the cancelled tasks", [&] {
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+    story("the former owner cancels a job whose tasks still run on a worker that does not answer, and crashes", [] {
+        CellSite site;
+        site.addTeam("dyers", 4'000);
+        fillLooms(site, 1);
+        site.durations[JobId("j1")] = 60'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(60'000)), "dyers");
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runningOn("w0"), 4);
+        site.worker("w0").cut = true;
+        site.cancel(site.owner(), "j1");
+        site.run(Duration(300));
+        takeOver(site);
+        site.addWorker("w1", "looms", 8'000);
+        site.run(Duration(400));
+        section("the team's other jobs wait for the cancelled tasks", [&] {
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.state("j2"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellTeams, CountUnknownRunsOfStepsWhoseStartTheStoreDoesNotShow)
+{
+    story("a worker runs the second step of a job, the store lacks the end of the first, and the owner crashes", [] {
+        CellSite site;
+        site.addTeam("dyers", 4'000);
+        fillLooms(site, 1);
+        site.durations[JobId("j1")] = 1'500;
+        site.submit(site.owner(), "j1", "plans", graphOf(2, 4, 1'000, Duration(60'000)), "dyers");
+        site.run(Duration(1'000));
+        site.storeDown = true;
+        while (site.runs("j1") < 8 && site.time() < 8'000) {
+            site.run(Duration(10));
+        }
+        site.worker("w0").cut = true;
+        ASSERT_EQ(site.runningOn("w0"), 4);
+        site.storeDown = false;
+        takeOver(site);
+        site.addWorker("w1", "looms", 8'000);
+        site.run(Duration(400));
+        site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
+        site.run(Duration(300));
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
