Let the story of unknown steps end the first step out of the store's sight

The story passed also when only steps counted whose predecessors are known to be done: its first step needed as much as the second, and the second had ended when the next owner was asked. The first step has one task now, and the tasks of the second still run when the check is made.

--- a/tests/core/cells/inherited_usage_test.cpp
+++ b/tests/core/cells/inherited_usage_test.cpp
@@ -147,10 +147,13 @@
         site.addTeam("dyers", 4'000);
         fillLooms(site, 1);
         site.durations[JobId("j1")] = 1'500;
-        site.submit(site.owner(), "j1", "plans", graphOf(2, 4, 1'000, Duration(60'000)), "dyers");
+        GraphSpec growing = graphOf(2, 4, 1'000, Duration(60'000));
+        growing.steps[0].count = 1;
+        site.submit(site.owner(), "j1", "plans", growing, "dyers");
         site.run(Duration(1'000));
+        site.durations[JobId("j1")] = 20'000;
         site.storeDown = true;
-        while (site.runs("j1") < 8 && site.time() < 8'000) {
+        while (site.runs("j1") < 5 && site.time() < 8'000) {
             site.run(Duration(10));
         }
         site.worker("w0").cut = true;
@@ -160,7 +163,8 @@
         site.addWorker("w1", "looms", 8'000);
         site.run(Duration(400));
         site.submit(site.owner(), "j2", "plans", graphOf(1, 4, 1'000, Duration(300)), "dyers");
-        site.run(Duration(300));
+        site.run(Duration(600));
+        ASSERT_EQ(site.runningOn("w0"), 4);
         expectNothingBroken(site);
     });
 }
