Test that orders of an earlier owner meet no tasks of the next one

The model of a site checks with each order for a host that the stored row names it, and can refuse orders.

--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -132,6 +132,61 @@
     });
 }
 
+TEST(CellWaves, CountAHostThatAnEarlierOwnerMayStillMaintain)
+{
+    story("the owner crashes after a maintenance order without an answer, which is carried out seconds later", [] {
+        for (int delay = 2'500; delay <= 8'000; delay += 250) {
+            CellSite site;
+            fillLooms(site, 1);
+            const std::string first = site.owner();
+            site.durations[JobId("j1")] = 2'500;
+            site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(2'500)));
+            site.run(Duration(200));
+            ASSERT_EQ(site.runningOn("w0"), 1);
+            site.addWorker("w1", "looms", 8'000);
+            site.run(Duration(800));
+            site.lostHostOrders = 1;
+            site.hostOrderDelay = delay;
+            // The first owner orders w1, which is idle, and the next one w0.
+            site.addWave(1, {"w0", "w1"}, 1);
+            site.run(Duration(700));
+            site.lostHostOrders = 0;
+            site.kill(first);
+            site.run(Duration(40'000));
+            EXPECT_EQ(site.completedWaves.count(1), 1) << delay;
+            expectNothingBroken(site);
+        }
+    });
+}
+
+TEST(CellWaves, KeepTasksOffAHostThatAnEarlierOwnerMayStillMaintain)
+{
+    story("the owner crashes after a maintenance order without an answer, and the next one gets work", [] {
+        for (int delay = 2'500; delay <= 8'000; delay += 250) {
+            CellSite site;
+            fillLooms(site, 4);
+            site.run(Duration(1'000));
+            const std::string first = site.owner();
+            const std::string next = other(site);
+            site.lostHostOrders = 1;
+            site.hostOrderDelay = delay;
+            site.addWave(1, {"w0", "w1", "w2", "w3"}, 4);
+            site.run(Duration(700));
+            site.lostHostOrders = 0;
+            site.kill(first);
+            for (int waited = 0; waited < 6'000 && site.owner().empty(); waited += 20) {
+                site.run(Duration(20));
+            }
+            site.durations[JobId("long")] = 4'000;
+            site.submit(next, "long", "plans", graphOf(1, 16, 1'000, Duration(4'000)));
+            site.run(Duration(40'000));
+            EXPECT_EQ(site.state("long"), GraphState::Completed) << delay;
+            EXPECT_EQ(site.completedWaves.count(1), 1) << delay;
+            expectNothingBroken(site);
+        }
+    });
+}
+
 TEST(CellWaves, WaitUntilTheEndsOfAWorkerAreStored)
 {
     story("the hosts of a wave are drained, and their last tasks end while the store does not answer", [] {
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -275,4 +275,40 @@
     });
 }
 
+TEST(CellWriter, StoresTheHostsWithOrders)
+{
+    story("an owner has orders for hosts under way", [] {
+        OwnersWriter owner;
+        const HostOrdersRow one{{HostId("h1")}};
+        const HostOrdersRow two{{HostId("h1"), HostId("h2")}};
+        section("the end of an order causes no transaction", [&] {
+            owner.writer.changeHostOrders(HostOrdersRow{}, CellWriter::Urgency::WithNextWrite);
+            EXPECT_FALSE(owner.writer.hasWork());
+        });
+        section("a new order causes one", [&] {
+            owner.writer.changeHostOrders(one, CellWriter::Urgency::Now);
+            EXPECT_TRUE(owner.writer.hasWork());
+            EXPECT_EQ(owner.send().hostOrders.value().hosts, one.hosts);
+            owner.writer.succeed();
+            EXPECT_FALSE(owner.writer.hasWork());
+        });
+        section("after a failure the newest row is written", [&] {
+            owner.writer.changeHostOrders(one, CellWriter::Urgency::Now);
+            owner.send();
+            owner.writer.changeHostOrders(two, CellWriter::Urgency::Now);
+            owner.writer.fail(owner.now);
+            EXPECT_EQ(owner.send().hostOrders.value().hosts, two.hosts);
+            owner.writer.fail(owner.now);
+            EXPECT_EQ(owner.send().hostOrders.value().hosts, two.hosts);
+            owner.writer.succeed();
+        });
+        section("the end of an order goes into the next transaction", [&] {
+            owner.writer.changeHostOrders(one, CellWriter::Urgency::WithNextWrite);
+            owner.writer.changeRoster();
+            EXPECT_EQ(owner.send().hostOrders.value().hosts, one.hosts);
+            owner.writer.succeed();
+        });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -29,6 +29,20 @@
     site.run(Duration(2'000));
 }
 
+/// Adds two pools of four hosts with a queue each.
+void fillWithoutStandby(CellSite &site)
+{
+    site.addQueue("plans", "looms");
+    site.addQueue("quotes", "frames");
+    for (int index = 0; index < 4; ++index) {
+        site.addWorker("l" + std::to_string(index), "looms", 4'000);
+        site.addWorker("f" + std::to_string(index), "frames", 4'000);
+    }
+    site.addNode("a");
+    site.addNode("b");
+    site.run(Duration(2'000));
+}
+
 /// Submits a peak of jobs with eight tasks each, @p gap milliseconds apart; each job needs 8 cores for 0.4 s.
 std::vector<std::string> peak(CellSite &site, const std::string &queue, int jobs, int gap)
 {
@@ -239,6 +253,81 @@
     });
 }
 
+TEST(CellMoves, AreFencedBeforeTheNextOwnerStartsTasksThere)
+{
+    story("the owner crashes after orders without an answer, which are carried out under the next owner", [] {
+        for (int delay = 3'000; delay <= 8'000; delay += 250) {
+            CellSite site;
+            fillWithoutStandby(site);
+            const std::string first = site.owner();
+            site.lostHostOrders = 1;
+            site.hostOrderDelay = delay;
+            peak(site, "quotes", 10, 40);
+            site.run(Duration(400));
+            site.lostHostOrders = 0;
+            site.kill(first);
+            const std::string next = first == "a" ? "b" : "a";
+            for (int waited = 0; waited < 6'000 && site.owner().empty(); waited += 20) {
+                site.run(Duration(20));
+            }
+            site.durations[JobId("long")] = 8'000;
+            site.submit(next, "long", "plans", graphOf(1, 16, 1'000, Duration(8'000)));
+            site.run(Duration(30'000));
+            EXPECT_EQ(site.state("long"), GraphState::Completed) << delay;
+            EXPECT_EQ(site.runs("long"), 16) << delay;
+            expectNothingBroken(site);
+        }
+    });
+}
+
+TEST(CellMoves, AreFencedWhenARepeatedOrderIsRefused)
+{
+    story("orders have no answer and are carried out later, and the host service refuses the repeated ones", [] {
+        for (int delay = 2'500; delay <= 5'000; delay += 250) {
+            CellSite site;
+            fillWithoutStandby(site);
+            site.lostHostOrders = 1;
+            site.hostOrderDelay = delay;
+            peak(site, "quotes", 10, 40);
+            site.run(Duration(400));
+            site.lostHostOrders = 0;
+            site.refusesHostOrders = true;
+            site.run(Duration(1'600));
+            site.durations[JobId("long")] = 6'000;
+            site.submit(site.owner(), "long", "plans", graphOf(1, 16, 1'000, Duration(6'000)));
+            site.run(Duration(400));
+            site.refusesHostOrders = false;
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.state("long"), GraphState::Completed) << delay;
+            EXPECT_EQ(site.runs("long"), 16) << delay;
+            expectNothingBroken(site);
+        }
+    });
+}
+
+TEST(CellMoves, AreNotOrderedBeforeTheStoreNamesTheHost)
+{
+    story("a queue peaks while the store does not answer", [] {
+        CellSite site;
+        fill(site);
+        site.run(Duration(4'000));
+        site.kill(site.owner() == "a" ? "b" : "a");
+        site.storeDown = true;
+        const std::uint64_t movesBefore = site.moves;
+        for (int index = 0; index < 20; ++index) {
+            site.submit(site.owner(), "q" + std::to_string(index), "quotes", graphOf(1, 16, 1'000, Duration(600)));
+        }
+        section("no host is ordered until the store answers again", [&] {
+            site.run(Duration(1'400));
+            EXPECT_EQ(site.moves, movesBefore);
+            site.storeDown = false;
+            site.run(Duration(8'000));
+            EXPECT_GT(site.moves, movesBefore);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, StartWithinASecondUnderTheNextOwner)
 {
     story("all hosts are switched off, and the load of a queue rises immediately after a handover", [] {
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -45,4 +45,24 @@
     });
 }
 
+TEST(CellCodec, CarriesTheHostsWithOrders)
+{
+    story("an owner stores the hosts for which it sends orders", [] {
+        section("the row arrives unchanged", [] {
+            const auto decoded = decodeHostOrdersRow(encodeRow(HostOrdersRow{{HostId("h-1"), HostId("h-2")}}));
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().hosts, (std::vector<HostId>{HostId("h-1"), HostId("h-2")}));
+        });
+        section("a row without hosts arrives unchanged", [] {
+            const auto decoded = decodeHostOrdersRow(encodeRow(HostOrdersRow{}));
+            ASSERT_TRUE(decoded);
+            EXPECT_TRUE(decoded.value().hosts.empty());
+        });
+        section("a truncated row is refused", [] {
+            const std::string bytes = encodeRow(HostOrdersRow{{HostId("h-1")}});
+            EXPECT_FALSE(decodeHostOrdersRow(std::string_view(bytes).substr(0, bytes.size() - 2)));
+        });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -475,12 +475,14 @@
                 later(hostListDelay, [this, caller, call, hosts] { give(caller, HostsListed{call.call, hosts}); });
             },
             [&](const MaintainHost &order) {
+                checkHostIsStored(order.host);
                 sendCall(caller, order.call, callTimeout, HostOrderAnswered{order.call, HostOrderOutcome::Unknown},
                          [this, caller, order] {
                              orderHost(caller, order.call, [this, order] { return carryOut(order); });
                          });
             },
             [&](const MoveHost &order) {
+                checkHostIsStored(order.host);
                 sendCall(caller, order.call, callTimeout, HostOrderAnswered{order.call, HostOrderOutcome::Unknown},
                          [this, caller, order] {
                              orderHost(caller, order.call, [this, order] { return carryOut(order); });
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -167,7 +167,9 @@
     std::uint64_t moves = 0;
     /// Chance that an order for a host has no answer, and is carried out seconds later.
     double lostHostOrders = 0;
-    /// Milliseconds after which such an order is carried out.
+    /// Whether the host service refuses orders, and does nothing.
+    bool refusesHostOrders = false;
+    /// Milliseconds after which an order without an answer is carried out.
     std::int64_t hostOrderDelay = 3'000;
 
 private:
@@ -246,6 +248,7 @@
     void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
     void answerLeaseRenewal(const Caller &caller, const cells::LeaseRenewalOrder &order, std::int64_t until);
+    void checkHostIsStored(const HostId &host);
     /// Carries out an order for a host, or a part of the orders late and without an answer.
     void orderHost(const Caller &caller, cells::CallId call, std::function<cells::HostOrderOutcome()> carryOut);
     cells::HostOrderOutcome carryOut(const cells::MaintainHost &order);
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -550,8 +550,20 @@
     return host;
 }
 
+void CellSite::checkHostIsStored(const HostId &host)
+{
+    const std::vector<HostId> &hosts = m_hostOrders.hosts;
+    if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
+        broken.push_back("an order for a host that the store does not name: " + host.name());
+    }
+}
+
 void CellSite::orderHost(const Caller &caller, CallId call, std::function<HostOrderOutcome()> carryOut)
 {
+    if (refusesHostOrders) {
+        later(4, [this, caller, call] { give(caller, HostOrderAnswered{call, HostOrderOutcome::Refused}); });
+        return;
+    }
     if (chance(lostHostOrders)) {
         later(hostOrderDelay, [carryOut] { carryOut(); });
         later(callTimeout, [this, caller, call] { give(caller, HostOrderAnswered{call, HostOrderOutcome::Unknown}); });
