Test that a wave counts the host of an earlier owner's order as down

The next owner now gets another host first, so that the order of the earlier one meets a host that is down.

--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -139,12 +139,12 @@
             CellSite site;
             fillLooms(site, 1);
             const std::string first = site.owner();
-            site.durations[JobId("j1")] = 2'500;
-            site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(2'500)));
+            site.durations[JobId("j1")] = 4'000;
+            site.submit(first, "j1", "plans", graphOf(1, 1, 1'000, Duration(4'000)));
             site.run(Duration(200));
             ASSERT_EQ(site.runningOn("w0"), 1);
             site.addWorker("w1", "looms", 8'000);
-            site.run(Duration(800));
+            site.run(Duration(2'000));
             site.lostHostOrders = 1;
             site.hostOrderDelay = delay;
             // The first owner orders w1, which is idle, and the next one w0.
