--- a/core/cells/host_mover.h
+++ b/core/cells/host_mover.h
@@ -9,7 +9,8 @@
 /// Tracks the moves of hosts between pools and collects the state of hosts and workers for the move planner.
 ///
 /// Only an idle host is moved, and it is cordoned from then on, so that a move never ends a task. Moves are not stored,
-/// since a later owner gets the pool of each host from the list of hosts.
+/// since a later owner gets the pool of each host from the list of hosts; @c HostOrderLedger stores which hosts may
+/// still be moved.
 class HostMover
 {
 public:
