Count each failed run of a task once

Cause: failures were a number, and what had been counted was guessed from the highest run whose end a former owner had stored. An owner that read an end a second time counted it again: after it had forgotten a worker that left discovery with an end that was not acknowledged, and when a former owner had counted the failure of a run below the stored highest one but could not acknowledge it. Conversely, a failure was never counted if the former owner had given the run up before it read its end.

Change: the stored progress of a task holds the numbers of its failed runs. Recording one is idempotent in any order and for any owner, so the guess (countedRun) is gone.

--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -39,7 +39,8 @@
 struct TaskProgress
 {
     bool done = false;
-    std::uint32_t failures = 0;
+    /// Numbers of the runs that have failed, each once.
+    std::vector<RunNumber> failedRuns;
     /// Highest run number whose end is known.
     RunNumber endedRun = 0;
     std::string checkpoint;
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -30,18 +30,29 @@
 }
 
 /// Failures that count against a task. The failures of all members of a gang are added up.
-std::uint32_t failuresOf(const StepSpec &spec, const Step &step, const Task &task)
+std::size_t failuresOf(const StepSpec &spec, const Step &step, const Task &task)
 {
     if (!spec.gang) {
-        return task.progress.failures;
+        return task.progress.failedRuns.size();
     }
-    std::uint32_t failures = 0;
+    std::size_t failures = 0;
     for (const Task &member : step.tasks) {
-        failures += member.progress.failures;
+        failures += member.progress.failedRuns.size();
     }
     return failures;
 }
 
+/// Records the failure of a run. Several owners, and one owner several times, may read the same end.
+/// @return whether the run was not recorded before.
+bool recordFailure(TaskProgress &progress, RunNumber run)
+{
+    if (std::count(progress.failedRuns.begin(), progress.failedRuns.end(), run) > 0) {
+        return false;
+    }
+    progress.failedRuns.push_back(run);
+    return true;
+}
+
 } // namespace
 
 void JobRegistry::clear()
@@ -87,7 +98,6 @@
             for (std::uint32_t taskIndex = 0; taskIndex < std::min(progress[index].size(), step.tasks.size());
                  ++taskIndex) {
                 step.tasks[taskIndex].progress = progress[index][taskIndex];
-                step.tasks[taskIndex].countedRun = progress[index][taskIndex].endedRun;
                 if (progress[index][taskIndex].done) {
                     step.waiting.erase(taskIndex);
                     ++step.done;
@@ -237,7 +247,7 @@
         return EndEffect::TaskWaits;
     }
     if (how == RunEnd::Failed && !isService) {
-        ++task.progress.failures;
+        recordFailure(task.progress, run);
     }
     if (how == RunEnd::Failed && !isService
         && failuresOf(job.row.spec.steps[id.step], *taskStep, task) >= maxFailures) {
@@ -293,10 +303,9 @@
     Task &task = taskStep->tasks[id.index];
     Job &job = *find(id.job);
     const StepSpec &spec = job.row.spec.steps[id.step];
-    if (isFinal(job.state) || spec.isService || task.progress.done || run <= task.countedRun) {
+    if (isFinal(job.state) || spec.isService || task.progress.done || !recordFailure(task.progress, run)) {
         return EndEffect::Ignored;
     }
-    ++task.progress.failures;
     if (failuresOf(spec, *taskStep, task) < maxFailures) {
         return EndEffect::TaskWaits;
     }
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -55,8 +55,6 @@
     TaskProgress progress;
     /// Highest run number that this owner has ordered.
     RunNumber startedRun = 0;
-    /// Earlier owners have counted the failures of runs up to this one.
-    RunNumber countedRun = 0;
     std::optional<Run> run;
     /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
     /// run has ended.
@@ -158,7 +156,7 @@
     EndEffect complete(const TaskId &id, RunNumber run, TimePoint now);
     /// Closes the occurrences that are done, and completes the job with the last one.
     EndEffect closeOccurrences(Job &job, TimePoint now);
-    /// Counts the failure of a run that is not the task's current run.
+    /// Counts the failure of a run that is not the task's current run, unless it is already counted.
     EndEffect countFailure(const TaskId &id, RunNumber run, std::uint32_t maxFailures, TimePoint now);
     /// Removes a run that never started on its worker, and makes its task wait again.
     void withdraw(const TaskId &id, RunNumber run);
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -65,7 +65,9 @@
 template<typename Archive>
 void serialize(Archive &archive, TaskProgress &task)
 {
-    archive(task.done, task.failures, task.endedRun);
+    archive(task.done);
+    listField(archive, task.failedRuns);
+    archive(task.endedRun);
     textField(archive, task.checkpoint);
 }
 
--- a/tests/core/cells/cell_overload_property_test.cpp
+++ b/tests/core/cells/cell_overload_property_test.cpp
@@ -175,7 +175,7 @@
     return *rc::gen::resize(30, rc::gen::container<std::vector<DisturbanceEvent>>(step));
 }
 
-void checkRules(int size)
+void checkRules(int size, double failingRuns = 0)
 {
     CellSite site(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
     site.addTeam("dyers", 6'000);
@@ -202,6 +202,7 @@
     if (*rc::gen::inRange(0, 3) == 0) {
         site.addWave(1, {"l0", "l1", "l2", "l3"}, 1);
     }
+    site.failingRuns = failingRuns;
     site.heldUp = *rc::gen::element(0.001, 0.005, 0.02, 0.1);
     site.lostHostOrders = *rc::gen::element(0.0, 0.3);
     site.maxHoldUp = *rc::gen::element<std::int64_t>(600, 2'000, 4'000);
@@ -244,4 +245,9 @@
     checkRules(rc::kNominalSize);
 }
 
+RC_GTEST_PROP(CellOverload, CountsFailuresOnceWhileMessagesAreHeldUpForSeconds, ())
+{
+    checkRules(30, *rc::gen::element(0.1, 0.4));
+}
+
 } // namespace radishvane::tests
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -45,4 +45,22 @@
     });
 }
 
+TEST(CellCodec, CarriesTheFailedRunsOfATask)
+{
+    story("an owner stores the progress of a task that has failed twice", [] {
+        ProgressRow row;
+        row.id = JobId("j1");
+        TaskProgress task;
+        task.failedRuns = {1, 10'001};
+        task.endedRun = 10'001;
+        task.checkpoint = "c";
+        row.open[0] = {{task}};
+        section("the next owner reads the numbers of both runs", [&] {
+            const auto decoded = decodeProgressRow(encodeRow(row));
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().open, row.open);
+        });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -95,6 +95,8 @@
     /// that follow it. A call that has no answer in time is answered as unknown, and may be carried out later.
     double heldUp = 0;
     std::int64_t maxHoldUp = 4'000;
+    /// Chance that a run fails by its own fault.
+    double failingRuns = 0;
     bool storeDown = false;
     /// The next write of rows gets no answer, and is carried out three seconds later.
     bool loseNextWrite = false;
@@ -221,6 +223,8 @@
                   std::function<void()> action);
     /// Takes note of the ends that an owner reads.
     void noteListedEnds(const std::string &node, const cells::LeaseRenewalAnswered &answer);
+    /// Checks that a task of a job that is stored as failed has failed as often as its queue allows.
+    void checkFailed(const JobId &job);
     void checkDisruption(const ModelWorker &worker, const cells::TaskId &task);
     void later(std::int64_t delay, std::function<void()> action);
     void give(const std::string &node, const cells::CellEvent &event);
@@ -309,6 +313,10 @@
     std::map<JobId, cells::GraphSpec> m_specs;
     std::map<cells::TaskId, std::uint64_t> m_doneNoted;
     std::map<cells::TaskId, bool> m_done;
+    /// Runs of each task that have failed; those of a gang are collected under its first member.
+    std::map<cells::TaskId, std::set<cells::RunNumber>> m_failedRuns;
+    /// Failed runs whose ends were acknowledged.
+    std::map<cells::TaskId, std::set<cells::RunNumber>> m_notedFailures;
     std::map<JobId, std::size_t> m_runs;
     std::map<JobId, TeamId> m_teams;
 };
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -113,6 +113,9 @@
     }
     for (const ProgressRow &row : transaction.progress) {
         m_progress[row.id] = row;
+        if (row.state == GraphState::Failed) {
+            checkFailed(row.id);
+        }
     }
     for (const WaveRow &row : transaction.waves) {
         m_waveRows[row.number] = row;
@@ -123,6 +126,18 @@
     return CellWritten{call.call, CellWriteOutcome::Written, m_version, std::nullopt};
 }
 
+void CellSite::checkFailed(const JobId &job)
+{
+    const std::uint32_t maxFailures = m_config->queues.at(m_jobs.at(job).queue).maxFailures;
+    const bool hasCause = std::any_of(m_failedRuns.begin(), m_failedRuns.end(), [&](const auto &pair) {
+        return pair.first.job == job && pair.second.size() >= maxFailures;
+    });
+    if (!hasCause) {
+        broken.push_back("a job has failed without enough failures of a task: " + job.name() + " at "
+                         + std::to_string(m_now));
+    }
+}
+
 void CellSite::read(const Caller &caller, const ReadCell &call)
 {
     if (storeDown || node(caller.node).cutFromStore) {
@@ -236,7 +251,7 @@
     run.stalled = worker.stalls;
     const auto duration = durations.find(order.task.job);
     run.duration = duration == durations.end() ? 300 : duration->second;
-    if (worker.fails) {
+    if (worker.fails || (!run.isService && chance(failingRuns))) {
         run.duration = -50;
     }
     worker.running[order.task] = run;
@@ -252,6 +267,11 @@
             broken.push_back("two runs at a time: " + what + ", also on " + id);
         }
     }
+    const std::uint32_t maxFailures = m_config->queues.at(m_jobs.at(order.task.job).queue).maxFailures;
+    if (!m_specs[order.task.job].steps[order.task.step].isService
+        && m_notedFailures[order.task].size() >= maxFailures) {
+        broken.push_back("a start after the last failure that the queue allows: " + what);
+    }
     if (m_doneNoted.count(order.task) > 0) {
         broken.push_back("a start after its end was noted: " + what);
     }
@@ -413,6 +433,9 @@
             if (row.number <= order.acknowledged && row.how == RunEnd::Done) {
                 m_doneNoted[row.task] = row.run;
             }
+            if (row.number <= order.acknowledged && row.how == RunEnd::Failed) {
+                m_notedFailures[row.task].insert(row.run);
+            }
         }
         std::erase_if(worker->ended, [&order](const EndedRow &row) { return row.number <= order.acknowledged; });
         answerLeaseRenewal(caller, order, m_now + order.wait.count());
@@ -459,6 +482,10 @@
     if (how == RunEnd::Done) {
         m_done[task] = true;
     }
+    if (how == RunEnd::Failed) {
+        const bool isGang = m_specs[task.job].steps[task.step].gang;
+        m_failedRuns[TaskId{task.job, task.occurrence, task.step, isGang ? 0 : task.index}].insert(run);
+    }
     worker.ended.push_back(EndedRow{++worker.lastEnd, task, run, how, {}});
     worker.endedAt[worker.lastEnd] = m_now;
 }
