Count a run of a gang in which several members fail once

Callers would see a gang's job as failed after fewer attempts than its queue allows, when several members fail by their own fault in one run.

Cause: the failures of all members were added up, although the members share one run and the limit is on the failures of the gang.

Change: the distinct runs of all members count.

Before: CellFailures.CountOnceWhenSeveralMembersOfAGangFailInOneRun fails (one run of four members, then failed; the queue allows two). After: it passes.

--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -29,17 +29,18 @@
     return occurrence;
 }
 
-/// Failures that count against a task. The failures of all members of a gang are added up.
+/// Number of runs that have failed. The members of a gang share their runs, so one in which several members fail counts
+/// once.
 std::size_t failuresOf(const StepSpec &spec, const Step &step, const Task &task)
 {
     if (!spec.gang) {
         return task.progress.failedRuns.size();
     }
-    std::size_t failures = 0;
+    std::set<RunNumber> failed;
     for (const Task &member : step.tasks) {
-        failures += member.progress.failedRuns.size();
+        failed.insert(member.progress.failedRuns.begin(), member.progress.failedRuns.end());
     }
-    return failures;
+    return failed.size();
 }
 
 /// Records the failure of a run. Several owners, and one owner several times, may read the same end.
--- a/tests/core/cells/cell_failures_test.cpp
+++ b/tests/core/cells/cell_failures_test.cpp
@@ -144,4 +144,22 @@
     });
 }
 
+TEST(CellFailures, CountOnceWhenSeveralMembersOfAGangFailInOneRun)
+{
+    story("all members of a gang fail in the same run; the queue allows two failures", [] {
+        CellSite site;
+        fillSite(site, 2);
+        GraphSpec gang = graphOf(1, 4, 1'000, Duration(300));
+        gang.steps[0].gang = true;
+        site.durations[JobId("g")] = -300;
+        site.submit(site.owner(), "g", "plans", gang);
+        section("the gang runs a second time, and then the job fails", [&] {
+            site.run(Duration(5'000));
+            EXPECT_EQ(site.runs("g"), 8);
+            EXPECT_EQ(site.state("g"), GraphState::Failed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
