Drop the answers to renewals of a former incarnation of a worker

Callers could see a task run again that is done, or a failure count twice: discovery listed the new incarnation of a worker while the answer of the former one was held up. The owner then took the former clock and the numbers of the former ends for those of the new incarnation: it ignored the first ends of the new one, acknowledged them unread, and granted leases by the wrong clock.

Cause: a new incarnation began without its own renewal; the pending one of the former incarnation stayed valid.

Change: beginning an incarnation forgets the pending renewal, so that its answer is dropped, and the new incarnation is queried at once.

Found by reading. Before: WorkerLeaseController. IgnoresAReportOfAnIncarnationThatHasEnded fails (5 ends counted, taken as fenced, no query). After: it passes.

--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -230,6 +230,9 @@
     worker.unreachable = false;
     worker.hasUnlistedEnds = false;
     worker.incarnationEnded = false;
+    // The answer to a pending renewal may come from the former incarnation, whose clock and ends are not those of the
+    // new one.
+    worker.renewal = CallId{};
     worker.previousDeadline = 0;
     worker.clock = 0;
     worker.clockAt = TimePoint{};
--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -79,4 +79,39 @@
     });
 }
 
+TEST(WorkerLeaseController, IgnoresAReportOfAnIncarnationThatHasEnded)
+{
+    story("discovery lists a new incarnation of a worker before a report of the former one arrives", [] {
+        CellOutbox outbox;
+        CellWriter writer;
+        RunLedger runs(outbox, writer);
+        WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
+        outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
+        WorkerEntry entry;
+        entry.id = WorkerId("w");
+        entry.startedAtMs = startedAtMs;
+        runs.roster().observe({entry});
+        Worker &worker = *runs.roster().find(entry.id);
+        leases.renewLeases();
+        const auto former = renewalOf(outbox.take());
+        ASSERT_TRUE(former);
+        entry.startedAtMs = startedAtMs + 1;
+        for (const WorkerId &id : runs.roster().observe({entry})) {
+            runs.endIncarnation(*runs.roster().find(id), entry.startedAtMs);
+        }
+        section("no end of the former incarnation counts as an end of the new one", [&] {
+            leases.answered(answerTo(*former, 5));
+            EXPECT_EQ(worker.processed, 0);
+            EXPECT_FALSE(worker.fenced);
+        });
+        section("the new incarnation is queried without an acknowledgement", [&] {
+            outbox.now.steady += WorkerLeaseController::renewalRetry;
+            leases.renewLeases();
+            const auto next = renewalOf(outbox.take());
+            ASSERT_TRUE(next);
+            EXPECT_EQ(next->acknowledged, 0);
+        });
+    });
+}
+
 } // namespace radishvane::tests
