Reserve nothing for workers of which only ends are unknown

Callers saw: after a change of owner a team below its ceiling was held up for up to a lease time by a worker that had answered once with a full list of ended runs and did not answer again.

Cause: such a worker is not reconciled, since it may have ended runs that the owner does not know. But its list of running tasks is complete and it refuses orders of earlier owners, so it executes no unknown run.

Change: only workers that have not answered under the epoch count towards the reservation.

--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -23,12 +23,19 @@
     return known != config.teams.end() && !(known->second.ceiling == Resources{});
 }
 
-/// Capacity of the workers that are not reconciled; empty if that of one of them is unknown.
-std::optional<Resources> unreconciledRoom(const WorkerRoster &roster, TimePoint now)
+/// Whether the worker may execute runs that are not known. All runs of a worker that has answered are known; only ends
+/// may be missing.
+bool mayHaveUnknownRuns(const Worker &worker, TimePoint now)
+{
+    return !worker.fenced && !worker.isReconciled(now);
+}
+
+/// Capacity of the workers that may execute unknown runs; empty if that of one of them is unknown.
+std::optional<Resources> unknownRoom(const WorkerRoster &roster, TimePoint now)
 {
     Resources room;
     for (const auto &[id, worker] : roster.all()) {
-        if (worker.isReconciled(now)) {
+        if (!mayHaveUnknownRuns(worker, now)) {
             continue;
         }
         if (!worker.entry) {
@@ -83,7 +90,9 @@
     std::map<TeamId, Resources> result;
     const bool isAnyLimited = std::any_of(config.teams.begin(), config.teams.end(),
                                           [&config](const auto &team) { return hasCeiling(config, team.first); });
-    if (!isAnyLimited || !roster.hasUnreconciledWorker(now)) {
+    const bool isAnyUnknown = std::any_of(roster.all().begin(), roster.all().end(),
+                                          [now](const auto &worker) { return mayHaveUnknownRuns(worker.second, now); });
+    if (!isAnyLimited || !isAnyUnknown) {
         return result;
     }
     std::map<TeamId, Usage> usages;
@@ -99,7 +108,7 @@
             addAbortedRuns(usages[job.row.team], job);
         }
     }
-    const std::optional<Resources> room = unreconciledRoom(roster, now);
+    const std::optional<Resources> room = unknownRoom(roster, now);
     for (const auto &[team, usage] : usages) {
         Resources &bound = result[team];
         bound = usage.reserved;
--- a/tests/core/cells/inherited_usage_test.cpp
+++ b/tests/core/cells/inherited_usage_test.cpp
@@ -70,6 +70,47 @@
     });
 }
 
+TEST(CellTeams, AreNotHeldUpByAWorkerOfWhichOnlyEndsAreUnknown)
+{
+    story("a worker has ended 600 tasks, lists 500 ends to the next owner, and does not answer again", [] {
+        CellSite site;
+        site.addTeam("dyers", 600'000);
+        site.addQueue("plans", "looms");
+        site.addWorker("w0", "looms", 600'000);
+        site.addNode("a");
+        site.addNode("b");
+        site.run(Duration(2'000));
+        site.durations[JobId("j1")] = 2'000;
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 600, 1'000, Duration(2'000)), "dyers");
+        site.run(Duration(1'500));
+        ASSERT_EQ(site.runningOn("w0"), 600);
+        site.worker("w0").cut = true;
+        takeOver(site);
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.worker("w0").ended.size(), 600);
+        site.worker("w0").cut = false;
+        const WorkerRoster &roster = site.node(site.owner()).controller->roster();
+        const auto hasListedSome = [&roster] {
+            const Worker *worker = roster.find(WorkerId("w0"));
+            return worker != nullptr && worker->hasUnlistedEnds;
+        };
+        for (int waited = 0; waited < 2'000 && !hasListedSome(); ++waited) {
+            site.run(Duration(1));
+        }
+        ASSERT_TRUE(hasListedSome());
+        site.worker("w0").cut = true;
+        site.addWorker("w1", "looms", 600'000);
+        site.run(Duration(2'000));
+        section("a new job of the team uses the whole ceiling", [&] {
+            site.durations[JobId("j2")] = 20'000;
+            site.submit(site.owner(), "j2", "plans", graphOf(1, 600, 1'000, Duration(20'000)), "dyers");
+            site.run(Duration(1'500));
+            EXPECT_EQ(site.runningOn("w1"), 600);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellTeams, RegainTheirCeilingWhenAWorkerOfTheFormerOwnerAnswersOrItsLeasesExpire)
 {
     const auto begin = [](CellSite &site) {
