--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -1,8 +1,7 @@
 #include "drivers/event_log.h"
 
 #include "core/base/enum_names.h"
-
-#include <nlohmann/json.hpp>
+#include "drivers/json_text.h"
 
 #include <fcntl.h>
 #include <limits.h>
@@ -11,16 +10,6 @@
 namespace radishvane::drivers
 {
 
-namespace
-{
-
-void appendText(std::string &line, std::string_view text)
-{
-    line += nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
-} // namespace
-
 EventLog::EventLog(EventLoop &loop, const Clock &clock, std::string host, LogLevel least)
     : m_clock(clock)
     , m_host(std::move(host))
@@ -58,7 +47,7 @@
     m_buffer += "{\"ts\":" + std::to_string(m_clock.wallNow().time_since_epoch().count()) + ",\"level\":\"";
     m_buffer += enumName(logLevelNames, level);
     m_buffer += "\",\"host\":";
-    appendText(m_buffer, m_host);
+    appendJsonText(m_buffer, m_host);
     m_buffer += ",\"event\":\"";
     m_buffer += event;
     m_buffer += '"';
@@ -69,7 +58,7 @@
         m_buffer += ",\"";
         m_buffer += field.key;
         m_buffer += "\":";
-        appendText(m_buffer, field.value);
+        appendJsonText(m_buffer, field.value);
     }
     m_buffer += "}\n";
 }
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -97,6 +97,38 @@
     });
 }
 
+TEST(WorkerWire, WritesStartsWithTheExactPayload)
+{
+    story("a start order", [] {
+        StartOrder order;
+        order.worker = WorkerAddress{WorkerId("i-1"), Endpoint{"10.0.0.1", 80}};
+        order.task = *parseTaskName("5c0e.0.1.17");
+        order.run = 2;
+        order.payload = "{\"a\":\"b\\\\n\"}\n\t\x01 Käse \\";
+        order.deadline = 486'000;
+        order.fence = 7;
+        Json expected{{"task", "5c0e.0.1.17"},
+                      {"runId", 2},
+                      {"spec", order.payload},
+                      {"deadlineMs", 486'000},
+                      {"fencingToken", 7}};
+        section("of a first run has neither a checkpoint nor a ticket",
+                [&] { EXPECT_EQ(Json::parse(workerCall(order).body), expected); });
+        section("of a later run has both", [&] {
+            order.checkpoint = "000\"b";
+            order.ticket = "t-1";
+            expected["lastCheckpoint"] = order.checkpoint;
+            expected["ticket"] = order.ticket;
+            EXPECT_EQ(Json::parse(workerCall(order).body), expected);
+        });
+        section("names the worker that is meant", [&] {
+            const drivers::HttpCall call = workerCall(order);
+            EXPECT_EQ(call.target, "/-/run-start");
+            EXPECT_EQ(call.endpoint, order.worker.endpoint);
+        });
+    });
+}
+
 TEST(WorkerWire, ReadsRefusalsAndLists)
 {
     story("answers of workers", [] {
