Append the ends of a checkpoint in the order of the workers

Each transaction of the owner looked up every worker in a map that it fills in order: about a tenth of the instructions of the owner's decisions, counted with callgrind on the site model with 280 workers and 120 jobs a second. The hint makes the insertion a plain append; contents are unchanged.

Tried first: leaving out workers without ends to store. It contradicts CellWriter.CountsEndsAsStoredUnderAStandingBacklog and was not kept.

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -130,7 +130,7 @@
 {
     Checkpoint checkpoint{m_changedJobs.nextPlace(), {}};
     for (const auto &[id, worker] : roster.all()) {
-        checkpoint.ends[id] = {worker.startedAtMs, worker.processed};
+        checkpoint.ends.emplace_hint(checkpoint.ends.end(), id, std::pair{worker.startedAtMs, worker.processed});
     }
     m_checkpoints.push_back(std::move(checkpoint));
     m_pending = Pending{call, std::move(transaction), now};
