Move the site of separate processes to the test support

The soak of a site needs the same entry hosts and platform as ProcessSite.*. The number of entry hosts is now an argument. No check changes; ProcessSite.ServesAJobFromEndToEnd, GoesOnWhenTheOwnerIsKilledOrStopped and MaintainsEveryHostOfAWave pass as before.

--- a/tests/servers/site_test.cpp
+++ b/tests/servers/site_test.cpp
@@ -1,6 +1,4 @@
-#include "drivers/blocking_http.h"
-#include "drivers/settings.h"
-#include "tests/support/process.h"
+#include "tests/support/site.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -8,9 +6,6 @@
 
 #include <chrono>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <memory>
 #include <thread>
 
 namespace radishvane::tests
@@ -21,202 +16,7 @@
 
 using nlohmann::json;
 
-const std::string binaries = RADISHVANE_BINARIES;
-constexpr auto loopback = "127.0.0.1";
-constexpr int entryCount = 3;
-/// Ports of one entry host: callers, readiness, links, metrics.
-constexpr int portsEach = 4;
-
-/// Entry hosts of a site, and the platform in small, as separate processes on loopback.
-class Site
-{
-public:
-    Site(std::uint16_t firstPort, const std::vector<std::string> &options)
-        : m_firstPort(firstPort)
-        , m_folder(std::filesystem::temp_directory_path() / ("site-" + std::to_string(firstPort)))
-    {
-        std::filesystem::remove_all(m_folder);
-        std::filesystem::create_directories(m_folder);
-        std::vector<std::string> arguments{"--port", std::to_string(storePort())};
-        arguments.insert(arguments.end(), options.begin(), options.end());
-        m_platform = std::make_unique<Process>(binaries + "/tests/stand_ins/site_stand_in", arguments, log("platform"));
-        waitFor(
-            [this] { return ask(storePort(), drivers::HttpMethod::Get, "/-/rows-get?table=op&part=", {}, {}) == 200; });
-        for (int index = 0; index < entryCount; ++index) {
-            start(index);
-        }
-        for (int index = 0; index < entryCount; ++index) {
-            waitReady(index);
-        }
-    }
-
-    void start(int index, const std::string &moreSettings = {})
-    {
-        const std::string settings = m_folder / ("entry-" + std::to_string(index) + ".yaml");
-        std::ofstream(settings) << "host: entry-" << index << "\nzone: a\nlisten: " << address(index, 0)
-                                << "\nready_listen: " << address(index, 1) << "\nlink_listen: " << address(index, 2)
-                                << "\nmetrics_listen: " << address(index, 3) << "\nstore: " << loopback << ':'
-                                << storePort() << "\nhost_service: " << loopback << ':' << storePort() + 1
-                                << "\nmost_hold_ms: 10000\nworker_stop_ms: 400\nkeys_within_ms: 5000\n"
-                                << "stop_within_s: 6\nkeep_ended_s: 120\n"
-                                << moreSettings;
-        m_entries[static_cast<std::size_t>(index)]
-            = std::make_unique<Process>(binaries + "/main/radishvaned", std::vector<std::string>{"--site", settings},
-                                        log("entry-" + std::to_string(index)));
-    }
-
-    Process &entry(int index)
-    {
-        return *m_entries[static_cast<std::size_t>(index)];
-    }
-
-    void waitReady(int index)
-    {
-        waitFor([&] { return ask(port(index, 1), drivers::HttpMethod::Get, "/-/ready", {}, {}) == 200; });
-    }
-
-    /// Submits a job until it is accepted, at one host after the other, as a caller does.
-    void submit(const std::string &job, const json &steps, const std::string &payload)
-    {
-        int index = 0;
-        const std::string body = json{{"spec", payload}, {"steps", steps}}.dump();
-        waitFor([&] {
-            return ask(port(index++ % entryCount, 0), drivers::HttpMethod::Post, "/plans/" + job, body, "key-1") == 200;
-        });
-    }
-
-    std::string state(const std::string &job)
-    {
-        for (int index = 0; index < entryCount; ++index) {
-            if (ask(port(index, 0), drivers::HttpMethod::Get, "/plans/" + job, {}, "key-1") == 200) {
-                return json::parse(m_body).at("state");
-            }
-        }
-        return "unknown";
-    }
-
-    bool ends(const std::string &job, const std::string &wanted)
-    {
-        return waitFor([&] { return state(job) == wanted; });
-    }
-
-    int ask(int port, drivers::HttpMethod method, const std::string &target, const std::string &body,
-            const std::string &key)
-    {
-        drivers::HttpCall call;
-        call.endpoint = Endpoint{loopback, static_cast<std::uint16_t>(port)};
-        call.method = method;
-        call.target = target;
-        call.body = body;
-        call.headers = {{"Host", "site.example"}};
-        if (!key.empty()) {
-            call.headers.push_back({"X-Api-Key", key});
-        }
-        call.timeout = Duration(3'000);
-        const drivers::HttpOutcome outcome = m_http.call(call);
-        const auto *answer = std::get_if<drivers::HttpAnswer>(&outcome);
-        m_body = answer == nullptr ? std::string() : answer->body;
-        return answer == nullptr ? 0 : answer->status;
-    }
-
-    const std::string &body() const
-    {
-        return m_body;
-    }
-
-    void control(const std::string &mode)
-    {
-        ask(storePort(), drivers::HttpMethod::Post, "/control", json{{"mode", mode}}.dump(), {});
-    }
-
-    int port(int index, int which) const
-    {
-        return m_firstPort + index * portsEach + which;
-    }
-
-    /// The host that owns the cell; waits until one does.
-    int owner()
-    {
-        int owner = -1;
-        waitFor([&] {
-            owner = lastOwner();
-            return owner >= 0;
-        });
-        return std::max(owner, 0);
-    }
-
-    template<typename Condition>
-    bool waitFor(const Condition &condition)
-    {
-        constexpr auto longest = std::chrono::seconds(40);
-        constexpr auto pause = std::chrono::milliseconds(50);
-        const auto until = std::chrono::steady_clock::now() + longest;
-        while (std::chrono::steady_clock::now() < until) {
-            if (condition()) {
-                return true;
-            }
-            std::this_thread::sleep_for(pause);
-        }
-        ADD_FAILURE() << "waited in vain; last answer: " << m_body;
-        return false;
-    }
-
-    /// The last line of an event in the log of a host; null if there is none.
-    json lastLine(int index, const std::string &name) const
-    {
-        json last;
-        std::ifstream stream(log("entry-" + std::to_string(index)));
-        for (std::string line; std::getline(stream, line);) {
-            json event = json::parse(line, nullptr, false);
-            if (event.is_object() && event.value("event", "") == name) {
-                last = std::move(event);
-            }
-        }
-        return last;
-    }
-
-private:
-    /// The host that took the cell last, by the hosts' logs; -1 when none has.
-    int lastOwner() const
-    {
-        int owner = -1;
-        std::int64_t latest = 0;
-        for (int index = 0; index < entryCount; ++index) {
-            std::ifstream stream(log("entry-" + std::to_string(index)));
-            for (std::string line; std::getline(stream, line);) {
-                const json event = json::parse(line, nullptr, false);
-                if (event.is_object() && event.value("event", "") == "ownership-taken"
-                    && event.value("ts", std::int64_t{0}) >= latest) {
-                    latest = event.value("ts", std::int64_t{0});
-                    owner = index;
-                }
-            }
-        }
-        return owner;
-    }
-
-    std::uint16_t storePort() const
-    {
-        return static_cast<std::uint16_t>(m_firstPort + entryCount * portsEach);
-    }
-
-    std::string address(int index, int which) const
-    {
-        return std::string(loopback) + ':' + std::to_string(port(index, which));
-    }
-
-    std::string log(const std::string &name) const
-    {
-        return m_folder / (name + ".log");
-    }
-
-    std::uint16_t m_firstPort;
-    std::filesystem::path m_folder;
-    drivers::BlockingHttp m_http;
-    std::string m_body;
-    std::unique_ptr<Process> m_platform;
-    std::array<std::unique_ptr<Process>, entryCount> m_entries;
-};
+constexpr int entryCount = Site::defaultHosts;
 
 json steps(int count)
 {
@@ -378,8 +178,7 @@
         EXPECT_TRUE(site.ends("00000000000000c1", "completed"));
         section("the operator reads that the wave is completed", [&] {
             site.waitFor([&] {
-                site.ask(site.port(0, 0) + entryCount * portsEach, drivers::HttpMethod::Get,
-                         "/-/rows-get?table=status&part=", {}, {});
+                site.ask(site.storePort(), drivers::HttpMethod::Get, "/-/rows-get?table=status&part=", {}, {});
                 // The value is base64 of {"state":"completed","wave":1}.
                 return site.body().find("eyJzdGF0ZSI6ImNvbXBsZXRlZCIsIndhdmUiOjF9") != std::string::npos;
             });
@@ -392,7 +191,7 @@
     story("three hosts in a pool, and a pool in standby", [] {
         Site site(24'400, {"--workers", "3", "--standby"});
         const auto hostsIn = [&site](const std::string &pool) {
-            site.ask(site.port(0, 0) + entryCount * portsEach + 1, drivers::HttpMethod::Get, "/-/machines", {}, {});
+            site.ask(site.storePort() + 1, drivers::HttpMethod::Get, "/-/machines", {}, {});
             int count = 0;
             const json page = json::parse(site.body());
             for (const json &machine : page.at("machines")) {
