Let the platform in small restart workers, go silent and write down its runs

For the soak of separate processes: an order to /control restarts a worker under its id, writes a configuration, or lets the store answer nothing. Workers write down each start, end and noted end in order. They now refuse a run that is not higher than one stopped or ended there and shorten leases to the longest, as the protocol says; by the code, a repeated order could start a run again before, which a check would have counted as the entry host's fault.

--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -26,6 +26,7 @@
 constexpr Duration tickInterval{10};
 constexpr std::int64_t stopMilliseconds = 200;
 constexpr std::int64_t maintenanceMilliseconds = 1'000;
+constexpr std::int64_t longestLeaseMilliseconds = 10'000;
 
 /// What the store does with the next transaction.
 enum class StoreMode {
@@ -34,9 +35,11 @@
     LoseNextAnswer,
     /// Every call is turned away.
     Down,
+    /// No call is answered, and nothing is done.
+    Silent,
 };
 
-constexpr std::array<std::string_view, 3> storeModeNames{"serve", "lose-next-answer", "down"};
+constexpr std::array<std::string_view, 4> storeModeNames{"serve", "lose-next-answer", "down", "silent"};
 
 std::int64_t milliseconds()
 {
@@ -44,6 +47,16 @@
     return std::chrono::duration_cast<Duration>(clock.now().time_since_epoch()).count();
 }
 
+/// Writes down what happens to a run, in the order in which it happens; a test reads the lines.
+void record(const char *event, const std::string &worker, const std::string &task, std::uint64_t run,
+            const std::string &how = {})
+{
+    std::cout << json{{"run-event", event}, {"worker", worker}, {"task", task},
+                      {"run", run},         {"how", how},       {"ms", milliseconds()}}
+                     .dump()
+              << std::endl;
+}
+
 std::string toBase64(const std::string &text)
 {
     static constexpr std::string_view letters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -86,6 +99,9 @@
         m_rows[{table, part, key}] = Row{{}, ++m_version, true};
     }
 
+    /// Called with the number of a worker that is to start again under its id.
+    std::function<void(std::size_t)> restartWorker;
+
 private:
     struct Row
     {
@@ -131,10 +147,13 @@
     void take(const HttpRequest &request)
     {
         if (request.path == "/control") {
-            m_mode = readMode<StoreMode>(storeModeNames, json::parse(request.body)).value_or(StoreMode::Serve);
+            obey(json::parse(request.body));
             m_server.answer(request.id, jsonAnswer(httpStatus::ok, json::object()));
             return;
         }
+        if (m_mode == StoreMode::Silent) {
+            return;
+        }
         if (m_mode == StoreMode::Down) {
             m_server.answer(request.id, jsonAnswer(httpStatus::unavailable, json::object()));
         } else if (request.path == "/-/rows-tx") {
@@ -151,6 +170,17 @@
         }
     }
 
+    void obey(const json &order)
+    {
+        if (order.contains("config")) {
+            put("op", "", "config", order.at("config"));
+        } else if (order.contains("restart-worker")) {
+            restartWorker(order.at("restart-worker").get<std::size_t>());
+        } else {
+            m_mode = readMode<StoreMode>(storeModeNames, order).value_or(StoreMode::Serve);
+        }
+    }
+
     void transact(const HttpRequest &request)
     {
         const json body = json::parse(request.body);
@@ -198,6 +228,9 @@
 
     void answerWaiting()
     {
+        if (m_mode == StoreMode::Silent) {
+            return;
+        }
         for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
             json rows = json::array();
             for (const auto &[key, row] : m_rows) {
@@ -223,7 +256,8 @@
     Timer m_timer;
 };
 
-/// A worker without a guard of its own; a job's text "ms=N" tells how long its tasks take.
+/// A worker without a guard of its own; a job's text "ms=N" tells how long its tasks take, "fail=N" that they then
+/// fail.
 class SiteWorkerStandIn
 {
 public:
@@ -266,10 +300,16 @@
     /// Ends all that runs, as a host that goes down does.
     void goDown()
     {
+        for (const auto &[task, run] : m_running) {
+            record("gone", id(), task, run.number);
+        }
         m_running.clear();
         m_ended.clear();
+        m_highest.clear();
         m_lastEnd = 0;
+        m_lastLapsed = 0;
         m_fence = 0;
+        m_deadline = 0;
         m_born = milliseconds();
     }
 
@@ -329,16 +369,28 @@
             refuse(request, "late");
             return;
         }
-        m_deadline = std::max(m_deadline, deadline);
-        const std::string payload = body.at("spec");
-        const std::int64_t duration = std::stoll(payload.substr(payload.find('=') + 1));
-        m_running.try_emplace(task, Run{body.at("runId"), milliseconds() + duration, milliseconds(), "done"});
+        extendLease(deadline);
+        const std::uint64_t number = body.at("runId");
+        const auto running = m_running.find(task);
+        if (running == m_running.end() && number <= m_highest[task]) {
+            refuse(request, "old");
+            return;
+        }
+        if (running == m_running.end() || running->second.number < number) {
+            const std::string payload = body.at("spec");
+            const std::int64_t duration = std::stoll(payload.substr(payload.find('=') + 1));
+            record("start", id(), task, number);
+            m_running[task] = Run{number, milliseconds() + duration, milliseconds(),
+                                  payload.starts_with("fail") ? "failed" : "done"};
+        }
         m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"clockMs", clock()}}));
     }
 
     void stop(const HttpRequest &request, const json &body)
     {
-        const auto running = m_running.find(body.at("task"));
+        const std::string task = body.at("task");
+        const auto running = m_running.find(task);
+        m_highest[task] = std::max(m_highest[task], body.at("runId").get<std::uint64_t>());
         if (running != m_running.end() && running->second.number == body.at("runId").get<std::uint64_t>()) {
             running->second.how = "stopped";
             running->second.endsAt = milliseconds() + stopMilliseconds;
@@ -346,10 +398,21 @@
         m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"clockMs", clock()}}));
     }
 
+    /// A lease is never shortened, and never longer than the platform allows.
+    void extendLease(std::int64_t deadline)
+    {
+        m_deadline = std::max(m_deadline, std::min(deadline, clock() + longestLeaseMilliseconds));
+    }
+
     void hold(const HttpRequest &request, const json &body)
     {
         const std::uint64_t noted = body.at("ackSeq");
-        m_deadline = std::max(m_deadline, body.value("deadlineMs", std::int64_t{0}));
+        extendLease(body.value("deadlineMs", std::int64_t{0}));
+        for (const json &end : m_ended) {
+            if (end[0] <= noted && end[0] > m_lastLapsed) {
+                record("noted", id(), end[1], end[2], end[3]);
+            }
+        }
         std::erase_if(m_ended, [noted](const json &end) { return end[0].get<std::uint64_t>() <= noted; });
         m_waiting.push_back(Waiting{request.id, milliseconds() + body.value("waitMs", 0)});
         answerWaiting();
@@ -358,13 +421,16 @@
     void tick()
     {
         const bool lapsed = clock() > m_deadline;
+        m_lastLapsed = lapsed ? m_lastEnd : m_lastLapsed;
         for (auto running = m_running.begin(); running != m_running.end();) {
             if (!lapsed && milliseconds() < running->second.endsAt) {
                 ++running;
                 continue;
             }
-            m_ended.push_back(json{++m_lastEnd, running->first, running->second.number,
-                                   lapsed ? std::string("lapsed") : running->second.how, ""});
+            const std::string how = lapsed ? std::string("lapsed") : running->second.how;
+            record("end", id(), running->first, running->second.number, how);
+            m_highest[running->first] = std::max(m_highest[running->first], running->second.number);
+            m_ended.push_back(json{++m_lastEnd, running->first, running->second.number, how, ""});
             running = m_running.erase(running);
         }
         answerWaiting();
@@ -395,7 +461,11 @@
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
     std::uint64_t m_lastEnd = 0;
+    /// Ends up to this number were listed when a lease lapsed.
+    std::uint64_t m_lastLapsed = 0;
     std::map<std::string, Run> m_running;
+    /// Highest run of each task that was stopped or has ended here.
+    std::map<std::string, std::uint64_t> m_highest;
     std::vector<json> m_ended;
     std::list<Waiting> m_waiting;
     HttpServer m_server;
@@ -526,6 +596,10 @@
         hosts.place(*worker, "looms");
         machines.push_back("m-" + worker->id().substr(2));
     }
+    store.restartWorker = [&](std::size_t index) {
+        workers.at(index)->goDown();
+        hosts.place(*workers.at(index), "looms");
+    };
     // Entries of other writers name no worker to use, and end nothing.
     store.put("servers", "", "i-other", json{{"service", 7}});
     const json queue{{"name", "q"},      {"host", "site.example"}, {"prefix", "/plans/"},    {"service", "looms"},
