--- a/tests/servers/site_soak_test.cpp
+++ b/tests/servers/site_soak_test.cpp
@@ -31,7 +31,7 @@
 constexpr seconds stopWithin{6};
 constexpr milliseconds contactTime{3'000};
 
-constexpr int workers = 4;
+constexpr int workers = 6;
 constexpr std::size_t failureLimit = 3;
 
 enum class Action {
@@ -306,12 +306,12 @@
     const milliseconds length = seconds(fromEnvironment("RADISHVANE_SOAK_SECONDS", 45));
     const auto port = static_cast<std::uint16_t>(fromEnvironment("RADISHVANE_SOAK_PORT", 24'600));
     story("entry hosts and workers under signals, restarts, changes and outages", [&] {
-        Site site(port, {"--workers", std::to_string(workers)}, hosts);
+        Site site(port, {"--workers", std::to_string(workers), "--transaction-ms", "6"}, hosts);
         SoakConditions conditions(hosts);
         Course course(site, conditions);
         std::vector<std::unique_ptr<SoakCaller>> callers;
         std::vector<std::jthread> threads;
-        for (int index = 0; index < 2 + hosts; ++index) {
+        for (int index = 0; index < 12 + hosts / 8; ++index) {
             callers.push_back(std::make_unique<SoakCaller>(seed, index, site, conditions));
             threads.emplace_back([caller = callers.back().get()] { caller->run(); });
         }
--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -76,8 +76,10 @@
 class StoreStandIn
 {
 public:
-    StoreStandIn(EventLoop &loop, std::uint16_t port)
+    /// @param transactionMilliseconds how long the answer to a transaction takes
+    StoreStandIn(EventLoop &loop, std::uint16_t port, std::int64_t transactionMilliseconds)
         : m_port(port)
+        , m_transactionMilliseconds(transactionMilliseconds)
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
         , m_timer(loop, tickInterval, [this] { answerWaiting(); })
@@ -120,6 +122,14 @@
         std::int64_t until = 0;
     };
 
+    /// The answer to a transaction that is done.
+    struct Done
+    {
+        ExchangeId exchange;
+        json body;
+        std::int64_t at = 0;
+    };
+
     static Key keyOf(const json &row)
     {
         return Key{row.at("table"), row.at("part"), row.at("key")};
@@ -209,7 +219,7 @@
             m_mode = StoreMode::Serve;
             return;
         }
-        m_server.answer(request.id, jsonAnswer(httpStatus::ok, withVersion(json::object())));
+        m_done.push_back(Done{request.id, withVersion(json::object()), milliseconds() + m_transactionMilliseconds});
         answerWaiting();
     }
 
@@ -231,6 +241,10 @@
         if (m_mode == StoreMode::Silent) {
             return;
         }
+        while (!m_done.empty() && milliseconds() >= m_done.front().at) {
+            m_server.answer(m_done.front().exchange, jsonAnswer(httpStatus::ok, m_done.front().body));
+            m_done.pop_front();
+        }
         for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
             json rows = json::array();
             for (const auto &[key, row] : m_rows) {
@@ -252,6 +266,8 @@
     std::uint64_t m_version = 0;
     std::map<Key, Row> m_rows;
     std::list<Waiting> m_waiting;
+    std::int64_t m_transactionMilliseconds;
+    std::list<Done> m_done;
     HttpServer m_server;
     Timer m_timer;
 };
@@ -570,15 +586,17 @@
     int workerCount = 3;
     bool hasWave = false;
     bool hasStandby = false;
+    std::int64_t transactionMilliseconds = 0;
     app.add_option("--port", port, "the store's; the host service and the workers follow")->required();
     app.add_option("--workers", workerCount, "workers of the one pool");
     app.add_flag("--wave", hasWave, "all hosts are due for maintenance");
     app.add_flag("--standby", hasStandby, "there is a pool whose hosts are switched off");
+    app.add_option("--transaction-ms", transactionMilliseconds, "time that the store takes for a transaction");
     CLI11_PARSE(app, argumentCount, arguments);
     std::signal(SIGPIPE, SIG_IGN);
 
     EventLoop loop;
-    StoreStandIn store(loop, port);
+    StoreStandIn store(loop, port, transactionMilliseconds);
     std::vector<std::unique_ptr<SiteWorkerStandIn>> workers;
     std::vector<std::uint16_t> ports;
     for (int index = 0; index < workerCount; ++index) {
--- a/tests/support/soak_caller.cpp
+++ b/tests/support/soak_caller.cpp
@@ -48,12 +48,12 @@
 void SoakCaller::run()
 {
     while (!m_conditions.over) {
-        if (m_open.empty() || draw(0, 3) == 0) {
+        if (m_open.empty() || draw(0, 7) == 0) {
             submit();
         } else {
             query(static_cast<std::size_t>(draw(0, static_cast<int>(m_open.size()) - 1)));
         }
-        std::this_thread::sleep_for(milliseconds(draw(20, 200)));
+        std::this_thread::sleep_for(milliseconds(draw(0, 40)));
     }
 }
 
@@ -110,7 +110,7 @@
     const json step{{"count", soakStepSize}, {"cpu", 1'000}, {"memMb", 100}, {"estimateMs", 300}};
     json second = step;
     second["after"] = {0};
-    const std::string payload = (job.fails ? "fail=" : "ms=") + std::to_string(draw(50, 900));
+    const std::string payload = (job.fails ? "fail=" : "ms=") + std::to_string(draw(20, 300));
     const std::string body = json{{"spec", payload}, {"steps", {step, second}}}.dump();
     constexpr int attempts = 12;
     bool isInDoubt = false;
