--- a/tests/support/soak_caller.h
+++ b/tests/support/soak_caller.h
@@ -47,7 +47,7 @@
         bool fails = false;
     };
 
-    /// The first caller uses the key that is withdrawn now and then.
+    /// Every fourth caller uses the key that is withdrawn now and then.
     SoakCaller(std::uint32_t seed, int index, const Site &site, SoakConditions &conditions);
 
     /// Calls until the soak is over.
