--- a/tests/servers/site_soak_test.cpp
+++ b/tests/servers/site_soak_test.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds contactTime{3'000};
 
 constexpr int workers = 6;
+/// Of the configuration that the platform in small starts with.
+constexpr int firstVersion = 3;
 constexpr std::size_t failureLimit = 3;
 
 enum class Action {
@@ -185,7 +187,7 @@
             }
             return;
         case Action::Configure:
-            configure();
+            configure(step.length);
             return;
         case Action::RestartWorker:
             m_site.control(json{{"restart-worker", step.target % workers}});
@@ -202,12 +204,15 @@
         }
     }
 
-    /// Adds a route, and takes the second key away or gives it back.
-    void configure()
+    /// Adds a route, and takes the second key away or may give it back; the first one gives it.
+    void configure(milliseconds length)
     {
+        const std::int64_t withdrawn = m_conditions.withdrawn;
+        const bool hasSecondKey = withdrawn != 0 && (m_version == firstVersion || length < seconds(2));
         m_version += 2;
-        const bool hasSecondKey = m_conditions.withdrawn != 0;
-        m_conditions.withdrawn = 0;
+        if (hasSecondKey) {
+            m_conditions.withdrawn = 0;
+        }
         const json queue{{"name", "q"},
                          {"host", "site.example"},
                          {"prefix", "/plans/"},
@@ -224,7 +229,9 @@
                               {"routes", {queue, other}},
                               {"services", {{{"name", "looms"}}}},
                               {"tenants", {{{"name", "t"}, {"weight", 1}, {"apiKeys", keys}}}}}}});
-        m_conditions.withdrawn = hasSecondKey ? 0 : SoakConditions::now();
+        if (withdrawn == 0) {
+            m_conditions.withdrawn = SoakConditions::now();
+        }
     }
 
     void disturb(int index)
@@ -295,7 +302,7 @@
     SoakConditions &m_conditions;
     std::vector<Host> m_hosts;
     std::optional<Time::time_point> m_serveAt;
-    int m_version = 3;
+    int m_version = firstVersion;
 };
 
 } // namespace
--- a/tests/support/soak_caller.h
+++ b/tests/support/soak_caller.h
@@ -28,8 +28,8 @@
     std::vector<std::atomic<std::int64_t>> killed;
     std::vector<std::atomic<std::int64_t>> disturbed;
     std::atomic<std::int64_t> storeDisturbed{0};
-    /// When the second key was last withdrawn; 0 while it is valid.
-    std::atomic<std::int64_t> withdrawn{0};
+    /// When the second key was last withdrawn; 0 while it is valid, which it is not at first.
+    std::atomic<std::int64_t> withdrawn{1};
     std::atomic<bool> over{false};
     std::mutex mutex;
     /// Broken promises; guarded by the mutex.
