Query the admission service about all workers of a large pool

Cause: the workers of a query were not chosen by what is known. The decisions of the service about a step do not change.

Change: workers that were not admitted are remembered for their incarnation and skipped; workers with capacity are asked first, and more are asked when no admitted worker has capacity. Each ticket has its own validity.

Found by reading. Before: CellAdmission. FindsAdmittedWorkersInAPoolLargerThanOneQuery fails in all three sections. After: it passes.

--- a/core/cells/admission_controller.cpp
+++ b/core/cells/admission_controller.cpp
@@ -16,11 +16,12 @@
 std::string AdmissionController::ticket(const ReadyStep &step, const Worker &worker) const
 {
     const auto entry = m_steps.find(StepKey{step.job, step.occurrence, step.step});
-    if (entry == m_steps.end() || m_outbox.now.steady >= entry->second.validUntil) {
+    if (entry == m_steps.end()) {
         return {};
     }
     const auto ticket = entry->second.tickets.find(worker.id);
-    const bool isValid = ticket != entry->second.tickets.end() && ticket->second.startedAtMs == worker.startedAtMs;
+    const bool isValid = ticket != entry->second.tickets.end() && ticket->second.startedAtMs == worker.startedAtMs
+        && m_outbox.now.steady < ticket->second.validUntil;
     return isValid ? ticket->second.text : std::string();
 }
 
@@ -42,9 +43,16 @@
         if (query.workers.size() >= maxWorkersPerCall) {
             break;
         }
+        const auto rejected = entry.rejected.find(worker->id);
+        if (rejected != entry.rejected.end() && rejected->second == worker->startedAtMs) {
+            continue;
+        }
         query.workers.push_back(worker->id);
         call.incarnations[worker->id] = worker->startedAtMs;
     }
+    if (query.workers.empty()) {
+        return;
+    }
     entry.isQueried = true;
     m_calls[m_outbox.send(std::move(query))] = std::move(call);
 }
@@ -72,15 +80,16 @@
     if (!event.decided) {
         return true;
     }
-    entry.tickets.clear();
-    for (const auto &[worker, text] : event.tickets) {
-        const auto incarnation = call.incarnations.find(worker);
-        if (incarnation != call.incarnations.end()) {
-            entry.tickets[worker] = Ticket{text, incarnation->second};
+    // The validity begins with the decision. The time of the call is a lower bound for it.
+    const TimePoint validUntil = call.sent + call.validity - expiryMargin;
+    for (const auto &[worker, startedAtMs] : call.incarnations) {
+        const auto admitted = event.tickets.find(worker);
+        if (admitted != event.tickets.end()) {
+            entry.tickets[worker] = Ticket{admitted->second, startedAtMs, validUntil};
+        } else {
+            entry.rejected[worker] = startedAtMs;
         }
     }
-    // The validity begins with the decision. The time of the call is a lower bound for it.
-    entry.validUntil = call.sent + call.validity - expiryMargin;
     return true;
 }
 
--- a/core/cells/admission_controller.h
+++ b/core/cells/admission_controller.h
@@ -30,7 +30,7 @@
     /// The ticket of a step for a worker; empty when there is no valid one.
     std::string ticket(const ReadyStep &step, const Worker &worker) const;
     /// Queries the service about a step unless a query is pending or was made recently. @p workers come in order of
-    /// preference.
+    /// preference; those that the service did not admit before are skipped.
     void requestTickets(const ReadyStep &step, const AdmissionTimes &times, const std::vector<Worker *> &workers);
     /// Removes the ticket of a step after a worker rejected it.
     void refused(const TaskId &task, const WorkerId &worker);
@@ -45,12 +45,14 @@
         std::string text;
         /// Incarnation of the worker for which the ticket is valid.
         std::int64_t startedAtMs = 0;
+        TimePoint validUntil;
     };
 
     struct StepTickets
     {
         std::map<WorkerId, Ticket> tickets;
-        TimePoint validUntil;
+        /// Incarnations of the workers that the service does not admit. Its decisions about a step do not change.
+        std::map<WorkerId, std::int64_t> rejected;
         TimePoint queryNotBefore;
         bool isQueried = false;
     };
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -109,12 +109,24 @@
     if (!queue.admission) {
         return true;
     }
-    const std::vector<Worker *> &workers = candidates.workers(ready.pool);
-    const bool hasTicket = std::any_of(workers.begin(), workers.end(), [&](const Worker *worker) {
-        return !m_admission.ticket(ready, *worker).empty();
-    });
-    if (!hasTicket) {
-        m_admission.requestTickets(ready, *queue.admission, workers);
+    const Job &job = *m_registry.find(ready.job);
+    const StepSpec &spec = job.row.spec.steps[ready.step];
+    const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    bool hasTicket = false;
+    std::vector<Worker *> withCapacity;
+    std::vector<Worker *> full;
+    for (Worker *worker : candidates.workers(ready.pool)) {
+        const bool isFull = !worker->hasLabel(spec.label) || !hasCapacity(*worker, spec, step);
+        if (m_admission.ticket(ready, *worker).empty()) {
+            (isFull ? full : withCapacity).push_back(worker);
+        } else {
+            hasTicket = hasTicket || !isFull;
+        }
+    }
+    // The members of a gang may need more workers than those that are admitted so far.
+    if (!hasTicket || spec.gang) {
+        withCapacity.insert(withCapacity.end(), full.begin(), full.end());
+        m_admission.requestTickets(ready, *queue.admission, withCapacity);
     }
     return hasTicket;
 }
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -132,18 +132,6 @@
     return rank;
 }
 
-bool hasCapacity(const Worker &worker, const StepSpec &spec, const Step &step)
-{
-    if (!(worker.used + worker.foreignUsed + spec.reserved()).fitsIn(worker.room())) {
-        return false;
-    }
-    if (spec.maxPerWorker == 0) {
-        return true;
-    }
-    const auto on = step.onWorker.find(worker.id);
-    return on == step.onWorker.end() || on->second < spec.maxPerWorker;
-}
-
 /// Best-effort tasks interfere with service tasks that have a latency target, so the two share a worker only when no
 /// other worker has capacity.
 bool interferes(const Worker &worker, const StepSpec &spec)
@@ -156,6 +144,18 @@
 
 } // namespace
 
+bool hasCapacity(const Worker &worker, const StepSpec &spec, const Step &step)
+{
+    if (!(worker.used + worker.foreignUsed + spec.reserved()).fitsIn(worker.room())) {
+        return false;
+    }
+    if (spec.maxPerWorker == 0) {
+        return true;
+    }
+    const auto on = step.onWorker.find(worker.id);
+    return on == step.onWorker.end() || on->second < spec.maxPerWorker;
+}
+
 DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue)
 {
     DeclaredTimes times;
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -29,6 +29,9 @@
     Duration useful{0};
 };
 
+/// Whether a task of the step fits on the worker, beside the tasks of the step that it runs.
+bool hasCapacity(const Worker &worker, const StepSpec &spec, const Step &step);
+
 DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue);
 
 /// Ranks the steps that can start tasks.
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -366,6 +366,39 @@
     });
 }
 
+TEST(CellAdmission, FindsAdmittedWorkersInAPoolLargerThanOneQuery)
+{
+    story("a pool of 40 workers, most of which the admission service does not admit", [] {
+        CellSite site;
+        site.addQueue("checked", "looms");
+        site.setAdmission("checked");
+        fillLooms(site, 40);
+        section("a task runs on the only admitted worker, the last in the pool", [&] {
+            site.admitted = {"w9"};
+            site.submit(site.owner(), "j1", "checked", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        section("a step runs on the other admitted worker when the first one is full", [&] {
+            site.admitted = {"w0", "w9"};
+            site.durations[JobId("j2")] = 30'000;
+            site.submit(site.owner(), "j2", "checked", graphOf(1, 12, 1'000, Duration(30'000)));
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runningOn("w0"), 8);
+            EXPECT_EQ(site.runningOn("w9"), 4);
+        });
+        section("a gang runs on both", [&] {
+            site.admitted = {"w1", "w8"};
+            GraphSpec gang = graphOf(1, 12, 1'000, Duration(300));
+            gang.steps[0].gang = true;
+            site.submit(site.owner(), "g", "checked", gang);
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.state("g"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellRepeats, StartAtTheirDueTime)
 {
     story("a job of three occurrences at intervals of 1 s, the first due in 1 s", [] {
