Show that a gang that does not fit holds up other tasks

Found by reading; the story failed as a section of CellGangs.StartAllTasksOrNone (the later job stays queued for 2 s in an idle pool).

--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -344,6 +344,27 @@
     });
 }
 
+TEST(CellGangs, DoNotHoldUpOtherTasksWhileTheyDoNotFit)
+{
+    story("a gang that is larger than the pool, and a job that was submitted later", [] {
+        CellSite site;
+        site.addQueue("urgent", "looms");
+        fillLooms(site, 1);
+        site.setPriority("plans", 1);
+        GraphSpec gang = graphOf(1, 12, 1'000, Duration(300));
+        gang.steps[0].gang = true;
+        site.submit(site.owner(), "g", "urgent", gang);
+        site.run(Duration(200));
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+        section("the later job does not wait for the gang", [&] {
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            EXPECT_EQ(site.runs("g"), 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellAdmission, StartsTasksOnlyOnAdmittedWorkers)
 {
     story("a queue for whose steps the admission service admits one of four workers", [] {
