Ignore the lists of a worker's former incarnation

What callers saw: nothing was seen on a site; found in review. A task can run twice: the ends of a worker that has restarted under its id are taken as known.

Cause: discovery can show the restart while an answer of the former incarnation to a lease renewal is held up. That answer was then applied to the new incarnation: the worker counted as having answered under this epoch, its clock was the former one, and its ends up to the former number were ignored and acknowledged.

Change: an answer that names an earlier start time than the known one is ignored, and the worker is queried at once.

Evidence: WorkerLeaseController.IgnoresTheListsOfAFormerIncarnation. Before: fails (fenced, three ends processed, clock 400000). After: passes.

--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -105,6 +105,11 @@
         }
         return;
     }
+    if (event.report.startedAtMs < worker->startedAtMs) {
+        // A former incarnation answered before it ended.
+        worker->nextRenewal = now;
+        return;
+    }
     worker->unreachable = false;
     if (!worker->recorded) {
         m_writer.changeRoster();
--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -79,4 +79,46 @@
     });
 }
 
+TEST(WorkerLeaseController, IgnoresTheListsOfAFormerIncarnation)
+{
+    story("a worker restarts while the answer of its former incarnation is held up", [] {
+        CellOutbox outbox;
+        CellWriter writer;
+        RunLedger runs(outbox, writer);
+        WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
+        outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
+        WorkerEntry entry;
+        entry.id = WorkerId("w");
+        entry.startedAtMs = startedAtMs;
+        runs.roster().observe({entry});
+        Worker &worker = *runs.roster().find(entry.id);
+        leases.renewLeases();
+        const auto held = renewalOf(outbox.take());
+        ASSERT_TRUE(held);
+        entry.startedAtMs = startedAtMs + 1;
+        runs.roster().observe({entry});
+        runs.endIncarnation(worker, entry.startedAtMs);
+
+        section("the answer arrives: the new incarnation has neither answered nor reported an end", [&] {
+            LeaseRenewalAnswered late = answerTo(*held, 3);
+            late.report.clock = 400'000;
+            leases.answered(late);
+            EXPECT_FALSE(worker.fenced);
+            EXPECT_EQ(worker.processed, 0);
+            EXPECT_EQ(worker.clock, 0);
+        });
+        section("the new incarnation is queried at once, and its first end counts", [&] {
+            leases.renewLeases();
+            const auto next = renewalOf(outbox.take());
+            ASSERT_TRUE(next);
+            EXPECT_EQ(next->acknowledged, 0);
+            LeaseRenewalAnswered answer = answerTo(*next, 1);
+            answer.report.startedAtMs = entry.startedAtMs;
+            leases.answered(answer);
+            EXPECT_TRUE(worker.fenced);
+            EXPECT_EQ(worker.processed, 1);
+        });
+    });
+}
+
 } // namespace radishvane::tests
