Keep the stops of runs that a restarted worker may have started

What callers saw: nothing was seen on a site; found in review. A task of a cancelled job may run on until it ends (UNASKED), and a task that is done may run once more to its end (TWICE).

Cause: when a worker restarted, runs that it had never listed stayed in doubt, but the request to stop them was taken back. If the new incarnation then listed the run, nothing asked for the stop again.

Change: the request stays, and is sent to the new incarnation as soon as it has answered.

Evidence: RunLedger.StopsTheRunsOfAnEndedJobOnARestartedWorker. Before: fails, the stop is not requested any more. After: passes.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -281,9 +281,11 @@
         Run &run = *m_registry.task(id)->run;
         run.phase = RunPhase::InDoubt;
         run.hasWorkerRestarted = true;
-        run.stopRequested = false;
         run.stopAccepted = false;
         run.stop = CallId{};
+        if (run.stopRequested) {
+            m_pendingStops.insert(id);
+        }
         worker.settledAt = m_outbox.now.steady + restartSettleTime;
         m_outbox.log(CellDecision::OrderInDoubt, taskName(id), worker.id.name(), run.number, "worker-restarted");
     }
