Name recorded workers in each stored list of workers

What callers saw: nothing was seen on a site; found in review. A task can run twice after a change of ownership: the next owner does not wait for a worker that the stored list does not name.

Cause: the stored list left out an unreachable worker as soon as its lease had expired, while the mark that the list names the worker was taken away only with the next tick. A worker that answered in between, or before the list was acknowledged, got tasks although the list did not name it.

Change: only workers without the mark are left out.

Evidence: WorkerRoster.NamesEachWorkerThatAcceptsTasks. Before: fails. After: passes.

--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -215,7 +215,8 @@
 {
     RosterRow row;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.holdsNoLease(now)) {
+        // A recorded worker may get tasks after it has answered.
+        if (!worker.recorded && worker.holdsNoLease(now)) {
             continue;
         }
         row.workers.push_back(KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs});
