Acknowledge ends of a worker only until it has confirmed that

What callers saw: a task starts again although its end was noted (TWICE); seen in the model of a site only.

Cause: each lease renewal acknowledged all ends that were stored, also those that the worker had forgotten long before. A worker that restarts under its id counts its ends from 1 again. When it had ended a run for its former incarnation before the owner knew of the restart, the next renewal acknowledged that end before it was listed, and the worker forgot it.

Change: a renewal acknowledges ends only while the worker has not answered a renewal that acknowledged them. What remains: a restart while such an acknowledgement is on its way.

Evidence: CellWorkers.KeepTheEndsOfANewIncarnationUntilTheyAreRead. Before: "a start after its end was noted: j1.0.0.0 run 2 at 7106 on w0". After: passes.

--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -61,7 +61,8 @@
     LeaseRenewalOrder order;
     order.worker = worker.address();
     order.fence = m_outbox.epoch;
-    order.acknowledged = worker.stored;
+    // The worker may have restarted, and would forget the first ends of its new incarnation.
+    order.acknowledged = worker.stored > worker.acknowledged ? worker.stored : 0;
     worker.renewalAcknowledges = order.acknowledged;
     worker.previousDeadline = worker.leaseDeadline;
     // An unreachable worker is only queried. A renewal without an answer may or may not extend the lease, so that the
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -150,6 +150,27 @@
     });
 }
 
+TEST(CellWorkers, KeepTheEndsOfANewIncarnationUntilTheyAreRead)
+{
+    story("a worker restarts after its ends were acknowledged, and ends a run before the owner knows", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.submit(site.owner(), "j0", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(3'010));
+        ASSERT_EQ(site.state("j0"), GraphState::Completed);
+        site.durations[JobId("j1")] = 1;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        section("the end has the number of one that the owner has acknowledged, and still counts", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("j1"), 1);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, WaitsForARecordedWorkerThatHasRestarted)
 {
     story("a worker restarts and runs an order for its former incarnation, and the owner crashes", [] {
