Show that leases on a restarted worker outlast what its owner assumes

The deadline of a start refers to the clock of the former incarnation, so that the new one accepts it late and holds the run for up to the longest lease (10 s in the model), while owners count on the order's deadline or on CellTimes::leaseTime (6 s in the model). Both need that the worker is cut off before its owner has seen the restart.

Seen: "two runs at a time: j1.0.0.0 run 2 at 9462 on w1, also on w0" and "two runs at a time: j1.0.0.0 run 10001 at 41022 on w1, also on w0".

--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -171,6 +171,29 @@
     });
 }
 
+TEST(CellWorkers, KeepARunThatAnUnknownIncarnationHasAccepted)
+{
+    story("a worker restarts, accepts an order for its former incarnation and is cut off before the owner knows", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(1'010));
+        site.durations[JobId("j1")] = 20'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+        site.run(Duration(14));
+        ASSERT_EQ(site.runs("j1"), 1);
+        site.worker("w0").cut = true;
+        site.worker("w0").listed = false;
+        site.addWorker("w1", "looms", 8'000);
+        section("the task starts elsewhere only after the lease has expired on the new clock", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, WaitsForARecordedWorkerThatHasRestarted)
 {
     story("a worker restarts and runs an order for its former incarnation, and the owner crashes", [] {
@@ -194,6 +217,29 @@
     });
 }
 
+TEST(CellOwner, WaitsForTheLongestLeaseOfARecordedWorkerThatHasRestarted)
+{
+    story("a worker that has run for long restarts and runs an order with a deadline on its former clock", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(30'010));
+        site.durations[JobId("j1")] = 20'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+        site.run(Duration(30));
+        ASSERT_EQ(site.runs("j1"), 1);
+        site.addWorker("w1", "looms", 8'000);
+        site.kill(site.owner());
+        site.worker("w0").cut = true;
+        section("the next owner starts the task elsewhere only after the lease has expired", [&] {
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
 {
     story("a host has started another worker while discovery still lists the former one, which was idle", [] {
