--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -150,6 +150,50 @@
     });
 }
 
+TEST(CellWorkers, KeepTheEndsOfANewIncarnationUntilTheyAreRead)
+{
+    story("a worker restarts after its ends were acknowledged, and ends a run before the owner knows", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.submit(site.owner(), "j0", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        site.run(Duration(3'010));
+        ASSERT_EQ(site.state("j0"), GraphState::Completed);
+        site.durations[JobId("j1")] = 1;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+        section("the end has the number of one that the owner has acknowledged, and still counts", [&] {
+            site.run(Duration(4'000));
+            EXPECT_EQ(site.runs("j1"), 1);
+            EXPECT_EQ(site.state("j1"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellWorkers, KeepARunThatAnUnknownIncarnationHasAccepted)
+{
+    story("a worker restarts, accepts an order for its former incarnation and is cut off before the owner knows", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(1'010));
+        site.durations[JobId("j1")] = 20'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+        site.run(Duration(14));
+        ASSERT_EQ(site.runs("j1"), 1);
+        site.worker("w0").cut = true;
+        site.worker("w0").listed = false;
+        site.addWorker("w1", "looms", 8'000);
+        section("the task starts elsewhere only after the lease has expired on the new clock", [&] {
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOwner, WaitsForARecordedWorkerThatHasRestarted)
 {
     story("a worker restarts and runs an order for its former incarnation, and the owner crashes", [] {
@@ -173,6 +217,29 @@
     });
 }
 
+TEST(CellOwner, WaitsForTheLongestLeaseOfARecordedWorkerThatHasRestarted)
+{
+    story("a worker that has run for long restarts and runs an order with a deadline on its former clock", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(30'010));
+        site.durations[JobId("j1")] = 20'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+        site.run(Duration(30));
+        ASSERT_EQ(site.runs("j1"), 1);
+        site.addWorker("w1", "looms", 8'000);
+        site.kill(site.owner());
+        site.worker("w0").cut = true;
+        section("the next owner starts the task elsewhere only after the lease has expired", [&] {
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
 {
     story("a host has started another worker while discovery still lists the former one, which was idle", [] {
--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -79,9 +79,9 @@
     });
 }
 
-TEST(WorkerLeaseController, IgnoresAReportOfAnIncarnationThatHasEnded)
+TEST(WorkerLeaseController, IgnoresTheListsOfAFormerIncarnation)
 {
-    story("discovery lists a new incarnation of a worker before a report of the former one arrives", [] {
+    story("a worker restarts while the answer of its former incarnation is held up", [] {
         CellOutbox outbox;
         CellWriter writer;
         RunLedger runs(outbox, writer);
@@ -93,23 +93,30 @@
         runs.roster().observe({entry});
         Worker &worker = *runs.roster().find(entry.id);
         leases.renewLeases();
-        const auto former = renewalOf(outbox.take());
-        ASSERT_TRUE(former);
+        const auto held = renewalOf(outbox.take());
+        ASSERT_TRUE(held);
         entry.startedAtMs = startedAtMs + 1;
-        for (const WorkerId &id : runs.roster().observe({entry})) {
-            runs.endIncarnation(*runs.roster().find(id), entry.startedAtMs);
-        }
-        section("no end of the former incarnation counts as an end of the new one", [&] {
-            leases.answered(answerTo(*former, 5));
-            EXPECT_EQ(worker.processed, 0);
+        runs.roster().observe({entry});
+        runs.endIncarnation(worker, entry.startedAtMs);
+
+        section("the answer arrives: the new incarnation has neither answered nor reported an end", [&] {
+            LeaseRenewalAnswered late = answerTo(*held, 3);
+            late.report.clock = 400'000;
+            leases.answered(late);
             EXPECT_FALSE(worker.fenced);
+            EXPECT_EQ(worker.processed, 0);
+            EXPECT_EQ(worker.clock, 0);
         });
-        section("the new incarnation is queried without an acknowledgement", [&] {
-            outbox.now.steady += WorkerLeaseController::renewalRetry;
+        section("the new incarnation is queried at once, and its first end counts", [&] {
             leases.renewLeases();
             const auto next = renewalOf(outbox.take());
             ASSERT_TRUE(next);
             EXPECT_EQ(next->acknowledged, 0);
+            LeaseRenewalAnswered answer = answerTo(*next, 1);
+            answer.report.startedAtMs = entry.startedAtMs;
+            leases.answered(answer);
+            EXPECT_TRUE(worker.fenced);
+            EXPECT_EQ(worker.processed, 1);
         });
     });
 }
