Wait for the longest lease when a worker has restarted unseen

Callers could see a task run twice at a time: a worker restarts under its id, accepts a start whose deadline refers to the clock of its former incarnation, and is cut off before its owner knows. The new incarnation holds the run until that deadline or for the longest lease that the platform grants (10 s); the owner, or the next one, took its own shorter lease time as the bound.

Change: the owner compares the clock in the answer to a start with what the worker's clock must show at least. If it shows less, the worker has restarted, and its leases count as active for the longest lease. A new owner waits that long for a recorded worker that has restarted and does not answer.

--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -7,7 +7,7 @@
     : m_outbox(outbox)
     , m_writer(writer)
     , m_times(times)
-    , m_runs(outbox, writer)
+    , m_runs(outbox, writer, times)
     , m_registry(m_runs.registry())
     , m_roster(m_runs.roster())
     , m_leases(outbox, writer, m_runs, times)
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/run_ledger.h"
 
 #include "core/base/enum_names.h"
+#include "core/cells/cell_lease.h"
 #include "core/cells/inherited_usage.h"
 
 #include <algorithm>
@@ -17,7 +18,8 @@
 
 } // namespace
 
-RunLedger::RunLedger(CellOutbox &outbox, CellWriter &writer) : m_outbox(outbox), m_writer(writer)
+RunLedger::RunLedger(CellOutbox &outbox, CellWriter &writer, CellTimes times)
+    : m_outbox(outbox), m_writer(writer), m_times(times)
 {
 }
 
@@ -276,6 +278,10 @@
     }
     endAllRuns(worker, CellDecision::WorkerRestarted);
     m_roster.beginIncarnation(worker, startedAtMs);
+    if (m_outbox.now.steady < worker.inheritedUntil) {
+        // The deadline of an earlier owner's order refers to the former clock.
+        worker.inheritedUntil = longestLeaseEnd();
+    }
     worker.tasks = unlisted;
     for (const TaskId &id : unlisted) {
         Run &run = *m_registry.task(id)->run;
@@ -293,6 +299,18 @@
     m_writer.changeRoster();
 }
 
+void RunLedger::expectUnknownIncarnation(Worker &worker)
+{
+    worker.settledAt = std::max(worker.settledAt, longestLeaseEnd());
+}
+
+TimePoint RunLedger::longestLeaseEnd() const
+{
+    constexpr double slowestClockFactor = 1.03;
+    return m_outbox.now.steady + std::chrono::duration_cast<Duration>(m_times.longestLease * slowestClockFactor)
+        + CellLease::clockMargin;
+}
+
 std::set<TaskId> RunLedger::unlistedTasks(const Worker &worker)
 {
     std::set<TaskId> tasks;
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/cell_outbox.h"
+#include "core/cells/cell_times.h"
 #include "core/cells/cell_writer.h"
 #include "core/cells/job_registry.h"
 #include "core/cells/team_ledger.h"
@@ -31,7 +32,7 @@
     /// may be carried out seconds late, and then bring a lease.
     static constexpr Duration restartSettleTime{20'000};
 
-    RunLedger(CellOutbox &outbox, CellWriter &writer);
+    RunLedger(CellOutbox &outbox, CellWriter &writer, CellTimes times = {});
 
     void clear();
     JobRegistry &registry();
@@ -69,6 +70,9 @@
     /// Ends all runs of the previous incarnation of a worker and begins a new one, which may have received the orders
     /// of runs that the previous one never listed.
     void endIncarnation(Worker &worker, std::int64_t startedAtMs);
+    /// Takes a run on the worker as active until the longest lease has expired, because an incarnation whose clock is
+    /// not known has accepted an order.
+    void expectUnknownIncarnation(Worker &worker);
     /// Ends all runs on a worker whose lease has expired or which is lost.
     void endAllRuns(Worker &worker, CellDecision why);
     /// Forgets the foreign runs of a worker: those on its newest list that are not the current runs of our tasks.
@@ -86,9 +90,12 @@
     /// Stores the changes of a job after the end of a run, and stops the other runs of a job that has ended.
     void applyEffect(const TaskId &id, EndEffect effect);
     std::uint32_t maxFailures(const JobId &id) const;
+    /// Returns the time by which each lease that a worker grants now has expired.
+    TimePoint longestLeaseEnd() const;
 
     CellOutbox &m_outbox;
     CellWriter &m_writer;
+    CellTimes m_times;
     JobRegistry m_registry;
     WorkerRoster m_roster;
     TeamLedger m_teams;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -12,6 +12,8 @@
 
 /// Range of run numbers that is reserved for each epoch in an inherited job.
 constexpr RunNumber runNumbersPerEpoch = 10'000;
+/// Difference of a worker's clock from its estimate that does not show a restart.
+constexpr std::int64_t clockToleranceMs = 50;
 
 } // namespace
 
@@ -272,10 +274,23 @@
     const PendingStart pending = std::move(found->second);
     m_pendingStarts.erase(found);
     m_pacer.recordAnswer(pending.sentAt, event.outcome, m_outbox.now.steady);
+    checkIncarnation(pending, event);
     startAnswered(pending.task, pending.run, event);
     return true;
 }
 
+void StartController::checkIncarnation(const PendingStart &start, const OrderAnswered &event)
+{
+    const Task *task = m_registry.task(start.task);
+    if (!event.clock || task == nullptr || !task->run || task->run->number != start.run) {
+        return;
+    }
+    Worker *worker = m_roster.find(task->run->worker);
+    if (worker != nullptr && worker->fenced && *event.clock + clockToleranceMs < worker->minClock(start.sentAt)) {
+        m_runs.expectUnknownIncarnation(*worker);
+    }
+}
+
 void StartController::startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event)
 {
     Task *task = m_registry.task(id);
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -63,6 +63,8 @@
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
     void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
+    /// Detects from the clock in an answer that the worker has restarted.
+    void checkIncarnation(const PendingStart &start, const OrderAnswered &event);
 
     CellOutbox &m_outbox;
     RunLedger &m_runs;
--- a/core/cells/worker_lease_controller.h
+++ b/core/cells/worker_lease_controller.h
@@ -7,17 +7,6 @@
 namespace radishvane::cells
 {
 
-/// Durations that follow from the limits in the site's settings.
-struct CellTimes
-{
-    /// Lease of the runs on a worker, from each renewal.
-    Duration leaseTime{5'000};
-    /// Time that a worker takes to stop a task.
-    Duration stopGrace{1'000};
-    /// Time for which an ended job can be queried.
-    Duration endedJobRetention{150'000};
-};
-
 /// Renews the leases of workers and applies their reports: active and ended runs, runs that never started, and stalled
 /// tasks.
 class WorkerLeaseController
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -63,6 +63,9 @@
 
 std::int64_t Worker::minClock(TimePoint now) const
 {
+    if (now < clockAt) {
+        return estimatedClock(now);
+    }
     return clock + static_cast<std::int64_t>(toMilliseconds(now - clockAt) * slowestClock);
 }
 
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -24,6 +24,7 @@
 {
     cells::CellTimes times;
     times.leaseTime = std::min(maxLeaseTime, settings.mostHold - settings.mostHold / 20);
+    times.longestLease = settings.mostHold;
     times.stopGrace = settings.workerStop;
     times.endedJobRetention = settings.keepEnded + settings.keepEnded / 4;
     return times;
