Let a gang that does not fit hold up no other tasks

Callers saw jobs wait in an idle pool: a gang that is larger than the pool and ranks before them marked the pool as full.

Cause: the members of a gang are placed one after the other, and the one that found no room took the reservations of the members before it for a full pool.

Change: only the first member of a gang can show that the pool is full.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -149,7 +149,7 @@
         if (task.notBefore > m_outbox.now.steady) {
             continue;
         }
-        Worker *worker = chooseWorkerFor(config, candidates, ready, index);
+        Worker *worker = chooseWorkerFor(config, candidates, ready, index, true);
         if (worker == nullptr) {
             break;
         }
@@ -181,7 +181,8 @@
     // Resources of each member are reserved before the next one is placed. No member starts unless all have a worker.
     std::vector<Worker *> workers;
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
-        Worker *worker = chooseWorkerFor(config, candidates, ready, index);
+        // The reservations of the members before this one do not make the pool full for other tasks.
+        Worker *worker = chooseWorkerFor(config, candidates, ready, index, workers.empty());
         if (worker == nullptr) {
             break;
         }
@@ -206,7 +207,7 @@
 }
 
 Worker *StartController::chooseWorkerFor(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
-                                         std::uint32_t index)
+                                         std::uint32_t index, bool mayMarkFull)
 {
     const Job &job = *m_registry.find(ready.job);
     const StepSpec &spec = job.row.spec.steps[ready.step];
@@ -219,7 +220,7 @@
         return !needsTicket || !m_admission.ticket(ready, worker).empty();
     };
     Worker *worker = chooseWorker(candidates, ready, spec, step, step.tasks[index], mayRun);
-    if (worker == nullptr && !needsTicket) {
+    if (worker == nullptr && !needsTicket && mayMarkFull) {
         candidates.markFull(ready.pool, spec);
     }
     return worker;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -57,8 +57,9 @@
                            std::size_t maxStarts);
     /// Starts all tasks of a gang, or none.
     std::size_t startGang(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready);
+    /// @param mayMarkFull whether a failure shows that the pool is full for such tasks.
     Worker *chooseWorkerFor(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
-                            std::uint32_t index);
+                            std::uint32_t index, bool mayMarkFull);
     void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
