Revert "Tell the kernel once in a pass of the loop what a connection waits for"

Cause: with the change list of libevent, what a loop waits for on a socket is given to the kernel at the end of the pass. When the socket has been closed by then, its number may belong to a new socket of another thread, which the loop then changes or adds.

Evidence: the thread sanitizer reports it once in the whole check beside other work (epoll_ctl of the main thread on descriptor 20, which a task's thread had just created with socket()), so that ProcessRestart.OfEveryEntryHostUnderLoadCutsNoRequest failed with exit code 66. The statement that no socket is duplicated did not cover this.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -3,7 +3,6 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
-#include <memory>
 #include <mutex>
 
 namespace radishvane::drivers
@@ -16,11 +15,7 @@
 {
     static std::once_flag threadsReady;
     std::call_once(threadsReady, [] { evthread_use_pthreads(); });
-    const std::unique_ptr<event_config, void (*)(event_config *)> config(event_config_new(), event_config_free);
-    // Each call changes what its connection waits for several times; the kernel gets the last state only. No socket is
-    // duplicated, as this requires.
-    event_config_set_flag(config.get(), EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
-    return event_base_new_with_config(config.get());
+    return event_base_new();
 }
 
 } // namespace
