Start service tasks while the pacer holds urgent work

Cause: a planning pass ended when the pacer held a task, so that nothing that ranks behind it started.

Change: the pass goes on with service tasks, and the pacer does not hold them.

Before: CellOverload.RestartsServiceTasksBeforeABacklogOfUrgentWork fails (one run after three seconds). After: it passes, with all unit tests.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -83,26 +83,28 @@
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
         const Job &job = *m_registry.find(ready.job);
-        if (candidates.isFullFor(ready.pool, job.row.spec.steps[ready.step]) || (job.inherited && !mayStartInherited)) {
+        const StepSpec &spec = job.row.spec.steps[ready.step];
+        if (m_isPaced && !spec.isService) {
             continue;
         }
-        if (!ensureAdmitted(config, candidates, ready)) {
+        if (candidates.isFullFor(ready.pool, spec) || (job.inherited && !mayStartInherited)) {
             continue;
         }
-        starts += job.row.spec.steps[ready.step].gang
-            ? startGang(config, candidates, ready)
-            : startTasks(config, candidates, ready, maxStartsPerPass - starts);
-        if (m_isPaced) {
-            m_planningRequested = true;
-            m_nextPlan = std::max(m_nextPlan, now + std::max(pacedPlanningInterval, m_pacer.pause()));
-            return;
+        if (!ensureAdmitted(config, candidates, ready)) {
+            continue;
         }
+        starts += spec.gang ? startGang(config, candidates, ready)
+                            : startTasks(config, candidates, ready, maxStartsPerPass - starts);
         if (starts >= maxStartsPerPass) {
             m_planningRequested = true;
             m_nextPlan = now;
             return;
         }
     }
+    if (m_isPaced) {
+        m_planningRequested = true;
+        m_nextPlan = std::max(m_nextPlan, now + std::max(pacedPlanningInterval, m_pacer.pause()));
+    }
 }
 
 bool StartController::ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates,
@@ -153,7 +155,9 @@
         if (worker == nullptr) {
             break;
         }
-        if (!m_pacer.mayStart(m_outbox.now.steady)) {
+        // Service tasks are few, and must not wait for a backlog of urgent work.
+        const bool isService = job.row.spec.steps[ready.step].isService;
+        if (!isService && !m_pacer.mayStart(m_outbox.now.steady)) {
             m_isPaced = true;
             break;
         }
--- a/tests/core/cells/cell_overload_test.cpp
+++ b/tests/core/cells/cell_overload_test.cpp
@@ -246,6 +246,40 @@
     });
 }
 
+TEST(CellOverload, RestartsServiceTasksBeforeABacklogOfUrgentWork)
+{
+    story("a small owner has more urgent work than it can start, and a worker of a service restarts", [] {
+        CellSite site;
+        fillLargeSite(site, HostCapacity{0.12, 10});
+        site.addQueue("services", "looms");
+        site.setPriority("services", 1);
+        const std::string owner = site.owner();
+        site.submit(owner, "svc", "services", serviceJob(1, 1));
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runs("svc"), 1);
+        std::string worker = "w0";
+        for (int index = 0; site.runningOn(worker) == 0; ++index) {
+            worker = "w" + std::to_string(index);
+        }
+        GraphSpec urgent = graphOf(1, 400, 1'000, Duration(30'000));
+        urgent.payload = std::string(3'000, 'x');
+        for (int index = 0; index < 8; ++index) {
+            const std::string job = "j" + std::to_string(index);
+            site.durations[JobId(job)] = 30'000;
+            site.submit(owner, job, "plans", urgent);
+        }
+        site.run(Duration(500));
+        site.crash(worker);
+        site.revive(worker);
+        section("the service task runs again within three seconds, while the backlog lasts", [&] {
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runs("svc"), 2);
+            EXPECT_LT(site.runs("j7"), 400);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellOverload, StartsGangsWholeUnderThePacer)
 {
     story("a small owner and gangs that are larger than one burst", [] {
