Share the set-up of three stories of restarted workers

Three tests of workers that accept an order for their former incarnation repeated the same eight lines. Run: the 44 tests of CellWorkers, CellOwner, CellTeams and the two Skip tests pass in the release build; the whole check was not run.

--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -22,6 +22,20 @@
     ASSERT_EQ(site.runs(job), count);
 }
 
+/// Restarts the only worker after it has run for @p age, and lets it accept an order for its former incarnation within
+/// @p answerTime.
+void startOnUnknownIncarnation(CellSite &site, Duration age, Duration answerTime)
+{
+    fillLooms(site, 1);
+    site.run(age);
+    site.durations[JobId("j1")] = 20'000;
+    site.crash("w0");
+    site.revive("w0");
+    site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+    site.run(answerTime);
+    ASSERT_EQ(site.runs("j1"), 1);
+}
+
 } // namespace
 
 TEST(CellWorkers, KeepTheirRunsWhenAnOlderListOfHostsShowsAnotherWorker)
@@ -175,14 +189,7 @@
 {
     story("a worker restarts, accepts an order for its former incarnation and is cut off before the owner knows", [] {
         CellSite site;
-        fillLooms(site, 1);
-        site.run(Duration(1'010));
-        site.durations[JobId("j1")] = 20'000;
-        site.crash("w0");
-        site.revive("w0");
-        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
-        site.run(Duration(14));
-        ASSERT_EQ(site.runs("j1"), 1);
+        startOnUnknownIncarnation(site, Duration(1'010), Duration(14));
         site.worker("w0").cut = true;
         site.worker("w0").listed = false;
         site.addWorker("w1", "looms", 8'000);
@@ -198,14 +205,7 @@
 {
     story("a worker restarts and runs an order for its former incarnation, and the owner crashes", [] {
         CellSite site;
-        fillLooms(site, 1);
-        site.run(Duration(1'010));
-        site.durations[JobId("j1")] = 20'000;
-        site.crash("w0");
-        site.revive("w0");
-        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
-        site.run(Duration(30));
-        ASSERT_EQ(site.runs("j1"), 1);
+        startOnUnknownIncarnation(site, Duration(1'010), Duration(30));
         site.addWorker("w1", "looms", 8'000);
         site.kill(site.owner());
         site.worker("w0").cut = true;
@@ -221,14 +221,7 @@
 {
     story("a worker that has run for long restarts and runs an order with a deadline on its former clock", [] {
         CellSite site;
-        fillLooms(site, 1);
-        site.run(Duration(30'010));
-        site.durations[JobId("j1")] = 20'000;
-        site.crash("w0");
-        site.revive("w0");
-        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
-        site.run(Duration(30));
-        ASSERT_EQ(site.runs("j1"), 1);
+        startOnUnknownIncarnation(site, Duration(30'010), Duration(30));
         site.addWorker("w1", "looms", 8'000);
         site.kill(site.owner());
         site.worker("w0").cut = true;
