Answer each call before a stopping entry host ends

Cause: the stages of a stop were bounded by constants that knew neither the grace period nor the longest call: 2.5 s to leave, 1.5 s to finish, and up to 5 s to release what the platform holds. A call to the cell's owner may take 2.2 s, and what was open at the end got no answer. No stage refused a call, so that kept connections brought new ones until the end. With the store silent the last stage reached beyond the grace period of 6 s, where the platform kills the process. The product's own host had the same fault: its router knew StopRequested, and nobody sent it. Ruled out: a late count of open calls (the stop ended by its bound, whatever the count). Change: HostStopController decides the stages in the core. A site's bounds follow from the grace period, the balancer's delay and the longest call. After leaving, new calls are refused at once (503, Retry-After 0: another host can serve them). What is still open when the last stage begins is answered as in doubt, and the process ends when the answers are written (HttpServer::notifyWhenIdle). The product's own host refuses requests that may run longer than the stop, and answers the open ones: refused if they have not run, otherwise unknown. Conclusion: the end of a process waits for the answers that it owes, and not the other way round.

--- a/core/cells/call_authorizer.h
+++ b/core/cells/call_authorizer.h
@@ -39,11 +39,13 @@
     StaleKeys,
     BadJobId,
     UnknownCall,
+    /// The entry host is about to end.
+    Stopping,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 6> callRefusalNames{"no-config",  "unknown-queue", "unknown-key",
-                                                                  "stale-keys", "bad-job-id",    "unknown-call"};
+inline constexpr std::array<std::string_view, 7> callRefusalNames{
+    "no-config", "unknown-queue", "unknown-key", "stale-keys", "bad-job-id", "unknown-call", "stopping"};
 
 /// The queue and job of an authorized call, and the team of its key.
 struct AuthorizedCall
--- a/core/routing/request_messages.h
+++ b/core/routing/request_messages.h
@@ -110,8 +110,14 @@
     ClaimOutcome outcome{};
 };
 
-/// The entry host stops; later requests are refused.
+/// The entry host stops; later requests that may run beyond @c endsBy are refused.
 struct StopRequested
+{
+    TimePoint endsBy;
+};
+
+/// The process is about to end. Each open request is answered: refused if it has not run, as unknown otherwise.
+struct AnswerOpenRequests
 {
 };
 
@@ -123,7 +129,7 @@
 using RequestEvent
     = std::variant<ConfigInForce, HostPlacementsUpdated, LeavingHosts, EntryHostPosition, ConfigConfirmed,
                    ConfigSuspended, RequestArrived, CallerDisconnected, AttemptEnded, TeamAllowance, LeaseExtended,
-                   PeerUsage, PeerSpareSlots, ClaimDecided, StopRequested, RequestTick>;
+                   PeerUsage, PeerSpareSlots, ClaimDecided, StopRequested, AnswerOpenRequests, RequestTick>;
 
 // Effects: the outputs of RequestRouter.
 
--- a/core/routing/request_router.cpp
+++ b/core/routing/request_router.cpp
@@ -152,14 +152,14 @@
         return;
     }
     m_deadlines.emplace(entry->second.deadline, event.exchange);
-    if (m_stopping) {
-        refuse(event.exchange, RefusalReason::Stopping, minRetryAfter);
-        return;
-    }
     if (!admission) {
         refuse(event.exchange, admission.error());
         return;
     }
+    if (m_endsBy && m_now + service(event.head.service).longestRun > *m_endsBy) {
+        refuse(event.exchange, RefusalReason::Stopping, minRetryAfter);
+        return;
+    }
     if (!event.head.idempotent && !event.head.idempotencyKey.empty()) {
         m_effects.push_back(ClaimKey{event.exchange, entry->second.team, event.head.idempotencyKey});
         return;
@@ -260,9 +260,25 @@
     }
 }
 
-void RequestRouter::on(const StopRequested &)
+void RequestRouter::on(const StopRequested &event)
 {
-    m_stopping = true;
+    m_endsBy = event.endsBy;
+}
+
+void RequestRouter::on(const AnswerOpenRequests &)
+{
+    std::vector<ExchangeId> open;
+    for (const auto &[id, exchange] : m_exchanges) {
+        open.push_back(id);
+    }
+    std::sort(open.begin(), open.end());
+    for (const ExchangeId id : open) {
+        if (m_exchanges.at(id).stage == Stage::Running) {
+            reportUnknown(id, UnknownReason::Stopping);
+        } else {
+            refuse(id, RefusalReason::Stopping, minRetryAfter);
+        }
+    }
 }
 
 void RequestRouter::on(const RequestTick &)
--- a/core/routing/request_router.h
+++ b/core/routing/request_router.h
@@ -112,6 +112,7 @@
     void on(const PeerSpareSlots &event);
     void on(const ClaimDecided &event);
     void on(const StopRequested &event);
+    void on(const AnswerOpenRequests &event);
     void on(const RequestTick &event);
 
     void updateBorrowable(ServiceState &state);
@@ -145,7 +146,8 @@
     std::shared_ptr<const Config> m_config;
     HostRows m_hostRows;
     TimePoint m_configConfirmed;
-    bool m_stopping = false;
+    /// The end of this entry host, once it stops.
+    std::optional<TimePoint> m_endsBy;
     bool m_suspended = false;
     EntryHostPosition m_position;
     std::set<HostId> m_leaving;
--- a/core/routing/request_types.h
+++ b/core/routing/request_types.h
@@ -53,13 +53,16 @@
     ConnectionLost,
     TimedOut,
     AnswerIncomplete,
+    /// The entry host ended before the backend server answered.
+    Stopping,
 };
 
 /// Wire and log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 3> unknownReasonNames{
+inline constexpr std::array<std::string_view, 4> unknownReasonNames{
     "connection-lost",
     "timed-out",
     "answer-incomplete",
+    "stopping",
 };
 
 /// Outcome of one attempt at a backend server.
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -12,6 +12,9 @@
 
 #include <poll.h>
 
+#include <utility>
+#include <vector>
+
 namespace radishvane::drivers
 {
 
@@ -64,6 +67,9 @@
     for (const auto &[connection, id] : m_connections) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
+    for (evhttp_connection *connection : m_writing) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
     event_free(m_drainEvent);
     evhttp_free(m_http);
 }
@@ -110,7 +116,8 @@
     m_requests.erase(found);
     evhttp_connection *connection = evhttp_request_get_connection(request);
     m_connections.erase(connection);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    m_writing.insert(connection);
+    evhttp_request_set_on_complete_cb(request, &HttpServer::written, this);
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
     for (const HttpHeader &header : answer.headers) {
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -122,9 +129,34 @@
     evhttp_send_reply(request, answer.status, nullptr, nullptr);
 }
 
+void HttpServer::answerAll(const HttpAnswer &answer)
+{
+    std::vector<ExchangeId> exchanges;
+    exchanges.reserve(m_requests.size());
+    for (const auto &[id, request] : m_requests) {
+        exchanges.push_back(id);
+    }
+    for (const ExchangeId id : exchanges) {
+        this->answer(id, answer);
+    }
+}
+
 std::size_t HttpServer::open() const
 {
-    return m_requests.size();
+    return m_requests.size() + m_writing.size();
+}
+
+void HttpServer::notifyWhenIdle(std::function<void()> onIdle)
+{
+    m_onIdle = std::move(onIdle);
+    reportIdle();
+}
+
+void HttpServer::reportIdle()
+{
+    if (m_onIdle && open() == 0) {
+        std::exchange(m_onIdle, nullptr)();
+    }
 }
 
 void HttpServer::receive(evhttp_request *request, void *self)
@@ -135,14 +167,24 @@
 void HttpServer::closed(evhttp_connection *connection, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
+    server->m_writing.erase(connection);
     const auto found = server->m_connections.find(connection);
-    if (found == server->m_connections.end()) {
-        return;
+    if (found != server->m_connections.end()) {
+        const ExchangeId id = found->second;
+        server->m_connections.erase(found);
+        server->m_requests.erase(id);
+        server->m_onLeft(id);
     }
-    const ExchangeId id = found->second;
-    server->m_connections.erase(found);
-    server->m_requests.erase(id);
-    server->m_onLeft(id);
+    server->reportIdle();
+}
+
+void HttpServer::written(evhttp_request *request, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    server->m_writing.erase(connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    server->reportIdle();
 }
 
 void HttpServer::take(evhttp_request *request)
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 struct evhttp;
 struct evhttp_request;
@@ -47,13 +48,20 @@
     void stopAccepting();
     /// Answers an exchange once; ignored when the caller has left.
     void answer(ExchangeId id, const HttpAnswer &answer);
+    /// Answers each exchange that has no answer yet.
+    void answerAll(const HttpAnswer &answer);
+    /// Number of exchanges without an answer, or with one that is not written completely.
     std::size_t open() const;
+    /// Calls @p onIdle once, as soon as no exchange is open.
+    void notifyWhenIdle(std::function<void()> onIdle);
 
 private:
     static void receive(evhttp_request *request, void *self);
+    static void written(evhttp_request *request, void *self);
     static void closed(evhttp_connection *connection, void *self);
     static void closeWhenDrained(int, short, void *self);
     void take(evhttp_request *request);
+    void reportIdle();
 
     RequestHandler m_onRequest;
     LeftHandler m_onLeft;
@@ -64,6 +72,9 @@
     bool m_closing = false;
     std::unordered_map<ExchangeId, evhttp_request *> m_requests;
     std::unordered_map<evhttp_connection *, ExchangeId> m_connections;
+    /// Connections with an answer that is not written completely.
+    std::unordered_set<evhttp_connection *> m_writing;
+    std::function<void()> m_onIdle;
 };
 
 } // namespace radishvane::drivers
--- a/main/entry_host.cpp
+++ b/main/entry_host.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Longest wait for the platform to take rights back.
+constexpr Duration releaseWait{5'000};
+
 std::string processName(const HolderId &start)
 {
     return start.host.name() + '-' + std::to_string(start.incarnation.value);
@@ -41,7 +44,7 @@
     , m_jobs(m_controlLoop, m_clock, settings.host, m_start.incarnation.value)
     , m_fleet(m_controlLoop, m_clock, settings.host)
     , m_operator(m_controlLoop, settings.host, settings.zone)
-    , m_stop(m_controlLoop, m_clock, settings.leaveWait, settings.stopWait)
+    , m_stop(m_controlLoop, m_clock, HostStopTimes{settings.leaveWait, settings.stopWait, releaseWait})
 {
     wireRequests();
     wireConfig();
@@ -150,7 +153,7 @@
         m_peers.post(
             PeerEvent(OwnDemand{HeartbeatDemand{demand.team, RightsUse::Jobs, demand.running, demand.waiting}}));
     });
-    m_jobs.handedBack.connect([this] { m_stop.post(servers::JobsHandedBack{}); });
+    m_jobs.handedBack.connect([this] { m_stop.post(JobsHandedBack{}); });
     m_config.adopted.connect(
         [this](const ConfigAdopted &adopted) { m_jobs.post(JobEvent(JobConfig{adopted.config})); });
     m_rights.leaseExtended.connect([this](TimePoint until) { m_jobs.post(JobEvent(JobLease{until})); });
@@ -202,8 +205,12 @@
 void EntryHost::wireStop()
 {
     m_stop.stageChanged.connect(sigc::mem_fun(*this, &EntryHost::onStage));
-    m_requests.statusChanged.connect([this](const servers::RequestStatus &status) { m_stop.post(status); });
-    m_rights.released.connect([this] { m_stop.post(servers::RightsReleased{}); });
+    m_requests.statusChanged.connect([this](const servers::RequestStatus &status) {
+        m_stop.post(OpenCallsCounted{status.waiting + status.running});
+    });
+    m_requests.openRequestsAnswered.connect([this] { m_front.post(servers::AnswerRemaining{}); });
+    m_front.openCallsAnswered.connect([this] { m_stop.post(OpenCallsAnswered{}); });
+    m_rights.released.connect([this] { m_stop.post(RightsReleased{}); });
 }
 
 void EntryHost::wireStatus()
@@ -286,24 +293,26 @@
         PeerEvent(OwnDemand{HeartbeatDemand{demand.team, RightsUse::Requests, demand.running, demand.waiting}}));
 }
 
-void EntryHost::onStage(servers::StopStage stage)
+void EntryHost::onStage(StopStage stage)
 {
     m_operator.post(stage);
     switch (stage) {
-    case servers::StopStage::Serving:
+    case StopStage::Serving:
         return;
-    case servers::StopStage::Leaving:
+    case StopStage::Leaving:
         m_front.post(servers::CloseAfterAnswers{});
         return;
-    case servers::StopStage::Finishing:
+    case StopStage::Finishing:
         m_front.post(servers::StopAccepting{});
+        m_requests.post(RequestEvent(StopRequested{m_clock.now() + m_settings.stopWait}));
         m_jobs.post(JobEvent(JobStop{}));
         return;
-    case servers::StopStage::Releasing:
+    case StopStage::Releasing:
+        m_requests.post(RequestEvent(AnswerOpenRequests{}));
         m_peers.post(PeerEvent(PeerStop{}));
         m_rights.post(servers::ReleaseRights{});
         return;
-    case servers::StopStage::Stopped:
+    case StopStage::Stopped:
         m_controlLoop.stop();
         return;
     }
--- a/main/entry_host.h
+++ b/main/entry_host.h
@@ -53,7 +53,7 @@
     template<typename Spent>
     void postSpent(const std::vector<Spent> &spent);
     void onDemand(const TeamDemand &demand);
-    void onStage(servers::StopStage stage);
+    void onStage(StopStage stage);
 
     drivers::Settings m_settings;
     drivers::SystemClock m_clock;
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -16,9 +16,7 @@
 /// Longest lease that is asked for: long enough for an outage of the store, short enough for an unresponsive worker.
 constexpr Duration maxLeaseTime{6'000};
 /// Time in which the balancer notices that this host is not ready: two looks, a second apart, and a half.
-constexpr Duration leaveWait{2'500};
-/// Part of the time to stop that open requests may take.
-constexpr Duration finishWait{1'500};
+constexpr Duration balancerDelay{2'500};
 
 cells::CellTimes timesOf(const drivers::SiteSettings &settings)
 {
@@ -47,8 +45,8 @@
               servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
               settings.keysWithin)
     , m_metrics(m_loop, m_clock, m_log, settings.metricsListen)
-    , m_stop(m_loop, m_clock, std::min(leaveWait, settings.stopWithin / 2),
-             std::min(finishWait, settings.stopWithin / 4))
+    , m_stop(m_loop, m_clock,
+             HostStopTimes::within(settings.stopWithin, balancerDelay, servers::SiteFrontTask::ownerTimeout))
 {
     wire();
 }
@@ -68,8 +66,8 @@
     m_cell.handoverRequested.connect([this](const cells::RequestHandover &request) { m_front.post(request); });
     m_cell.ownerChanged.connect([this](const servers::OwnerKnown &owner) { m_front.post(owner); });
     m_cell.released.connect([this] {
-        m_stop.post(servers::RightsReleased{});
-        m_stop.post(servers::JobsHandedBack{});
+        m_stop.post(RightsReleased{});
+        m_stop.post(JobsHandedBack{});
     });
     m_front.asked.connect([this](const servers::CellQuestion &question) {
         std::visit([this](const auto &ask) { m_cell.post(cells::CellEvent(ask)); }, question);
@@ -85,13 +83,14 @@
     m_cell.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
     m_store.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
     m_front.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
-    m_front.statusChanged.connect([this](const servers::RequestStatus &status) { m_stop.post(status); });
-    m_stop.stageChanged.connect([this](servers::StopStage stage) {
+    m_front.openCallsCounted.connect([this](const OpenCallsCounted &count) { m_stop.post(count); });
+    m_front.openCallsAnswered.connect([this] { m_stop.post(OpenCallsAnswered{}); });
+    m_stop.stageChanged.connect([this](StopStage stage) {
         m_front.post(stage);
-        if (stage == servers::StopStage::Leaving) {
+        if (stage == StopStage::Leaving) {
             m_cell.post(cells::CellEvent(cells::CellStop{}));
         }
-        if (stage == servers::StopStage::Stopped) {
+        if (stage == StopStage::Stopped) {
             m_loop.stop();
         }
     });
--- a/servers/front_task.cpp
+++ b/servers/front_task.cpp
@@ -64,6 +64,12 @@
     m_server.stopAccepting();
 }
 
+void FrontTask::on(const AnswerRemaining &)
+{
+    m_server.answerAll(drivers::unknownAnswer(UnknownReason::Stopping));
+    m_server.notifyWhenIdle([this] { openCallsAnswered.emit(); });
+}
+
 void FrontTask::receive(drivers::HttpRequest &&http)
 {
     const std::string_view path = http.path;
--- a/servers/front_task.h
+++ b/servers/front_task.h
@@ -28,11 +28,16 @@
 {
 };
 
+/// Answer each request that no other task has answered: its outcome is unknown.
+struct AnswerRemaining
+{
+};
+
 /// Owns the callers' port: reads requests and writes answers, and decides nothing about them.
 class FrontTask
 {
 public:
-    using Message = std::variant<AnswerCaller, StartAccepting, CloseAfterAnswers, StopAccepting>;
+    using Message = std::variant<AnswerCaller, StartAccepting, CloseAfterAnswers, StopAccepting, AnswerRemaining>;
 
     FrontTask(drivers::EventLoop &loop, drivers::HttpLimits limits);
 
@@ -41,12 +46,15 @@
     sigc::signal<void(const drivers::CallerRequest &)> requestCame;
     sigc::signal<void(const drivers::HttpRequest &)> jobRequestCame;
     sigc::signal<void(ExchangeId)> callerLeft;
+    /// Every request that was open at AnswerRemaining has its answer, and the answers are written.
+    sigc::signal<void()> openCallsAnswered;
 
 private:
     void on(const AnswerCaller &message);
     void on(const StartAccepting &message);
     void on(const CloseAfterAnswers &message);
     void on(const StopAccepting &message);
+    void on(const AnswerRemaining &message);
     void receive(drivers::HttpRequest &&http);
 
     std::size_t m_bodyBytes;
--- a/servers/request_task.cpp
+++ b/servers/request_task.cpp
@@ -58,6 +58,9 @@
     if (const auto *left = std::get_if<CallerDisconnected>(&message)) {
         m_requests.erase(left->exchange);
     }
+    if (std::holds_alternative<AnswerOpenRequests>(message)) {
+        openRequestsAnswered.emit();
+    }
 }
 
 void RequestTask::handle(const RequestEvent &event)
--- a/servers/request_task.h
+++ b/servers/request_task.h
@@ -37,6 +37,8 @@
     sigc::signal<void(const TeamDemand &)> demandChanged;
     sigc::signal<void(const UsageReport &)> usageReported;
     sigc::signal<void(const RequestStatus &)> statusChanged;
+    /// Every request that was open at AnswerOpenRequests has been answered.
+    sigc::signal<void()> openRequestsAnswered;
 
 private:
     void on(drivers::CallerRequest &message);
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -110,31 +110,47 @@
 
 void SiteFrontTask::on(const StopStage &message)
 {
+    m_stage = message;
     switch (message) {
     case StopStage::Serving:
+    case StopStage::Finishing:
+    case StopStage::Stopped:
         return;
     case StopStage::Leaving:
-        m_stopping = true;
         m_callers.closeAfterAnswers();
-        return;
-    case StopStage::Finishing:
-        m_callers.stopAccepting();
+        m_link.closeAfterAnswers();
         return;
     case StopStage::Releasing:
-    case StopStage::Stopped:
+        m_callers.stopAccepting();
+        answerOpenCalls();
         return;
     }
 }
 
+void SiteFrontTask::answerOpenCalls()
+{
+    std::vector<cells::AnswerCall> answers;
+    answers.reserve(m_open.size());
+    for (const auto &[id, open] : m_open) {
+        answers.push_back(cells::AnswerCall{id, open.inDoubt, {}, 0, retryAfter});
+    }
+    for (const cells::AnswerCall &answer : answers) {
+        settle(answer);
+    }
+    m_callers.notifyWhenIdle([this] { m_link.notifyWhenIdle([this] { openCallsAnswered.emit(); }); });
+}
+
 bool SiteFrontTask::isReady() const
 {
-    return !m_stopping && m_authorizer.hasFreshKeys(m_clock.now());
+    return m_stage == StopStage::Serving && m_authorizer.hasFreshKeys(m_clock.now());
 }
 
 void SiteFrontTask::take(const drivers::HttpRequest &request)
 {
     const cells::CallRequest call = platform::readCallRequest(request);
-    const cells::CallVerdict verdict = m_authorizer.check(call, m_clock.now());
+    const bool isRefusing = m_stage != StopStage::Serving && m_stage != StopStage::Leaving;
+    const cells::CallVerdict verdict
+        = isRefusing ? cells::CallVerdict(cells::CallRefusal::Stopping) : m_authorizer.check(call, m_clock.now());
     std::visit(Overloaded{
                    [&](const cells::AuthorizedCall &passed) { pass(passed, request); },
                    [&](cells::CallRefusal refusal) {
@@ -144,7 +160,9 @@
                             {"reason", std::string(enumName(cells::callRefusalNames, refusal))},
                             {"config", std::to_string(m_authorizer.config() ? m_authorizer.config()->version : 0)},
                             {"contact_ms", inMilliseconds(m_clock.now() - m_authorizer.lastContact())}});
-                       m_callers.answer(request.id, platform::refusalAnswer(refusal, retryAfter));
+                       // Another host can serve the call at once.
+                       const Duration delay = refusal == cells::CallRefusal::Stopping ? Duration{0} : retryAfter;
+                       m_callers.answer(request.id, platform::refusalAnswer(refusal, delay));
                    },
                },
                verdict);
@@ -175,7 +193,7 @@
                                     : CellQuestion(cells::QueryJob{id, pass.job});
         break;
     }
-    m_open[id] = Open{Source::Caller, request.id, subjectOf(question), m_clock.now()};
+    m_open[id] = Open{Source::Caller, request.id, subjectOf(question), answerInDoubt(question), m_clock.now()};
     if (m_owner.isSelf) {
         asked.emit(question);
         return;
@@ -221,7 +239,8 @@
         return;
     }
     const ExchangeId id{++m_lastId};
-    m_open[id] = Open{Source::Link, request.id, subjectOf(question.value()), m_clock.now()};
+    m_open[id]
+        = Open{Source::Link, request.id, subjectOf(question.value()), answerInDoubt(question.value()), m_clock.now()};
     std::visit([id](auto &ask) { ask.exchange = id; }, question.value());
     // Only an owner answers; a process that is none says so at once.
     asked.emit(question.value());
@@ -235,7 +254,8 @@
 void SiteFrontTask::on(const cells::RequestHandover &message)
 {
     const ExchangeId id{++m_lastId};
-    m_open[id] = Open{Source::Cell, message.exchange, message.host.name(), m_clock.now()};
+    m_open[id]
+        = Open{Source::Cell, message.exchange, message.host.name(), cells::CallAnswer::Unavailable, m_clock.now()};
     forward(message, id, ownerTimeout);
 }
 
@@ -277,9 +297,7 @@
 
 void SiteFrontTask::tellStatus()
 {
-    RequestStatus status;
-    status.running = m_callers.open();
-    statusChanged.emit(status);
+    openCallsCounted.emit(OpenCallsCounted{m_callers.open() + m_link.open()});
     const TimePoint now = m_clock.now();
     if (now >= m_nextAges) {
         m_nextAges = now + agesInterval;
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/call_authorizer.h"
+#include "core/stop/host_stop_controller.h"
 #include "drivers/event_log.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
@@ -48,7 +49,9 @@
 
     sigc::signal<void(const CellQuestion &)> asked;
     sigc::signal<void(const cells::HandoverAnswered &)> handoverAnswered;
-    sigc::signal<void(const RequestStatus &)> statusChanged;
+    sigc::signal<void(const OpenCallsCounted &)> openCallsCounted;
+    /// The calls that were open when the release stage began are answered, and the answers are written.
+    sigc::signal<void()> openCallsAnswered;
     sigc::signal<void(const CallMeasured &)> callMeasured;
     sigc::signal<void(const BeliefAges &)> agesChanged;
     sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
@@ -68,6 +71,8 @@
         /// Id at the server or the cell that it came from.
         ExchangeId exchange;
         std::string subject;
+        /// What the caller is told if the cell's owner does not answer.
+        cells::CallAnswer inDoubt = cells::CallAnswer::Unavailable;
         TimePoint since;
     };
 
@@ -83,6 +88,7 @@
     void takeLink(const drivers::HttpRequest &request);
     void forward(const CellQuestion &question, ExchangeId id, Duration timeout);
     void settle(const cells::AnswerCall &answer);
+    void answerOpenCalls();
     bool isReady() const;
     void tellStatus();
     void onTick();
@@ -92,7 +98,7 @@
     Ports m_ports;
     cells::CallAuthorizer m_authorizer;
     OwnerKnown m_owner;
-    bool m_stopping = false;
+    StopStage m_stage = StopStage::Serving;
     bool m_wasReady = false;
     TimePoint m_nextAges;
     std::uint64_t m_lastId = 0;
--- a/servers/status_json.h
+++ b/servers/status_json.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/stop/host_stop_controller.h"
 #include "servers/platform_task.h"
 #include "servers/task_messages.h"
 
--- a/servers/stop_task.cpp
+++ b/servers/stop_task.cpp
@@ -10,17 +10,14 @@
 namespace radishvane::servers
 {
 
-StopTask::StopTask(drivers::EventLoop &loop, const Clock &clock, Duration leaveWait, Duration stopWait)
+StopTask::StopTask(drivers::EventLoop &loop, const Clock &clock, HostStopTimes times)
     : m_clock(clock)
-    , m_leaveWait(leaveWait)
-    , m_stopWait(stopWait)
-    , m_mailbox(
-          loop,
-          [this](Message &&message) { std::visit([this](const auto &alternative) { on(alternative); }, message); })
-    , m_timer(loop, tickInterval, [this] { onTick(); })
+    , m_controller(times)
+    , m_mailbox(loop, [this](Message &&message) { handle(message); })
+    , m_timer(loop, tickInterval, [this] { handle(HostStopTick{}); })
 {
     const auto handler = [](evutil_socket_t, short, void *self) {
-        static_cast<StopTask *>(self)->onSignal();
+        static_cast<StopTask *>(self)->handle(StopSignalled{});
     };
     m_signals = {evsignal_new(loop.base(), SIGTERM, handler, this), evsignal_new(loop.base(), SIGINT, handler, this)};
     for (event *signal : m_signals) {
@@ -40,69 +37,26 @@
     m_mailbox.post(std::move(message));
 }
 
-void StopTask::on(const RequestStatus &message)
+void StopTask::handle(const HostStopEvent &event)
 {
-    m_open = message.waiting + message.running;
-    if (m_open > 0) {
-        m_lastOpen = m_clock.now();
+    for (const StopStageEntered &entered : m_controller.handle(event, m_clock.now())) {
+        apply(entered);
     }
 }
 
-void StopTask::on(const RightsReleased &)
+void StopTask::apply(const StopStageEntered &entered)
 {
-    m_rightsReleased = true;
-}
-
-void StopTask::on(const JobsHandedBack &)
-{
-    m_jobsHandedBack = true;
-}
-
-void StopTask::onSignal()
-{
-    if (m_stage == StopStage::Serving) {
-        enter(StopStage::Leaving);
+    using drivers::LogLevel;
+    if (entered.stage == StopStage::Releasing) {
+        drivers::logLine(LogLevel::Info, "requests-finished", {{"left", std::to_string(entered.openCalls)}});
     }
-}
-
-void StopTask::onTick()
-{
-    const TimePoint now = m_clock.now();
-    switch (m_stage) {
-    case StopStage::Serving:
-    case StopStage::Stopped:
-        return;
-    case StopStage::Leaving:
-        if (now >= m_since + m_leaveWait) {
-            m_lastOpen = now;
-            enter(StopStage::Finishing);
-        }
-        return;
-    case StopStage::Finishing: {
-        const bool quiet = m_open == 0 && now >= m_lastOpen + quietTime;
-        if (quiet || now >= m_since + m_stopWait) {
-            drivers::logLine(drivers::LogLevel::Info, "requests-finished", {{"left", std::to_string(m_open)}});
-            enter(StopStage::Releasing);
-        }
-        return;
-    }
-    case StopStage::Releasing:
-        if ((m_rightsReleased && m_jobsHandedBack) || now >= m_since + releaseWait) {
-            drivers::logLine(drivers::LogLevel::Info, "released",
-                             {{"rights", m_rightsReleased ? "all" : "left-to-expire"},
-                              {"jobs", m_jobsHandedBack ? "all" : "left-to-expire"}});
-            enter(StopStage::Stopped);
-        }
-        return;
+    if (entered.stage == StopStage::Stopped) {
+        drivers::logLine(LogLevel::Info, "released",
+                         {{"rights", entered.hasReleasedRights ? "all" : "left-to-expire"},
+                          {"jobs", entered.hasHandedBackJobs ? "all" : "left-to-expire"}});
     }
-}
-
-void StopTask::enter(StopStage stage)
-{
-    m_stage = stage;
-    m_since = m_clock.now();
-    drivers::logLine(drivers::LogLevel::Info, "stop", {{"stage", std::string(enumName(stopStageNames, stage))}});
-    stageChanged.emit(stage);
+    drivers::logLine(LogLevel::Info, "stop", {{"stage", std::string(enumName(stopStageNames, entered.stage))}});
+    stageChanged.emit(entered.stage);
 }
 
 } // namespace radishvane::servers
--- a/servers/task_messages.h
+++ b/servers/task_messages.h
@@ -93,17 +93,4 @@
     std::set<HostId> hosts;
 };
 
-/// Stages of an entry host's stop.
-enum class StopStage {
-    Serving,
-    Leaving,
-    Finishing,
-    Releasing,
-    Stopped,
-};
-
-/// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 5> stopStageNames{"serving", "leaving", "finishing", "releasing",
-                                                                "stopped"};
-
 } // namespace radishvane::servers
--- a/tests/core/routing/request_router_test.cpp
+++ b/tests/core/routing/request_router_test.cpp
@@ -75,6 +75,41 @@
 
 } // namespace
 
+TEST(RequestRouter, AnswersEachOpenRequestWhenItStops)
+{
+    story("more requests than rights, and the entry host stops", [] {
+        RouterFixture router({}, 1);
+        const auto running = only<StartAttempt>(router.request(1));
+        ASSERT_TRUE(running.has_value());
+        EXPECT_FALSE(only<StartAttempt>(router.request(2)).has_value());
+        section("a request that can end before the host does is taken", [&] {
+            router.send(StopRequested{router.now + std::chrono::hours(1)});
+            EXPECT_EQ(refusal(router.request(3)), std::nullopt);
+            router.send(CallerDisconnected{ExchangeId{3}});
+        });
+        section("one that may run longer than the host is refused", [&] {
+            router.send(StopRequested{router.now});
+            EXPECT_EQ(refusal(router.request(4)), RefusalReason::Stopping);
+        });
+        section("at the end the one that waits is refused, and the outcome of the one that runs is unknown", [&] {
+            const RequestEffects effects = router.send(AnswerOpenRequests{});
+            const auto refused = only<Refuse>(effects);
+            ASSERT_TRUE(refused.has_value());
+            EXPECT_EQ(refused->exchange, ExchangeId{2});
+            EXPECT_EQ(refused->reason, RefusalReason::Stopping);
+            EXPECT_TRUE(refused->retryAfter.has_value());
+            const auto unknown = only<ReportUnknown>(effects);
+            ASSERT_TRUE(unknown.has_value());
+            EXPECT_EQ(unknown->exchange, ExchangeId{1});
+            EXPECT_EQ(unknown->reason, UnknownReason::Stopping);
+        });
+        section("and the late answer of the backend server goes to nobody", [&] {
+            EXPECT_FALSE(
+                only<ForwardAnswer>(router.endAttempt(running->attempt, AttemptOutcome::Answered)).has_value());
+        });
+    });
+}
+
 TEST(RequestRouter, RefusesInadmissibleRequestsWithAReason)
 {
     story("requests that are not admissible are refused", [] {
--- a/tests/drivers/http_server_test.cpp
+++ b/tests/drivers/http_server_test.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <thread>
 
 namespace radishvane::tests
 {
@@ -17,15 +18,20 @@
 namespace
 {
 
+// Each test has a port of its own, since tests run side by side.
 constexpr std::uint16_t port = 21'600;
+constexpr std::uint16_t idlePort = 21'601;
+constexpr std::uint16_t leftPort = 21'602;
+/// More than the kernel takes from a server whose caller does not read.
+constexpr std::size_t answerBytes = 16 << 20;
 
 /// A caller whose connection the kernel has taken, whether or not the server's process has.
-int connectAndSend(const std::string &request)
+int connectAndSend(const std::string &request, std::uint16_t serverPort = port)
 {
     const int caller = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(port);
+    address.sin_port = htons(serverPort);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     if (connect(caller, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         close(caller);
@@ -71,4 +77,66 @@
     });
 }
 
+TEST(HttpServer, IsIdleOnceEveryAnswerIsWritten)
+{
+    story("a server with an exchange that has no answer yet", [] {
+        drivers::EventLoop loop;
+        drivers::HttpServer server(
+            loop, {}, [&](drivers::HttpRequest &&) { loop.stop(); }, [](ExchangeId) {});
+        ASSERT_TRUE(server.listen({"127.0.0.1", idlePort}));
+        const int caller = connectAndSend("GET / HTTP/1.1\r\nHost: a\r\n\r\n", idlePort);
+        ASSERT_GE(caller, 0);
+        loop.run();
+        bool isIdle = false;
+        section("is not idle while the exchange is open", [&] {
+            server.notifyWhenIdle([&] { isIdle = true; });
+            EXPECT_FALSE(isIdle);
+            EXPECT_EQ(server.open(), 1U);
+        });
+        section("nor while the caller has not taken the whole answer", [&] {
+            server.answerAll({drivers::httpStatus::ok, {}, std::string(answerBytes, 'x')});
+            drivers::runOnce(loop, Duration(200), [&] { loop.stop(); });
+            loop.run();
+            EXPECT_FALSE(isIdle);
+            EXPECT_EQ(server.open(), 1U);
+        });
+        section("but is as soon as the caller has", [&] {
+            std::jthread reader([&] {
+                std::size_t total = 0;
+                for (std::string part(1 << 16, '\0'); total < answerBytes;) {
+                    const auto size = recv(caller, part.data(), part.size(), 0);
+                    if (size <= 0) {
+                        return;
+                    }
+                    total += static_cast<std::size_t>(size);
+                }
+            });
+            drivers::runOnce(loop, Duration(2'000), [&] { loop.stop(); });
+            loop.run();
+            EXPECT_TRUE(isIdle);
+            EXPECT_EQ(server.open(), 0U);
+        });
+        close(caller);
+    });
+}
+
+TEST(HttpServer, IsIdleOnceACallerHasLeftInTheMidstOfItsAnswer)
+{
+    drivers::EventLoop loop;
+    drivers::HttpServer server(
+        loop, {}, [&](drivers::HttpRequest &&) { loop.stop(); }, [](ExchangeId) {});
+    ASSERT_TRUE(server.listen({"127.0.0.1", leftPort}));
+    const int caller = connectAndSend("GET / HTTP/1.1\r\nHost: a\r\n\r\n", leftPort);
+    ASSERT_GE(caller, 0);
+    loop.run();
+    bool isIdle = false;
+    server.notifyWhenIdle([&] { isIdle = true; });
+    server.answerAll({drivers::httpStatus::ok, {}, std::string(answerBytes, 'x')});
+    close(caller);
+    drivers::runOnce(loop, Duration(500), [&] { loop.stop(); });
+    loop.run();
+    EXPECT_TRUE(isIdle);
+    EXPECT_EQ(server.open(), 0U);
+}
+
 } // namespace radishvane::tests
--- a/tests/servers/failure_test.cpp
+++ b/tests/servers/failure_test.cpp
@@ -77,6 +77,31 @@
     }
 }
 
+TEST(ProcessStop, AnswersARequestThatIsStillOpenAtItsEnd)
+{
+    story("an entry host is stopped, and its backend servers do not answer", [] {
+        FleetPlan plan = planAt(21'200);
+        plan.longestRunMilliseconds = 15'000;
+        plan.stopWaitMilliseconds = 1'000;
+        Fleet fleet(plan);
+        ASSERT_EQ(fleet.apply(), 0);
+        for (std::size_t backend = 0; backend < 3; ++backend) {
+            fleet.control(fleet.backendPort(backend), {{"mode", "hang"}});
+        }
+        drivers::HttpAnswer answer;
+        std::jthread caller([&] { answer = fleet.request(0); });
+        ASSERT_TRUE(
+            Fleet::eventually([&] { return fleet.startedAt(0) + fleet.startedAt(1) + fleet.startedAt(2) > 0; }));
+        fleet.entry(0).signal(SIGTERM);
+        EXPECT_EQ(fleet.entry(0).wait(), 0);
+        caller.join();
+        section("the caller is told that the outcome is unknown", [&] {
+            EXPECT_EQ(answer.status, drivers::httpStatus::badGateway);
+            EXPECT_EQ(drivers::headerValue(answer.headers, "X-Radishvane-Outcome"), "unknown");
+        });
+    });
+}
+
 TEST(ProcessClaims, RunARepeatedRequestOnce)
 {
     story("the same request at each of three entry hosts", [] {
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -121,7 +121,8 @@
     settings << "host: " << name << "\nzone: " << m_plan.zones[index] << "\nlisten: " << text(entryPort(index))
              << "\noperator_listen: " << text(operatorPort(index)) << "\npeer_listen: " << text(peerPort(index))
              << "\npeer_address: " << text(linkPort(index)) << "\nplatform: " << text(platformPort(index))
-             << "\nleave_wait_ms: 500\nplatform_timeout_ms: 1000\npeers:\n";
+             << "\nleave_wait_ms: 500\nstop_wait_ms: " << m_plan.stopWaitMilliseconds
+             << "\nplatform_timeout_ms: 1000\npeers:\n";
     for (std::size_t peer = 0; peer < m_plan.zones.size(); ++peer) {
         settings << "  - " << text(linkPort(peer)) << '\n';
     }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -28,6 +28,8 @@
     int ceiling = 6;
     int standingPercent = 50;
     int longestRunMilliseconds = 3'000;
+    /// Time that open requests have when an entry host stops.
+    int stopWaitMilliseconds = 30'000;
     /// The hosts of the backend servers are due for maintenance.
     bool maintained = false;
     /// Hosts of the spare pool with a backend server each; hosts move between pools when there are any.
