Read no further call once a stopping host has answered its calls

Callers may see: a connection that ends without an answer, if the host reads a call in the last pass of its event loop, after the last look at open calls. Cause: the event loop ends after the pass in which it is told to; a call that is read in that pass is answered into a buffer that nobody writes. Change: when no call is open, the front tasks close their ports in a message of their own, before the process may end. HttpServer is idle only when the callers at a listening socket that is about to close have been taken. Conclusion: nothing is read between the last look at open calls and the end.

--- a/core/stop/host_stop_controller.h
+++ b/core/stop/host_stop_controller.h
@@ -62,7 +62,7 @@
 {
 };
 
-/// Every call that was open when the stage of release began has been answered, and the answers are written.
+/// Every call has been answered, the answers are written, and no further call is read.
 struct OpenCallsAnswered
 {
 };
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -64,14 +64,28 @@
 
 HttpServer::~HttpServer()
 {
+    close();
+    event_free(m_drainEvent);
+}
+
+void HttpServer::close()
+{
+    if (m_http == nullptr) {
+        return;
+    }
+    event_del(m_drainEvent);
     for (const auto &[connection, id] : m_connections) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
     for (evhttp_connection *connection : m_writing) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
-    event_free(m_drainEvent);
     evhttp_free(m_http);
+    m_http = nullptr;
+    m_socket = nullptr;
+    m_requests.clear();
+    m_connections.clear();
+    m_writing.clear();
 }
 
 bool HttpServer::listen(const Endpoint &endpoint)
@@ -104,6 +118,7 @@
     event_del(server->m_drainEvent);
     evhttp_del_accept_socket(server->m_http, server->m_socket);
     server->m_socket = nullptr;
+    server->reportIdle();
 }
 
 void HttpServer::answer(ExchangeId id, const HttpAnswer &answer)
@@ -152,9 +167,14 @@
     reportIdle();
 }
 
+bool HttpServer::isIdle() const
+{
+    return open() == 0 && event_pending(m_drainEvent, EV_TIMEOUT, nullptr) == 0;
+}
+
 void HttpServer::reportIdle()
 {
-    if (m_onIdle && open() == 0) {
+    if (m_onIdle && isIdle()) {
         std::exchange(m_onIdle, nullptr)();
     }
 }
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -52,8 +52,10 @@
     void answerAll(const HttpAnswer &answer);
     /// Number of exchanges without an answer, or with one that is not written completely.
     std::size_t open() const;
-    /// Calls @p onIdle once, as soon as no exchange is open.
+    /// Calls @p onIdle once, as soon as no exchange is open and no caller waits at a listening socket that is to close.
     void notifyWhenIdle(std::function<void()> onIdle);
+    /// Closes the listening socket and all connections. Not to be called from a handler of this server.
+    void close();
 
 private:
     static void receive(evhttp_request *request, void *self);
@@ -61,10 +63,12 @@
     static void closed(evhttp_connection *connection, void *self);
     static void closeWhenDrained(int, short, void *self);
     void take(evhttp_request *request);
+    bool isIdle() const;
     void reportIdle();
 
     RequestHandler m_onRequest;
     LeftHandler m_onLeft;
+    /// Null once the server is closed.
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
     event *m_drainEvent;
--- a/servers/front_task.cpp
+++ b/servers/front_task.cpp
@@ -67,7 +67,23 @@
 void FrontTask::on(const AnswerRemaining &)
 {
     m_server.answerAll(drivers::unknownAnswer(UnknownReason::Stopping));
-    m_server.notifyWhenIdle([this] { openCallsAnswered.emit(); });
+    closeWhenIdle();
+}
+
+void FrontTask::closeWhenIdle()
+{
+    m_server.notifyWhenIdle([this] { m_mailbox.post(RequestsEnded{}); });
+}
+
+void FrontTask::on(const RequestsEnded &)
+{
+    if (m_server.open() > 0) {
+        // Another request has been read meanwhile.
+        closeWhenIdle();
+        return;
+    }
+    m_server.close();
+    openCallsAnswered.emit();
 }
 
 void FrontTask::receive(drivers::HttpRequest &&http)
--- a/servers/front_task.h
+++ b/servers/front_task.h
@@ -33,11 +33,17 @@
 {
 };
 
+/// No request is open at the port of a host that is about to end.
+struct RequestsEnded
+{
+};
+
 /// Owns the callers' port: reads requests and writes answers, and decides nothing about them.
 class FrontTask
 {
 public:
-    using Message = std::variant<AnswerCaller, StartAccepting, CloseAfterAnswers, StopAccepting, AnswerRemaining>;
+    using Message
+        = std::variant<AnswerCaller, StartAccepting, CloseAfterAnswers, StopAccepting, AnswerRemaining, RequestsEnded>;
 
     FrontTask(drivers::EventLoop &loop, drivers::HttpLimits limits);
 
@@ -46,7 +52,7 @@
     sigc::signal<void(const drivers::CallerRequest &)> requestCame;
     sigc::signal<void(const drivers::HttpRequest &)> jobRequestCame;
     sigc::signal<void(ExchangeId)> callerLeft;
-    /// Every request that was open at AnswerRemaining has its answer, and the answers are written.
+    /// Every request has its answer, the answers are written, and the port is closed.
     sigc::signal<void()> openCallsAnswered;
 
 private:
@@ -55,6 +61,8 @@
     void on(const CloseAfterAnswers &message);
     void on(const StopAccepting &message);
     void on(const AnswerRemaining &message);
+    void on(const RequestsEnded &message);
+    void closeWhenIdle();
     void receive(drivers::HttpRequest &&http);
 
     std::size_t m_bodyBytes;
--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -137,7 +137,24 @@
     for (const cells::AnswerCall &answer : answers) {
         settle(answer);
     }
-    m_callers.notifyWhenIdle([this] { m_link.notifyWhenIdle([this] { openCallsAnswered.emit(); }); });
+    closeWhenIdle();
+}
+
+void SiteFrontTask::closeWhenIdle()
+{
+    m_callers.notifyWhenIdle([this] { m_link.notifyWhenIdle([this] { m_mailbox.post(CallsEnded{}); }); });
+}
+
+void SiteFrontTask::on(const CallsEnded &)
+{
+    if (m_callers.open() + m_link.open() > 0) {
+        // Another call has been read meanwhile.
+        closeWhenIdle();
+        return;
+    }
+    m_callers.close();
+    m_link.close();
+    openCallsAnswered.emit();
 }
 
 bool SiteFrontTask::isReady() const
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -16,13 +16,18 @@
 namespace radishvane::servers
 {
 
+/// No call is open at the ports of a host that is about to end.
+struct CallsEnded
+{
+};
+
 /// Owns the ports of callers, of the balancer and of other entry hosts. Checks calls, and passes them to the cell's
 /// owner, which may be this process.
 class SiteFrontTask
 {
 public:
     using Message = std::variant<cells::SiteConfigPtr, OperatorContact, OwnerKnown, cells::AnswerCall,
-                                 cells::RequestHandover, StopStage>;
+                                 cells::RequestHandover, StopStage, CallsEnded>;
 
     struct Ports
     {
@@ -50,7 +55,7 @@
     sigc::signal<void(const CellQuestion &)> asked;
     sigc::signal<void(const cells::HandoverAnswered &)> handoverAnswered;
     sigc::signal<void(const OpenCallsCounted &)> openCallsCounted;
-    /// The calls that were open when the release stage began are answered, and the answers are written.
+    /// Every call has its answer, the answers are written, and the ports are closed.
     sigc::signal<void()> openCallsAnswered;
     sigc::signal<void(const CallMeasured &)> callMeasured;
     sigc::signal<void(const BeliefAges &)> agesChanged;
@@ -82,6 +87,7 @@
     void on(const cells::AnswerCall &message);
     void on(const cells::RequestHandover &message);
     void on(const StopStage &message);
+    void on(const CallsEnded &message);
 
     void take(const drivers::HttpRequest &request);
     void pass(const cells::AuthorizedCall &pass, const drivers::HttpRequest &request);
@@ -89,6 +95,7 @@
     void forward(const CellQuestion &question, ExchangeId id, Duration timeout);
     void settle(const cells::AnswerCall &answer);
     void answerOpenCalls();
+    void closeWhenIdle();
     bool isReady() const;
     void tellStatus();
     void onTick();
--- a/tests/drivers/http_server_test.cpp
+++ b/tests/drivers/http_server_test.cpp
@@ -116,6 +116,10 @@
             EXPECT_TRUE(isIdle);
             EXPECT_EQ(server.open(), 0U);
         });
+        section("and takes no caller once it is closed", [&] {
+            server.close();
+            EXPECT_EQ(connectAndSend("GET / HTTP/1.1\r\n\r\n", idlePort), -1);
+        });
         close(caller);
     });
 }
