--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -12,6 +12,9 @@
 
 #include <poll.h>
 
+#include <utility>
+#include <vector>
+
 namespace radishvane::drivers
 {
 
@@ -61,11 +64,28 @@
 
 HttpServer::~HttpServer()
 {
+    close();
+    event_free(m_drainEvent);
+}
+
+void HttpServer::close()
+{
+    if (m_http == nullptr) {
+        return;
+    }
+    event_del(m_drainEvent);
     for (const auto &[connection, id] : m_connections) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
-    event_free(m_drainEvent);
+    for (evhttp_connection *connection : m_writing) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
     evhttp_free(m_http);
+    m_http = nullptr;
+    m_socket = nullptr;
+    m_requests.clear();
+    m_connections.clear();
+    m_writing.clear();
 }
 
 bool HttpServer::listen(const Endpoint &endpoint)
@@ -98,6 +118,7 @@
     event_del(server->m_drainEvent);
     evhttp_del_accept_socket(server->m_http, server->m_socket);
     server->m_socket = nullptr;
+    server->reportIdle();
 }
 
 void HttpServer::answer(ExchangeId id, const HttpAnswer &answer)
@@ -110,7 +131,8 @@
     m_requests.erase(found);
     evhttp_connection *connection = evhttp_request_get_connection(request);
     m_connections.erase(connection);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    m_writing.insert(connection);
+    evhttp_request_set_on_complete_cb(request, &HttpServer::written, this);
     evkeyvalq *headers = evhttp_request_get_output_headers(request);
     for (const HttpHeader &header : answer.headers) {
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
@@ -122,9 +144,39 @@
     evhttp_send_reply(request, answer.status, nullptr, nullptr);
 }
 
+void HttpServer::answerAll(const HttpAnswer &answer)
+{
+    std::vector<ExchangeId> exchanges;
+    exchanges.reserve(m_requests.size());
+    for (const auto &[id, request] : m_requests) {
+        exchanges.push_back(id);
+    }
+    for (const ExchangeId id : exchanges) {
+        this->answer(id, answer);
+    }
+}
+
 std::size_t HttpServer::open() const
 {
-    return m_requests.size();
+    return m_requests.size() + m_writing.size();
+}
+
+void HttpServer::notifyWhenIdle(std::function<void()> onIdle)
+{
+    m_onIdle = std::move(onIdle);
+    reportIdle();
+}
+
+bool HttpServer::isIdle() const
+{
+    return open() == 0 && event_pending(m_drainEvent, EV_TIMEOUT, nullptr) == 0;
+}
+
+void HttpServer::reportIdle()
+{
+    if (m_onIdle && isIdle()) {
+        std::exchange(m_onIdle, nullptr)();
+    }
 }
 
 void HttpServer::receive(evhttp_request *request, void *self)
@@ -135,14 +187,24 @@
 void HttpServer::closed(evhttp_connection *connection, void *self)
 {
     auto *server = static_cast<HttpServer *>(self);
+    server->m_writing.erase(connection);
     const auto found = server->m_connections.find(connection);
-    if (found == server->m_connections.end()) {
-        return;
+    if (found != server->m_connections.end()) {
+        const ExchangeId id = found->second;
+        server->m_connections.erase(found);
+        server->m_requests.erase(id);
+        server->m_onLeft(id);
     }
-    const ExchangeId id = found->second;
-    server->m_connections.erase(found);
-    server->m_requests.erase(id);
-    server->m_onLeft(id);
+    server->reportIdle();
+}
+
+void HttpServer::written(evhttp_request *request, void *self)
+{
+    auto *server = static_cast<HttpServer *>(self);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    server->m_writing.erase(connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    server->reportIdle();
 }
 
 void HttpServer::take(evhttp_request *request)
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 struct evhttp;
 struct evhttp_request;
@@ -47,16 +48,27 @@
     void stopAccepting();
     /// Answers an exchange once; ignored when the caller has left.
     void answer(ExchangeId id, const HttpAnswer &answer);
+    /// Answers each exchange that has no answer yet.
+    void answerAll(const HttpAnswer &answer);
+    /// Number of exchanges without an answer, or with one that is not written completely.
     std::size_t open() const;
+    /// Calls @p onIdle once, as soon as no exchange is open and no caller waits at a listening socket that is to close.
+    void notifyWhenIdle(std::function<void()> onIdle);
+    /// Closes the listening socket and all connections. Not to be called from a handler of this server.
+    void close();
 
 private:
     static void receive(evhttp_request *request, void *self);
+    static void written(evhttp_request *request, void *self);
     static void closed(evhttp_connection *connection, void *self);
     static void closeWhenDrained(int, short, void *self);
     void take(evhttp_request *request);
+    bool isIdle() const;
+    void reportIdle();
 
     RequestHandler m_onRequest;
     LeftHandler m_onLeft;
+    /// Null once the server is closed.
     evhttp *m_http;
     evhttp_bound_socket *m_socket = nullptr;
     event *m_drainEvent;
@@ -64,6 +76,9 @@
     bool m_closing = false;
     std::unordered_map<ExchangeId, evhttp_request *> m_requests;
     std::unordered_map<evhttp_connection *, ExchangeId> m_connections;
+    /// Connections with an answer that is not written completely.
+    std::unordered_set<evhttp_connection *> m_writing;
+    std::function<void()> m_onIdle;
 };
 
 } // namespace radishvane::drivers
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/call_authorizer.h"
+#include "core/stop/host_stop_controller.h"
 #include "drivers/event_log.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
@@ -15,13 +16,18 @@
 namespace radishvane::servers
 {
 
+/// No call is open at the ports of a host that is about to end.
+struct CallsEnded
+{
+};
+
 /// Owns the ports of callers, of the balancer and of other entry hosts. Checks calls, and passes them to the cell's
 /// owner, which may be this process.
 class SiteFrontTask
 {
 public:
     using Message = std::variant<cells::SiteConfigPtr, OperatorContact, OwnerKnown, cells::AnswerCall,
-                                 cells::RequestHandover, StopStage>;
+                                 cells::RequestHandover, StopStage, CallsEnded>;
 
     struct Ports
     {
@@ -48,7 +54,9 @@
 
     sigc::signal<void(const CellQuestion &)> asked;
     sigc::signal<void(const cells::HandoverAnswered &)> handoverAnswered;
-    sigc::signal<void(const RequestStatus &)> statusChanged;
+    sigc::signal<void(const OpenCallsCounted &)> openCallsCounted;
+    /// Every call has its answer, the answers are written, and the ports are closed.
+    sigc::signal<void()> openCallsAnswered;
     sigc::signal<void(const CallMeasured &)> callMeasured;
     sigc::signal<void(const BeliefAges &)> agesChanged;
     sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
@@ -68,6 +76,8 @@
         /// Id at the server or the cell that it came from.
         ExchangeId exchange;
         std::string subject;
+        /// What the caller is told if the cell's owner does not answer.
+        cells::CallAnswer inDoubt = cells::CallAnswer::Unavailable;
         TimePoint since;
     };
 
@@ -77,12 +87,15 @@
     void on(const cells::AnswerCall &message);
     void on(const cells::RequestHandover &message);
     void on(const StopStage &message);
+    void on(const CallsEnded &message);
 
     void take(const drivers::HttpRequest &request);
     void pass(const cells::AuthorizedCall &pass, const drivers::HttpRequest &request);
     void takeLink(const drivers::HttpRequest &request);
     void forward(const CellQuestion &question, ExchangeId id, Duration timeout);
     void settle(const cells::AnswerCall &answer);
+    void answerOpenCalls();
+    void closeWhenIdle();
     bool isReady() const;
     void tellStatus();
     void onTick();
@@ -92,7 +105,7 @@
     Ports m_ports;
     cells::CallAuthorizer m_authorizer;
     OwnerKnown m_owner;
-    bool m_stopping = false;
+    StopStage m_stage = StopStage::Serving;
     bool m_wasReady = false;
     TimePoint m_nextAges;
     std::uint64_t m_lastId = 0;
