Restart tasks that the new owner has seen running

Callers saw a service task that did not run although there was capacity for it (LOST).

Cause: after a change of owner every inherited task waited until all recorded workers had answered or their leases had expired (6.5 s), also a task that the new owner had itself seen running, and whose last run it therefore knows. One worker that has left holds up all of them. Each change of owner begins the wait anew.

Ruled out: the pacer.

Change: a task that a worker lists as running under the new epoch, and that the owner continues, has known runs. It starts again without waiting for other workers, and its team's ceiling does not count an unknown run of it. This is safe because an owner starts a task again only when its run has ended, was never carried out or has lost its lease: a run that is still listed after the takeover excludes a later one. A run of which only the end is listed proves nothing, since the owner before may have read that end too. Gangs wait for the evidence for all their members.

Before: CellOwner.RestartsAServiceTaskThatItHasSeenRunningBeforeAllWorkersHaveAnswered fails (one run, 0 running).

Conclusion: one part of the waits after planned changes of owner.

--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -25,7 +25,7 @@
 
 /// Whether the worker may execute runs that are not known. All runs of a worker that has answered are known; only ends
 /// may be missing.
-bool mayHaveUnknownRuns(const Worker &worker, TimePoint now)
+bool mayRunUnknownTasks(const Worker &worker, TimePoint now)
 {
     return !worker.fenced && !worker.isReconciled(now);
 }
@@ -35,7 +35,7 @@
 {
     Resources room;
     for (const auto &[id, worker] : roster.all()) {
-        if (!mayHaveUnknownRuns(worker, now)) {
+        if (!mayRunUnknownTasks(worker, now)) {
             continue;
         }
         if (!worker.entry) {
@@ -67,7 +67,11 @@
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             const StepSpec &spec = job.row.spec.steps[index];
             if (mayHaveStarted(occurrence, spec)) {
-                addUsage(usage, spec, occurrence.steps[index].waiting.size());
+                const Step &step = occurrence.steps[index];
+                const auto unknown = std::count_if(step.waiting.begin(), step.waiting.end(), [&](std::uint32_t task) {
+                    return mayHaveUnknownRuns(job, step.tasks[task]);
+                });
+                addUsage(usage, spec, static_cast<std::uint64_t>(unknown));
             }
         }
     }
@@ -91,7 +95,7 @@
     const bool isAnyLimited = std::any_of(config.teams.begin(), config.teams.end(),
                                           [&config](const auto &team) { return hasCeiling(config, team.first); });
     const bool isAnyUnknown = std::any_of(roster.all().begin(), roster.all().end(),
-                                          [now](const auto &worker) { return mayHaveUnknownRuns(worker.second, now); });
+                                          [now](const auto &worker) { return mayRunUnknownTasks(worker.second, now); });
     if (!isAnyLimited || !isAnyUnknown) {
         return result;
     }
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -56,6 +56,8 @@
     /// Highest run number that this owner has ordered.
     RunNumber startedRun = 0;
     std::optional<Run> run;
+    /// This owner knows every run that earlier owners started.
+    bool hasKnownRuns = false;
     /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
     /// run has ended.
     bool isDoneEarlier = false;
@@ -116,6 +118,9 @@
     std::vector<ExchangeId> cancellers;
 };
 
+/// Whether a task may have runs of earlier owners that this owner does not know.
+bool mayHaveUnknownRuns(const Job &job, const Task &task);
+
 /// Effect of the end of a run on its task and job.
 enum class EndEffect {
     /// The run is not the task's current run.
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -78,7 +78,7 @@
     m_isPaced = false;
     m_nextPlan = now + Duration(m_registry.live().size() / jobsPerMillisecond);
     CandidateWorkers candidates(m_roster, now);
-    const bool mayStartInherited = !m_roster.hasUnreconciledWorker(now);
+    m_hasUnreconciledWorker = m_roster.hasUnreconciledWorker(now);
     m_runs.reserveInheritedUsage(config);
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
@@ -87,7 +87,7 @@
         if (m_isPaced && !spec.isService) {
             continue;
         }
-        if (candidates.isFullFor(ready.pool, spec) || (job.inherited && !mayStartInherited)) {
+        if (candidates.isFullFor(ready.pool, spec) || !mayStartAny(job, ready)) {
             continue;
         }
         if (!ensureAdmitted(config, candidates, ready)) {
@@ -107,6 +107,18 @@
     }
 }
 
+bool StartController::mayStart(const Job &job, const Task &task) const
+{
+    return !m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task);
+}
+
+bool StartController::mayStartAny(const Job &job, const ReadyStep &ready) const
+{
+    const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    return std::any_of(step.waiting.begin(), step.waiting.end(),
+                       [&](std::uint32_t index) { return mayStart(job, step.tasks[index]); });
+}
+
 bool StartController::ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates,
                                      const ReadyStep &ready)
 {
@@ -148,7 +160,7 @@
             break;
         }
         const Task &task = step.tasks[index];
-        if (task.notBefore > m_outbox.now.steady) {
+        if (task.notBefore > m_outbox.now.steady || !mayStart(job, task)) {
             continue;
         }
         Worker *worker = chooseWorkerFor(config, candidates, ready, index, true);
@@ -175,6 +187,9 @@
         // Some members of the previous run have not ended.
         return 0;
     }
+    if (!std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task &task) { return mayStart(job, task); })) {
+        return 0;
+    }
     RunNumber run = 0;
     std::string checkpoint;
     for (const Task &task : step.tasks) {
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -52,6 +52,9 @@
         TimePoint sentAt;
     };
 
+    /// Whether no earlier run of the task may still be active.
+    bool mayStart(const Job &job, const Task &task) const;
+    bool mayStartAny(const Job &job, const ReadyStep &ready) const;
     bool ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates, const ReadyStep &ready);
     std::size_t startTasks(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
                            std::size_t maxStarts);
@@ -75,6 +78,8 @@
     StartPacer m_pacer;
     StartBacklog m_backlog;
     std::map<CallId, PendingStart> m_pendingStarts;
+    /// A worker may run unknown tasks of earlier owners in the present pass.
+    bool m_hasUnreconciledWorker = false;
     /// The pacer held back a task in the present pass.
     bool m_isPaced = false;
     bool m_planningRequested = false;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -250,6 +250,8 @@
     run.listedAt = m_outbox.now.steady;
     run.percent = row.percent;
     m_registry.begin(row.task, std::move(run));
+    // An owner starts a task again only after its run has ended, so this is the only active run.
+    task->hasKnownRuns = true;
     // No owner grants a longer lease.
     worker.leaseDeadline = std::max(worker.leaseDeadline, worker.clock + m_times.leaseTime.count());
     return true;
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -36,6 +36,28 @@
     ASSERT_EQ(site.runs("j1"), 1);
 }
 
+/// The only worker that runs tasks.
+std::string workerOf(const CellSite &site)
+{
+    for (const std::string worker : {"w0", "w1", "w2"}) {
+        if (site.runningOn(worker) > 0) {
+            return worker;
+        }
+    }
+    return {};
+}
+
+/// Ends the owner with @p end, and waits until the other entry host owns the cell.
+void changeOwner(CellSite &site, void (CellSite::*end)(const std::string &))
+{
+    const std::string second = other(site);
+    (site.*end)(site.owner());
+    for (int waited = 0; waited < 10'000 && site.owner() != second; waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_EQ(site.owner(), second);
+}
+
 } // namespace
 
 TEST(CellWorkers, KeepTheirRunsWhenAnOlderListOfHostsShowsAnotherWorker)
@@ -304,4 +326,26 @@
     });
 }
 
+TEST(CellOwner, RestartsAServiceTaskThatItHasSeenRunningBeforeAllWorkersHaveAnswered)
+{
+    story("the owner crashes, a worker does not answer the next one, and another worker leaves", [] {
+        CellSite site;
+        fillLooms(site, 3);
+        site.submit(site.owner(), "svc", "plans", serviceJob(1, 1));
+        site.run(Duration(1'000));
+        const std::string left = workerOf(site);
+        site.worker(left == "w0" ? "w1" : "w0").cut = true;
+        changeOwner(site, &CellSite::kill);
+        site.run(Duration(500));
+        ASSERT_EQ(site.runningOn(left), 1);
+        section("the service task runs elsewhere within the time that its stop takes", [&] {
+            site.worker(left).entry.state = WorkerState::Draining;
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.runs("svc"), 2);
+            EXPECT_EQ(site.runningOn("w2") + site.runningOn("w1") + site.runningOn("w0"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
