Pass on what an owner knows about runs when it releases the cell

Cause: each change of owner forgot what the owner before knew, and began the wait for recorded workers anew with the longest lease (6.5 s with a lease of 6 s). One worker that had left held up every inherited task, also those that had never been started, for as long as owners followed each other.

Change: the transaction that releases the cell at a stop or a handover writes a row "release": for each worker how long its leases last at most, and for each service task (1,000 at most) that no run of it is active, or which worker may run it. The next owner waits for a worker no longer than that, and starts a named task at once or when the worker named with it has answered or has lost its leases.

Why this is safe: the row is in the same transaction as the release, so a release that was not carried out leaves none. After it the owner sends no start and no renewal (it gives up from the request on). The row holds only if the epoch that it names is the one right before, so an owner that took the cell in between and crashed makes it void. A task counts as not running on the terms on which the owner itself might have started it. Workers with restarts in doubt, unknown tasks or unread ends keep the full wait. Only the time left is passed on, no clock; the time between the two owners comes on top.

Before: with the row ignored, CellOwner.StartsServiceTasksWhileOwnersStopInSeries- AndAWorkerDoesNotAnswer fails (0 runs of the waiting task; 8 runs for 12). With the check of the epoch weakened, CellOwner.IgnoresAReleaseThatIsOlderThanTheLast- Epoch fails.

Conclusion: waits no longer add up over planned changes of owner. After a crash of the owner the wait for leases stays, except for tasks that were seen running. That this was the cause of the users' report is likely, not proved.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -172,6 +172,7 @@
     if ((m_isStopping || m_release == Release::Requested) && !m_writer.hasWork()) {
         // The last changes go into the same transaction as the row that releases the cell.
         transaction->owner = m_lease.releasedRow();
+        transaction->release = m_runs.released();
         m_release = Release::Pending;
     }
     write(std::move(*transaction));
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -80,6 +80,44 @@
     std::vector<KnownWorker> workers;
 };
 
+/// A service task of a job at the release of the cell.
+struct ReleasedTask
+{
+    /// The task has no active run.
+    static constexpr std::uint32_t nowhere = UINT32_MAX;
+
+    std::uint32_t index = 0;
+    /// Position in ReleaseRow::workers of the only worker that may run the task, or @c nowhere.
+    std::uint32_t worker = nowhere;
+};
+
+/// The service tasks of one step of which the owner knew all runs.
+struct ReleasedStep
+{
+    JobId job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::vector<ReleasedTask> tasks;
+};
+
+/// A worker at the release of the cell.
+struct ReleasedWorker
+{
+    WorkerId id;
+    /// Time after which all leases of its runs have expired.
+    Duration leaseLeft{0};
+};
+
+/// What an owner knew about runs when it released the cell. It is stored in the same transaction as the release, after
+/// which the owner grants no leases, and holds for the next epoch only.
+struct ReleaseRow
+{
+    /// Epoch that ended with the release.
+    Epoch epoch = 0;
+    std::vector<ReleasedWorker> workers;
+    std::vector<ReleasedStep> steps;
+};
+
 /// Hosts with orders that may still be carried out. A host is stored here before an order for it is sent.
 struct HostOrdersRow
 {
@@ -106,6 +144,7 @@
     std::optional<RosterRow> roster;
     std::vector<WaveRow> waves;
     std::optional<HostOrdersRow> hostOrders;
+    std::optional<ReleaseRow> release;
     /// Jobs whose rows are deleted.
     std::vector<JobId> deletedJobs;
 };
@@ -119,6 +158,8 @@
     std::vector<WaveRow> waves;
     /// Empty if the row does not exist.
     HostOrdersRow hostOrders;
+    /// The last release of the cell.
+    std::optional<ReleaseRow> release;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -1,5 +1,7 @@
 #include "core/cells/inherited_usage.h"
 
+#include "core/cells/released_runs.h"
+
 #include <algorithm>
 #include <optional>
 
@@ -61,7 +63,7 @@
     usage.bestEffortCpu += spec.bestEffort ? spec.needs.cpu * tasks : 0;
 }
 
-void addUnknownRuns(Usage &usage, const Job &job)
+void addUnknownRuns(Usage &usage, const Job &job, const WorkerRoster &roster, TimePoint now)
 {
     for (const auto &[number, occurrence] : job.open) {
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -69,7 +71,7 @@
             if (mayHaveStarted(occurrence, spec)) {
                 const Step &step = occurrence.steps[index];
                 const auto unknown = std::count_if(step.waiting.begin(), step.waiting.end(), [&](std::uint32_t task) {
-                    return mayHaveUnknownRuns(job, step.tasks[task]);
+                    return mayHaveUnknownRuns(job, step.tasks[task], roster, now);
                 });
                 addUsage(usage, spec, static_cast<std::uint64_t>(unknown));
             }
@@ -103,7 +105,7 @@
     for (const JobId &id : registry.live()) {
         const Job &job = *registry.find(id);
         if (job.inherited && hasCeiling(config, job.row.team)) {
-            addUnknownRuns(usages[job.row.team], job);
+            addUnknownRuns(usages[job.row.team], job, roster, now);
         }
     }
     for (const JobId &id : registry.aborted()) {
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -56,11 +56,6 @@
 
 } // namespace
 
-bool mayHaveUnknownRuns(const Job &job, const Task &task)
-{
-    return job.inherited && !task.hasKnownRuns;
-}
-
 void JobRegistry::clear()
 {
     m_jobs.clear();
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -58,6 +58,8 @@
     std::optional<Run> run;
     /// This owner knows every run that earlier owners started.
     bool hasKnownRuns = false;
+    /// The only worker that may execute an unknown run of an earlier owner; empty if any worker may.
+    WorkerId releasedOn;
     /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
     /// run has ended.
     bool isDoneEarlier = false;
@@ -118,9 +120,6 @@
     std::vector<ExchangeId> cancellers;
 };
 
-/// Whether a task may have runs of earlier owners that this owner does not know.
-bool mayHaveUnknownRuns(const Job &job, const Task &task);
-
 /// Effect of the end of a run on its task and job.
 enum class EndEffect {
     /// The run is not the task's current run.
--- /dev/null
+++ b/core/cells/released_runs.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/cells/job_registry.h"
+#include "core/cells/worker_roster.h"
+
+namespace radishvane::cells
+{
+
+/// Whether a task may have active runs of earlier owners that this owner does not know, given that some worker is not
+/// reconciled.
+bool mayHaveUnknownRuns(const Job &job, const Task &task, const WorkerRoster &roster, TimePoint now);
+
+/// Describes what is known about the runs of service tasks when the owner of @p epoch releases the cell.
+/// @param longestLease longest lease that a worker grants.
+ReleaseRow releaseRow(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster, Duration longestLease,
+                      TimePoint now);
+
+/// Shortens the waits for workers and tasks by what the last owner knew at its release.
+void restoreRelease(const ReleaseRow &row, JobRegistry &registry, WorkerRoster &roster, TimePoint now);
+
+} // namespace radishvane::cells
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -1,5 +1,7 @@
 #include "core/cells/run_controller.h"
 
+#include "core/cells/released_runs.h"
+
 namespace radishvane::cells
 {
 
@@ -47,11 +49,20 @@
             m_writer.changeJob(id);
         }
     }
+    // An owner that did not store a release may have granted leases after the release of the one before.
+    if (contents.release && contents.release->epoch + 1 == m_outbox.epoch) {
+        restoreRelease(*contents.release, m_registry, m_roster, now.steady);
+    }
     observe(entries);
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
     m_runs.requestPlanning();
 }
 
+ReleaseRow RunController::released() const
+{
+    return releaseRow(m_outbox.epoch, m_registry, m_roster, m_times.longestLease, m_outbox.now.steady);
+}
+
 JobRegistry &RunController::registry()
 {
     return m_registry;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/start_controller.h"
 
 #include "core/base/enum_names.h"
+#include "core/cells/released_runs.h"
 
 #include <algorithm>
 
@@ -109,7 +110,7 @@
 
 bool StartController::mayStart(const Job &job, const Task &task) const
 {
-    return !m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task);
+    return !m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task, m_roster, m_outbox.now.steady);
 }
 
 bool StartController::mayStartAny(const Job &job, const ReadyStep &ready) const
@@ -268,6 +269,7 @@
     run.startDeadline = order.deadline;
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
+    m_registry.task(id)->hasKnownRuns = true;
     m_outbox.log(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
     m_pacer.take(order.payload.size());
     m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now};
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -74,6 +74,19 @@
     return now >= inheritedUntil && now >= settledAt && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
 }
 
+std::optional<Duration> Worker::leaseLeft(TimePoint now) const
+{
+    if (hasUnlistedEnds || hasUnknownTasks || now < settledAt) {
+        return std::nullopt;
+    }
+    if (fenced && tasks.empty() && foreignTasks.empty()) {
+        return Duration{0};
+    }
+    const double ofOwnOrders = static_cast<double>(leaseDeadline + leaseExpiryMarginMs - minClock(now)) / slowestClock;
+    const double left = std::max({0.0, ofOwnOrders, toMilliseconds(inheritedUntil - now)});
+    return Duration(static_cast<Duration::rep>(std::ceil(left)));
+}
+
 bool Worker::holdsNoLease(TimePoint now) const
 {
     return tasks.empty() && hasStoredEnds() && (incarnationEnded || (unreachable && hasLeaseExpired(now)));
@@ -214,6 +227,12 @@
                        [now](const auto &pair) { return !pair.second.isReconciled(now); });
 }
 
+bool WorkerRoster::isReconciled(const WorkerId &id, TimePoint now) const
+{
+    const Worker *worker = find(id);
+    return worker == nullptr || worker->isReconciled(now);
+}
+
 RosterRow WorkerRoster::row(TimePoint now) const
 {
     RosterRow row;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -100,6 +100,9 @@
     std::int64_t minClock(TimePoint now) const;
     /// Whether the leases of all runs on the worker have certainly expired.
     bool hasLeaseExpired(TimePoint now) const;
+    /// Time after which the leases of all runs on the worker have expired, if this owner grants no more of them; empty
+    /// if it is not known.
+    std::optional<Duration> leaseLeft(TimePoint now) const;
     /// Whether the worker certainly runs nothing and gets no new lease, so that a later owner need not query it.
     bool holdsNoLease(TimePoint now) const;
     WorkerAddress address() const;
@@ -132,6 +135,8 @@
     /// Whether a worker may run unknown tasks of an earlier owner. The pool of the worker does not matter, since the
     /// queue of the tasks may have had another pool when they started.
     bool hasUnreconciledWorker(TimePoint now) const;
+    /// Whether worker @p id runs no unknown tasks of an earlier owner.
+    bool isReconciled(const WorkerId &id, TimePoint now) const;
     /// The workers that may have received orders and whose leases are not known to have expired.
     RosterRow row(TimePoint now) const;
     /// Resets the state of a worker for a new incarnation.
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -123,6 +123,34 @@
     listField(archive, row.hosts);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, ReleasedTask &task)
+{
+    archive(task.index, task.worker);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ReleasedStep &step)
+{
+    archive(step.job, step.occurrence, step.step);
+    listField(archive, step.tasks);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ReleasedWorker &worker)
+{
+    archive(worker.id);
+    durationField(archive, worker.leaseLeft);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, ReleaseRow &row)
+{
+    archive(row.epoch);
+    listField(archive, row.workers);
+    listField(archive, row.steps);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, SubmitJob &question)
 {
@@ -226,6 +254,11 @@
     return encode(row);
 }
 
+std::string encodeRow(const cells::ReleaseRow &row)
+{
+    return encode(row);
+}
+
 std::string encodeQuestion(const LinkQuestion &question)
 {
     return encode(question);
@@ -266,6 +299,11 @@
     return decode<cells::HostOrdersRow>(bytes);
 }
 
+CellDecoded<cells::ReleaseRow> decodeReleaseRow(std::string_view bytes)
+{
+    return decode<cells::ReleaseRow>(bytes);
+}
+
 CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes)
 {
     return decode<LinkQuestion>(bytes);
--- a/drivers/cell_codec.h
+++ b/drivers/cell_codec.h
@@ -36,6 +36,7 @@
 std::string encodeRow(const cells::RosterRow &row);
 std::string encodeRow(const cells::WaveRow &row);
 std::string encodeRow(const cells::HostOrdersRow &row);
+std::string encodeRow(const cells::ReleaseRow &row);
 std::string encodeQuestion(const LinkQuestion &question);
 std::string encodeAnswer(const cells::AnswerCall &answer);
 
@@ -45,6 +46,7 @@
 CellDecoded<cells::RosterRow> decodeRosterRow(std::string_view bytes);
 CellDecoded<cells::WaveRow> decodeWaveRow(std::string_view bytes);
 CellDecoded<cells::HostOrdersRow> decodeHostOrdersRow(std::string_view bytes);
+CellDecoded<cells::ReleaseRow> decodeReleaseRow(std::string_view bytes);
 CellDecoded<LinkQuestion> decodeQuestion(std::string_view bytes);
 CellDecoded<cells::AnswerCall> decodeAnswer(std::string_view bytes);
 
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -348,4 +348,75 @@
     });
 }
 
+TEST(CellOwner, StartsServiceTasksWhileOwnersStopInSeriesAndAWorkerDoesNotAnswer)
+{
+    const auto begin = [](CellSite &site) {
+        fillLooms(site, 2);
+        site.submit(site.owner(), "svc", "plans", serviceJob(8, 1));
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runningOn("w0") + site.runningOn("w1"), 8);
+        site.worker("w0").cut = true;
+        site.worker("w0").listed = false;
+    };
+    const auto changeOwners = [](CellSite &site, int times) {
+        for (int count = 0; count < times; ++count) {
+            const std::string stopped = site.owner();
+            changeOwner(site, &CellSite::stop);
+            site.restart(stopped);
+            site.run(Duration(1'500));
+        }
+    };
+    story("a task has no capacity, and gets it when the third owner has stopped", [&] {
+        CellSite site;
+        begin(site);
+        site.submit(site.owner(), "waiting", "plans", serviceJob(1, 1));
+        site.run(Duration(500));
+        ASSERT_EQ(site.runs("waiting"), 0);
+        changeOwners(site, 3);
+        section("the next owner starts it at once, since no owner has started it", [&] {
+            site.addWorker("w2", "looms", 16'000);
+            changeOwners(site, 1);
+            EXPECT_EQ(site.runs("waiting"), 1);
+        });
+        expectNothingBroken(site);
+    });
+    story("there is capacity elsewhere for the tasks of the worker", [&] {
+        CellSite site;
+        begin(site);
+        site.addWorker("w2", "looms", 16'000);
+        section("they start there when their leases have expired, however often the owner changes", [&] {
+            changeOwners(site, 5);
+            EXPECT_EQ(site.runs("svc"), 12);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellOwner, IgnoresAReleaseThatIsOlderThanTheLastEpoch)
+{
+    story("an owner stops while a task waits, the next one starts the task on a worker and crashes", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.submit(site.owner(), "svc", "plans", serviceJob(4, 1));
+        site.run(Duration(500));
+        site.submit(site.owner(), "waiting", "plans", serviceJob(1, 1));
+        site.run(Duration(500));
+        const std::string stopped = site.owner();
+        changeOwner(site, &CellSite::stop);
+        site.restart(stopped);
+        site.addWorker("w1", "looms", 2'000);
+        site.run(Duration(1'500));
+        ASSERT_EQ(site.runningOn("w1"), 1);
+        site.worker("w1").cut = true;
+        site.addWorker("w2", "looms", 8'000);
+        section("the third owner starts the task elsewhere only after its lease has expired", [&] {
+            changeOwner(site, &CellSite::kill);
+            site.run(Duration(12'000));
+            EXPECT_EQ(site.runs("waiting"), 2);
+            EXPECT_EQ(site.runningOn("w2"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -65,6 +65,35 @@
     });
 }
 
+TEST(CellCodec, CarriesWhatAnOwnerKnowsAtItsRelease)
+{
+    story("an owner releases the cell while one service task waits and another one runs", [] {
+        ReleaseRow row;
+        row.epoch = 7;
+        row.workers = {ReleasedWorker{WorkerId("w-1"), Duration{4'321}}};
+        row.steps = {ReleasedStep{JobId("j1"), 0, 1, {ReleasedTask{0}, ReleasedTask{2, 0}}}};
+        const std::string bytes = encodeRow(row);
+        section("the row arrives unchanged", [&] {
+            const auto decoded = decodeReleaseRow(bytes);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().epoch, 7);
+            ASSERT_EQ(decoded.value().workers.size(), 1);
+            EXPECT_EQ(decoded.value().workers[0].id, WorkerId("w-1"));
+            EXPECT_EQ(decoded.value().workers[0].leaseLeft, Duration{4'321});
+            ASSERT_EQ(decoded.value().steps.size(), 1);
+            const ReleasedStep &step = decoded.value().steps[0];
+            EXPECT_EQ(step.job, JobId("j1"));
+            EXPECT_EQ(step.step, 1);
+            ASSERT_EQ(step.tasks.size(), 2);
+            EXPECT_EQ(step.tasks[0].worker, ReleasedTask::nowhere);
+            EXPECT_EQ(step.tasks[1].index, 2);
+            EXPECT_EQ(step.tasks[1].worker, 0);
+        });
+        section("a truncated row is refused",
+                [&] { EXPECT_FALSE(decodeReleaseRow(std::string_view(bytes).substr(0, bytes.size() - 2))); });
+    });
+}
+
 TEST(CellCodec, CarriesTheFailedRunsOfATask)
 {
     story("an owner stores the progress of a task that has failed twice", [] {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -296,6 +296,7 @@
     cells::RosterRow m_roster;
     std::map<std::uint64_t, cells::WaveRow> m_waveRows;
     cells::HostOrdersRow m_hostOrders;
+    std::optional<cells::ReleaseRow> m_release;
 
     std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
     std::map<std::string, std::int64_t> m_toldAt;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -126,6 +126,9 @@
     if (transaction.hostOrders) {
         m_hostOrders = *transaction.hostOrders;
     }
+    if (transaction.release) {
+        m_release = transaction.release;
+    }
     return CellWritten{call.call, CellWriteOutcome::Written, m_version, std::nullopt};
 }
 
@@ -164,6 +167,7 @@
     }
     contents.roster = m_roster;
     contents.hostOrders = m_hostOrders;
+    contents.release = m_release;
     return contents;
 }
 
