--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -56,6 +56,10 @@
     /// Highest run number that this owner has ordered.
     RunNumber startedRun = 0;
     std::optional<Run> run;
+    /// This owner knows every run that earlier owners started.
+    bool hasKnownRuns = false;
+    /// The only worker that may execute an unknown run of an earlier owner; empty if any worker may.
+    WorkerId releasedOn;
     /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
     /// run has ended.
     bool isDoneEarlier = false;
