Bound the nesting of JSON from outside where it is parsed

Cause: JsonFields::fail and readStep put the whole value into the text of an error. nlohmann's dump() recurses once per level, so a job whose "spec" is a list nested 60,000 deep (120 KB, bodies may have 1 MB) ended the entry host that read it, and a runner's entry nested 100,000 deep every host that followed discovery. The same text was cut at 60 bytes, in the midst of a letter of two bytes, and the dump() of the refusal then threw type_error 316, which nobody caught. Ruled out: the parser and the destructor of nlohmann 3.11 are iterative; copies, comparisons and dump() are not. Change: drivers/json_codec is the one place that parses JSON from outside. It refuses more than 32 levels by one pass over the bytes, before a tree is built. describeJson() gives a short ASCII text for errors; writeJson() replaces bytes that are not UTF-8 instead of throwing. Before: CallerBody.DoesNotEndTheHostWhenItIsNestedDeeply: SIGSEGV (exit 139). CallerBody.IsRefusedWhenAWrongValueHasLongTextBeyondAscii: failed with an uncaught type_error. WorkerEntry.DoesNotEndTheHostWhenItIsNestedDeeply: ended by SIGSEGV with the old dump() put back into describeJson(). After: all pass; 181 of 181 unit tests pass. Conclusion: the depth of a value from outside is bounded before anything recurses over it.

--- a/drivers/config_files.cpp
+++ b/drivers/config_files.cpp
@@ -1,8 +1,7 @@
 #include "drivers/config_files.h"
 
 #include "core/config/config_reader.h"
-
-#include <nlohmann/json.hpp>
+#include "drivers/json_codec.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -57,7 +56,7 @@
     for (const FileText &file : files) {
         packed.push_back({{"name", file.name}, {"text", file.text}});
     }
-    return packed.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return writeJson(packed);
 }
 
 Result<Config, std::vector<ConfigProblem>> checkFiles(const std::vector<FileText> &files)
@@ -71,7 +70,7 @@
 
 Result<Config, std::vector<ConfigProblem>> readPacked(const std::string &packed)
 {
-    const nlohmann::json json = nlohmann::json::parse(packed, nullptr, false);
+    const nlohmann::json json = parseJson(packed).value_or(nlohmann::json());
     if (!json.is_array()) {
         return std::vector<ConfigProblem>{problemOf("packed set", "is not a list of files")};
     }
--- a/drivers/job_http.cpp
+++ b/drivers/job_http.cpp
@@ -3,8 +3,7 @@
 #include "core/base/enum_names.h"
 #include "core/base/overloaded.h"
 #include "drivers/caller_http.h"
-
-#include <nlohmann/json.hpp>
+#include "drivers/json_codec.h"
 
 #include <algorithm>
 
@@ -47,7 +46,7 @@
         const Json &value = m_json.at(field);
         if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) {
             fail(std::string(field) + " must be a whole number up to " + std::to_string(most) + ", not "
-                 + value.dump());
+                 + describeJson(value));
             return fallback;
         }
         return value.get<std::uint32_t>();
@@ -60,7 +59,7 @@
             return false;
         }
         if (!m_json.at(field).is_boolean()) {
-            fail(std::string(field) + " must be true or false, not " + m_json.at(field).dump());
+            fail(std::string(field) + " must be true or false, not " + describeJson(m_json.at(field)));
             return false;
         }
         return m_json.at(field).get<bool>();
@@ -73,7 +72,7 @@
             return {};
         }
         if (!m_json.at(field).is_string()) {
-            fail(std::string(field) + " must be text, not " + m_json.at(field).dump());
+            fail(std::string(field) + " must be text, not " + describeJson(m_json.at(field)));
             return {};
         }
         return m_json.at(field).get<std::string>();
@@ -128,7 +127,7 @@
 
 Result<JobRequest, JobHttpError> readSubmission(const HttpRequest &http)
 {
-    const Json json = Json::parse(http.body, nullptr, false);
+    const Json json = parseJson(http.body).value_or(Json());
     if (!json.is_object()) {
         return JobHttpError{httpStatus::badRequest, "the body is not a JSON object"};
     }
@@ -147,9 +146,7 @@
 
 HttpAnswer jsonAnswer(int status, const Json &json)
 {
-    return {status,
-            {{"Content-Type", "application/json"}},
-            json.dump(-1, ' ', false, Json::error_handler_t::replace) + '\n'};
+    return {status, {{"Content-Type", "application/json"}}, writeJson(json) + '\n'};
 }
 
 HttpAnswer answerOf(const JobAccepted &accepted)
@@ -237,32 +234,31 @@
     std::visit(Overloaded{
                    [&](const StartTask &start) {
                        http.target = "/tasks";
-                       http.body = Json{{"task", start.job.name()},
-                                        {"epoch", start.epoch},
-                                        {"lease_ms", start.lease.count()},
-                                        {"cores", start.needs.cores},
-                                        {"memory_gb", start.needs.memoryGb},
-                                        {"accelerators", start.needs.accelerators},
-                                        {"kind", start.kind},
-                                        {"payload_object", start.payload},
-                                        {"checkpoint_object", start.checkpoint}}
-                                       .dump();
+                       http.body = writeJson({{"task", start.job.name()},
+                                              {"epoch", start.epoch},
+                                              {"lease_ms", start.lease.count()},
+                                              {"cores", start.needs.cores},
+                                              {"memory_gb", start.needs.memoryGb},
+                                              {"accelerators", start.needs.accelerators},
+                                              {"kind", start.kind},
+                                              {"payload_object", start.payload},
+                                              {"checkpoint_object", start.checkpoint}});
                    },
                    [&](const RenewTask &renew) {
                        http.target = taskPath(renew.job) + "/lease";
-                       http.body = Json{{"epoch", renew.epoch}, {"lease_ms", renew.lease.count()}}.dump();
+                       http.body = writeJson({{"epoch", renew.epoch}, {"lease_ms", renew.lease.count()}});
                    },
                    [&](const FenceTask &fence) {
                        http.target = taskPath(fence.job) + "/fence";
-                       http.body = Json{{"epoch", fence.epoch}}.dump();
+                       http.body = writeJson({{"epoch", fence.epoch}});
                    },
                    [&](const CheckpointTask &checkpoint) {
                        http.target = taskPath(checkpoint.job) + "/checkpoint";
-                       http.body = Json{{"epoch", checkpoint.epoch}}.dump();
+                       http.body = writeJson({{"epoch", checkpoint.epoch}});
                    },
                    [&](const StopTaskRun &stop) {
                        http.target = taskPath(stop.job) + "/stop";
-                       http.body = Json{{"epoch", stop.epoch}}.dump();
+                       http.body = writeJson({{"epoch", stop.epoch}});
                    },
                },
                call.request);
@@ -274,7 +270,7 @@
     if (const auto *failure = std::get_if<HttpFailure>(&outcome)) {
         return {id, *failure == HttpFailure::NotSent ? WorkerFailure::NotSent : WorkerFailure::AnswerLost};
     }
-    const Json json = Json::parse(std::get<HttpAnswer>(outcome).body, nullptr, false);
+    const Json json = parseJson(std::get<HttpAnswer>(outcome).body).value_or(Json());
     const auto state = json.is_object() ? enumValue<TaskState>(taskStateNames, json.value("state", "")) : std::nullopt;
     if (!state) {
         return {id, WorkerFailure::AnswerLost};
--- a/drivers/platform_client.cpp
+++ b/drivers/platform_client.cpp
@@ -2,10 +2,10 @@
 
 #include "core/base/enum_names.h"
 #include "core/base/overloaded.h"
+#include "drivers/json_codec.h"
 #include "drivers/row_codec.h"
 
 #include <event2/http.h>
-#include <nlohmann/json.hpp>
 
 #include <cstdlib>
 #include <memory>
@@ -36,7 +36,7 @@
         }
         writes.push_back(std::move(entry));
     }
-    return Json{{"writer", token}, {"writes", std::move(writes)}}.dump();
+    return writeJson({{"writer", token}, {"writes", std::move(writes)}});
 }
 
 PlatformAnswer badAnswer(std::string detail)
@@ -44,6 +44,16 @@
     return PlatformFailed{PlatformError::BadAnswer, std::move(detail)};
 }
 
+/// @throws std::runtime_error when the body is not JSON.
+Json parseBody(const HttpAnswer &answer)
+{
+    auto json = parseJson(answer.body);
+    if (!json) {
+        throw std::runtime_error("the body is not JSON");
+    }
+    return std::move(*json);
+}
+
 /// Reads one row; throws on a missing field, as the JSON library does.
 StoredRow readRow(const Json &json)
 {
@@ -61,13 +71,13 @@
     if (answer.status == httpStatus::notFound) {
         return RowAbsent{request.key};
     }
-    return RowFound{readRow(Json::parse(answer.body))};
+    return RowFound{readRow(parseBody(answer))};
 }
 
 PlatformAnswer readAnswer(const ScanRows &, const HttpAnswer &answer)
 {
     RowsFound found;
-    const Json json = Json::parse(answer.body);
+    const Json json = parseBody(answer);
     for (const Json &row : json.at("rows")) {
         found.rows.push_back(readRow(row));
     }
@@ -76,7 +86,7 @@
 
 PlatformAnswer readAnswer(const WriteRows &, const HttpAnswer &answer)
 {
-    const Json json = Json::parse(answer.body);
+    const Json json = parseBody(answer);
     if (answer.status == httpStatus::conflict) {
         return WriteConflict{json.at("key").get<std::string>()};
     }
@@ -99,11 +109,11 @@
 PlatformAnswer readAnswer(const ListHosts &, const HttpAnswer &answer)
 {
     HostsListed listed;
-    const Json json = Json::parse(answer.body);
+    const Json json = parseBody(answer);
     for (const Json &host : json.at("hosts")) {
         const auto listing = enumValue<HostListing>(hostListingNames, host.at("state").get<std::string>());
         if (!listing) {
-            return badAnswer("host list has the unknown state " + host.at("state").dump());
+            return badAnswer("host list has the unknown state " + describeJson(host.at("state")));
         }
         listed.hosts.push_back({HostId(host.at("host").get<std::string>()), *listing});
     }
@@ -112,7 +122,7 @@
 
 PlatformAnswer readAnswer(const RebootHost &, const HttpAnswer &answer)
 {
-    return RebootState{Json::parse(answer.body).at("done").get<bool>()};
+    return RebootState{parseBody(answer).at("done").get<bool>()};
 }
 
 bool isExpected(int status)
--- a/drivers/row_codec.cpp
+++ b/drivers/row_codec.cpp
@@ -2,8 +2,7 @@
 
 #include "core/base/enum_names.h"
 #include "core/base/overloaded.h"
-
-#include <nlohmann/json.hpp>
+#include "drivers/json_codec.h"
 
 namespace radishvane::drivers
 {
@@ -274,17 +273,17 @@
 
 std::string encodeRow(const RowValue &value)
 {
-    return std::visit([](const auto &row) { return toJson(row).dump(); }, value);
+    return std::visit([](const auto &row) { return writeJson(toJson(row)); }, value);
 }
 
 Result<RowValue, LayerError<CodecError>> decodeRow(const std::string &key, const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) {
+    const auto json = parseJson(text);
+    if (!json) {
         return LayerError<CodecError>{CodecError::NotJson, "row '" + key + "' is not JSON"};
     }
     try {
-        return decodeJson(key, json);
+        return decodeJson(key, *json);
     } catch (const std::exception &error) {
         return LayerError<CodecError>{CodecError::MissingField, "row '" + key + "': " + error.what()};
     }
