--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -68,6 +68,18 @@
     return std::max<std::uint32_t>(repeats, 1);
 }
 
+std::size_t GraphSpec::progressBytes() const
+{
+    constexpr std::size_t bytesPerOccurrence = 8;
+    constexpr std::size_t bytesPerStep = 4;
+    constexpr std::size_t bytesPerTask = 17;
+    std::size_t bytes = bytesPerOccurrence + bytesPerStep * steps.size();
+    for (const StepSpec &step : steps) {
+        bytes += bytesPerTask * step.count;
+    }
+    return bytes;
+}
+
 WallTime GraphSpec::dueAt(std::uint32_t occurrence) const
 {
     return firstDue + occurrence * period;
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -89,7 +89,12 @@
     WallTime firstDue{};
     Duration period{0};
 
+    /// Bound on progressBytes() of all open occurrences, so that the row of a job's progress fits into the store.
+    static constexpr std::size_t maxProgressBytes = 56'000;
+
     std::uint32_t occurrences() const;
+    /// Bytes of the stored progress of one occurrence, without checkpoints and failed runs.
+    std::size_t progressBytes() const;
     WallTime dueAt(std::uint32_t occurrence) const;
     /// Declared processor time of one occurrence, in thousandths of a core times milliseconds.
     double work() const;
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -121,7 +121,9 @@
     }
     const GraphSpec &spec = job.row.spec;
     std::uint32_t next = job.open.empty() ? job.firstOpen : job.open.rbegin()->first + 1;
-    while (next < spec.occurrences() && (spec.repeats == 0 || now.wall >= spec.dueAt(next))) {
+    const std::size_t maxOpen = std::max<std::size_t>(GraphSpec::maxProgressBytes / spec.progressBytes(), 1);
+    while (next < spec.occurrences() && job.open.size() < maxOpen
+           && (spec.repeats == 0 || now.wall >= spec.dueAt(next))) {
         job.open[next] = newOccurrence(spec);
         ++next;
     }
