Read workers' answers without assumptions on their types

Cause: value("reason", "") of nlohmann throws when the field has another type, and nobody caught it: {"state":5} of a worker of the own interface, or {"reason":[1]} of a worker or of the host service, ended the process. Numbers that are not whole were cast, which is undefined beyond the range. Change: wholeNumber() and textField() read one value of any type.

--- a/drivers/job_http.cpp
+++ b/drivers/job_http.cpp
@@ -271,17 +271,23 @@
         return {id, *failure == HttpFailure::NotSent ? WorkerFailure::NotSent : WorkerFailure::AnswerLost};
     }
     const Json json = parseJson(std::get<HttpAnswer>(outcome).body).value_or(Json());
-    const auto state = json.is_object() ? enumValue<TaskState>(taskStateNames, json.value("state", "")) : std::nullopt;
+    const auto state = json.is_object() ? enumValue<TaskState>(taskStateNames, textField(json, "state")) : std::nullopt;
     if (!state) {
         return {id, WorkerFailure::AnswerLost};
     }
+    const auto ran = wholeNumber(json.value("ran_ms", Json(0)));
+    const auto usedMemory = wholeNumber(json.value("used_memory_gb", Json(0)));
+    const Json canCheckpoint = json.value("can_checkpoint", Json(false));
+    if (!ran || !usedMemory || *usedMemory > mostMachineSize || !canCheckpoint.is_boolean()) {
+        return {id, WorkerFailure::AnswerLost};
+    }
     TaskReport report;
     report.state = *state;
-    report.result = json.value("result", "");
-    report.ran = Duration(json.value("ran_ms", std::int64_t{0}));
-    report.usedMemoryGb = json.value("used_memory_gb", 0U);
-    report.canCheckpoint = json.value("can_checkpoint", false);
-    report.checkpoint = json.value("checkpoint_object", "");
+    report.result = textField(json, "result");
+    report.ran = Duration(*ran);
+    report.usedMemoryGb = static_cast<std::uint32_t>(*usedMemory);
+    report.canCheckpoint = canCheckpoint.get<bool>();
+    report.checkpoint = textField(json, "checkpoint_object");
     return {id, report};
 }
 
--- a/drivers/json_codec.cpp
+++ b/drivers/json_codec.cpp
@@ -1,5 +1,7 @@
 #include "drivers/json_codec.h"
 
+#include <cmath>
+
 namespace radishvane::drivers
 {
 
@@ -62,6 +64,27 @@
     return value;
 }
 
+std::optional<std::uint64_t> wholeNumber(const Json &value)
+{
+    if (value.is_number_float()) {
+        const double number = value.get<double>();
+        const bool isWhole
+            = number >= 0 && number <= static_cast<double>(maxWholeNumber) && std::floor(number) == number;
+        return isWhole ? std::optional(static_cast<std::uint64_t>(number)) : std::nullopt;
+    }
+    const bool isNegative = value.is_number_integer() && !value.is_number_unsigned() && value.get<std::int64_t>() < 0;
+    if (!value.is_number_integer() || isNegative || value.get<std::uint64_t>() > maxWholeNumber) {
+        return std::nullopt;
+    }
+    return value.get<std::uint64_t>();
+}
+
+std::string textField(const Json &value, const char *name)
+{
+    const auto found = value.is_object() ? value.find(name) : value.end();
+    return found != value.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
 std::string writeJson(const Json &value)
 {
     return value.dump(-1, ' ', false, Json::error_handler_t::replace);
