Bound the row of a release by half as many tasks

Cause: a thousand steps of one service task each, beside 720 workers, may make the row larger than the 65,536 bytes that the store takes; a refused row would keep the owner from releasing the cell. Found by adding up the fields. Change: at most 500 tasks. Measured: nothing beyond the build; see the tests of the joined parts.

--- a/core/cells/released_runs.cpp
+++ b/core/cells/released_runs.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// Bound on the size of the row.
-constexpr std::size_t maxReleasedTasks = 1'000;
+/// Bound on the tasks in the row, which has to fit into the store beside several hundred workers.
+constexpr std::size_t maxReleasedTasks = 500;
 
 using WorkerPositions = std::map<WorkerId, std::uint32_t>;
 
