Count service tasks on leaving workers as away

Cause: in one pass over the workers, a task on a cordoned worker was checked against its allowance before the tasks on a worker that had just reported "draining" were stopped. The stops of both went out at once, and those on the leaving worker could act first. Change: `mayDisrupt` counts tasks on workers that leave as not available.

--- a/core/cells/stop_controller.cpp
+++ b/core/cells/stop_controller.cpp
@@ -11,6 +11,11 @@
 /// Interval between two attempts to stop a run.
 constexpr Duration stopRetryInterval{400};
 
+bool isLeaving(const Worker &worker)
+{
+    return worker.entry && worker.entry->state == WorkerState::Draining;
+}
+
 } // namespace
 
 StopController::StopController(CellOutbox &outbox, RunLedger &runs)
@@ -87,8 +92,8 @@
 {
     const TimePoint now = m_outbox.now.steady;
     for (auto &[id, worker] : m_roster.all()) {
-        const bool isLeaving = worker.entry && worker.entry->state == WorkerState::Draining;
-        if (!worker.cordoned && !isLeaving) {
+        const bool leaves = isLeaving(worker);
+        if (!worker.cordoned && !leaves) {
             worker.cordonedAt = now;
             continue;
         }
@@ -99,8 +104,8 @@
                 continue;
             }
             const bool isOverdue = !spec->isService && now - worker.cordonedAt > drainGracePeriod;
-            if ((spec->isService && (isLeaving || mayDisrupt(taskId))) || (isOverdue && !isLeaving)) {
-                m_runs.requestStop(taskId, isLeaving ? "worker-leaves" : "worker-emptied");
+            if ((spec->isService && (leaves || mayDisrupt(taskId))) || (isOverdue && !leaves)) {
+                m_runs.requestStop(taskId, leaves ? "worker-leaves" : "worker-emptied");
             }
         }
     }
@@ -121,8 +126,9 @@
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         const Task &task = step.tasks[index];
         const Worker *worker = task.run ? m_roster.find(task.run->worker) : nullptr;
-        const bool isReady = worker != nullptr && !worker->unreachable && !task.run->stopRequested
-            && task.run->percent >= serviceReadyPercent;
+        // Tasks on a worker that leaves are stopped in any case.
+        const bool isReady = worker != nullptr && !worker->unreachable && !isLeaving(*worker)
+            && !task.run->stopRequested && task.run->percent >= serviceReadyPercent;
         unavailable += index != id.index && !isReady ? 1 : 0;
     }
     return unavailable < std::max<std::uint32_t>(spec->maxUnavailable, 1);
--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -109,6 +109,32 @@
     });
 }
 
+TEST(CellServiceTasks, AreNotStoppedForAWaveWhileOthersStopOnALeavingWorker)
+{
+    story("a worker reports that it leaves at about the time at which a wave takes the host of another one", [] {
+        for (int delay = 0; delay <= 400; delay += 10) {
+            CellSite site;
+            site.addQueue("plans", "looms");
+            site.addWorker("w9", "looms", 8'000);
+            site.addNode("a");
+            site.run(Duration(2'000));
+            site.submit(site.owner(), "j1", "plans", spreadServiceJob(2, 1));
+            site.run(Duration(500));
+            site.addWorker("w0", "looms", 8'000);
+            site.run(Duration(2'000));
+            ASSERT_EQ(site.runningOn("w0"), 1);
+            site.addWorker("w5", "looms", 8'000);
+            site.run(Duration(1'000));
+            site.addWave(1, {"w0"}, 1);
+            site.run(Duration(delay));
+            site.worker("w9").entry.state = WorkerState::Draining;
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.runningOn("w9"), 0) << delay;
+            expectNothingBroken(site);
+        }
+    });
+}
+
 TEST(CellWaves, SkipAHostWithTasksUnknownToTheNewOwner)
 {
     story("a worker with a service task is cut off, the owner crashes, and the worker's host is part of a wave", [] {
