Give each incarnation of a worker a fencing token of its own

What callers saw: a task ran again after it was done (TWICE): a start that was held up and withdrawn was carried out by an incarnation of its worker that began later. A renewal of the lease for the former incarnation extended the runs of the new one, so that a task that was given up still ran while it started elsewhere. Cause: the id in an order names all incarnations of a worker, the deadline refers to a clock that starts anew, and the fencing token was the same for the whole epoch. So the new incarnation took what was sent to the former one for as long as messages are held up. Ruled out: a stop of each withdrawn run on the new incarnation: it needs a record of withdrawn starts, and does not cover renewals. Change: the token is the epoch in the upper half and the number of the incarnation in the lower. From the first order to a new incarnation on it refuses whatever was sent before. The site model can hold up one start or one renewal. Tests: the loop in cell_failures_test.cpp that waits for the token of the next owner reads the epoch from its upper half.

--- a/core/cells/cell_outbox.h
+++ b/core/cells/cell_outbox.h
@@ -40,9 +40,15 @@
     /// The token rises with each order, so that the host service refuses an earlier order that arrives late.
     Epoch nextHostFence()
     {
-        // Leaves 2^32 tokens per epoch; the token stays exact in a JSON double for 2^20 epochs.
-        constexpr unsigned orderBitsPerEpoch = 32;
-        return (epoch << orderBitsPerEpoch) + ++m_hostOrders;
+        return firstFence() + ++m_hostOrders;
+    }
+
+    /// Returns the fencing token of the orders to an incarnation of a worker.
+    ///
+    /// An incarnation that has seen its token refuses late orders that were sent to a former one.
+    Epoch workerFence(std::uint64_t incarnationNumber) const
+    {
+        return firstFence() + incarnationNumber;
     }
 
     CellEffects take()
@@ -53,6 +59,13 @@
     }
 
 private:
+    Epoch firstFence() const
+    {
+        // Leaves 2^32 tokens per epoch; the token stays exact in a JSON double for 2^20 epochs.
+        constexpr unsigned tokenBitsPerEpoch = 32;
+        return epoch << tokenBitsPerEpoch;
+    }
+
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_hostOrders = 0;
     CellEffects m_effects;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -241,7 +241,7 @@
     order.run = number;
     order.payload = m_registry.find(ready.job)->row.spec.payload;
     order.deadline = worker.estimatedClock(now) + startWindow.count();
-    order.fence = m_outbox.epoch;
+    order.fence = m_outbox.workerFence(worker.incarnationNumber);
     order.checkpoint = checkpoint;
     order.ticket = m_admission.ticket(ready, worker);
     worker.leaseDeadline = std::max(worker.leaseDeadline, order.deadline);
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -60,7 +60,7 @@
     const TimePoint now = m_outbox.now.steady;
     LeaseRenewalOrder order;
     order.worker = worker.address();
-    order.fence = m_outbox.epoch;
+    order.fence = m_outbox.workerFence(worker.incarnationNumber);
     // The worker may have restarted, and would forget the first ends of its new incarnation.
     order.acknowledged = worker.stored > worker.acknowledged ? worker.stored : 0;
     worker.renewalAcknowledges = order.acknowledged;
@@ -204,7 +204,7 @@
                 order.worker = worker.address();
                 order.task = row.task;
                 order.run = row.run;
-                order.fence = m_outbox.epoch;
+                order.fence = m_outbox.workerFence(worker.incarnationNumber);
                 m_outbox.send(order);
                 m_outbox.log(CellDecision::TaskStopped, taskName(row.task), worker.id.name(), row.run, "unknown-run");
             }
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -90,6 +90,7 @@
     for (const KnownWorker &known : recorded.workers) {
         Worker worker;
         worker.id = known.id;
+        worker.incarnationNumber = ++m_incarnations;
         worker.host = known.host;
         worker.pool = known.pool;
         worker.endpoint = known.endpoint;
@@ -111,6 +112,7 @@
         Worker &worker = place->second;
         if (isNew) {
             worker.id = entry.id;
+            worker.incarnationNumber = ++m_incarnations;
             worker.startedAtMs = entry.startedAtMs;
         } else if (entry.startedAtMs > worker.startedAtMs) {
             // Discovery may lag behind the worker's own answer, so an earlier start time is ignored.
@@ -230,6 +232,7 @@
 void WorkerRoster::beginIncarnation(Worker &worker, std::int64_t startedAtMs)
 {
     worker.startedAtMs = startedAtMs;
+    worker.incarnationNumber = ++m_incarnations;
     worker.fenced = false;
     worker.unreachable = false;
     worker.hasUnlistedEnds = false;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -18,6 +18,8 @@
     PoolId pool;
     Endpoint endpoint;
     std::int64_t startedAtMs = 0;
+    /// Number of the incarnation; it rises with each incarnation of any worker that the owner learns of.
+    std::uint64_t incarnationNumber = 0;
     /// Its entry in discovery; empty while discovery does not list the worker.
     std::optional<WorkerEntry> entry;
 
@@ -138,6 +140,7 @@
     void beginIncarnation(Worker &worker, std::int64_t startedAtMs);
 
 private:
+    std::uint64_t m_incarnations = 0;
     std::map<WorkerId, Worker> m_workers;
 };
 
--- a/tests/core/cells/cell_failures_test.cpp
+++ b/tests/core/cells/cell_failures_test.cpp
@@ -96,7 +96,7 @@
         section("the worker answers, and the owner stores the end but can't acknowledge it", [&] {
             site.storeDelay = 300;
             site.worker("w0").cut = false;
-            while (site.worker("w0").fence != site.node(second).controller->owner()->epoch) {
+            while (site.worker("w0").fence >> 32 != site.node(second).controller->owner()->epoch) {
                 site.run(Duration(5));
             }
             site.run(Duration(100));
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -164,6 +164,28 @@
     });
 }
 
+TEST(CellWorkers, ThatHaveRestartedRefuseAWithdrawnStart)
+{
+    story("a start is held up and withdrawn, and its task is done before the worker restarts", [] {
+        for (int delay = 3'600; delay <= 6'000; delay += 200) {
+            CellSite site;
+            fillLooms(site, 1);
+            site.run(Duration(4'000));
+            site.loseNextStart = delay;
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+            site.run(Duration(3'000));
+            ASSERT_EQ(site.state("j1"), GraphState::Completed);
+            site.crash("w0");
+            site.revive("w0");
+            section("the start arrives after the new incarnation has answered the owner", [&] {
+                site.run(Duration(6'000));
+                EXPECT_EQ(site.runs("j1"), 1) << delay;
+            });
+            expectNothingBroken(site);
+        }
+    });
+}
+
 TEST(CellWorkers, KeepTheEndsOfANewIncarnationUntilTheyAreRead)
 {
     story("a worker restarts after its ends were acknowledged, and ends a run before the owner knows", [] {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -102,6 +102,10 @@
     bool loseNextWrite = false;
     /// The next write that releases the cell gets no answer, and is carried out after so many milliseconds.
     std::optional<std::int64_t> loseNextRelease;
+    /// The next start gets no answer, and is carried out after so many milliseconds.
+    std::optional<std::int64_t> loseNextStart;
+    /// The next lease renewal with a deadline gets no answer, and is carried out after so many milliseconds.
+    std::optional<std::int64_t> loseNextRenewal;
     /// Requests of entry hosts for a handover.
     std::uint64_t handoverRequests = 0;
     /// Workers for which the admission service gives tickets.
@@ -251,6 +255,7 @@
     /// @param sentAt time at which the owner decided.
     void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
+    void extendLease(const cells::LeaseRenewalOrder &order);
     void answerLeaseRenewal(const Caller &caller, const cells::LeaseRenewalOrder &order, std::int64_t until);
     void checkHostIsStored(const HostId &host);
     /// Carries out an order for a host, or a part of the orders late and without an answer.
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -204,8 +204,10 @@
     const auto unknown = [this, caller, order] {
         give(caller, OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt});
     };
-    if (chance(lostAnswers)) {
-        later(chance(0.5) ? workerDelay : 3'000, [this, order] {
+    if (loseNextStart || chance(lostAnswers)) {
+        const std::int64_t delay = loseNextStart ? *loseNextStart : chance(0.5) ? workerDelay : 3'000;
+        loseNextStart.reset();
+        later(delay, [this, order] {
             if (ModelWorker *worker = reach(order.worker)) {
                 carryOut(*worker, order);
             }
@@ -414,11 +416,13 @@
     };
     if (chance(lostAnswers)) {
         later(callTimeout + order.wait.count(), unknown);
-        if (ModelWorker *worker = reach(order.worker);
-            worker != nullptr && order.fence >= worker->fence && order.deadline) {
-            worker->fence = order.fence;
-            worker->deadline = std::max(worker->deadline, std::min(*order.deadline, clockOf(*worker) + mostHold));
-        }
+        extendLease(order);
+        return;
+    }
+    if (loseNextRenewal && order.deadline) {
+        later(*loseNextRenewal, [this, order] { extendLease(order); });
+        later(callTimeout + order.wait.count(), unknown);
+        loseNextRenewal.reset();
         return;
     }
     const std::int64_t sendDelay = linkDelay(caller, 0, unknown);
@@ -449,6 +453,16 @@
     });
 }
 
+void CellSite::extendLease(const LeaseRenewalOrder &order)
+{
+    ModelWorker *worker = reach(order.worker);
+    if (worker == nullptr || order.fence < worker->fence || !order.deadline) {
+        return;
+    }
+    worker->fence = order.fence;
+    worker->deadline = std::max(worker->deadline, std::min(*order.deadline, clockOf(*worker) + mostHold));
+}
+
 void CellSite::answerLeaseRenewal(const Caller &caller, const LeaseRenewalOrder &order, std::int64_t until)
 {
     ModelWorker *worker = reach(order.worker);
