Wait for the longest lease on a restarted worker

What callers saw: two runs of a task at a time (in the site model): its worker restarted and was then cut off, and the task started elsewhere while the worker still ran it. Cause: a renewal for the former incarnation that arrives before the owner's first order to the new one sets a deadline far beyond the new clock, which the worker shortens to its longest lease. The owner counted the lease that it had granted itself. Change: a worker that has restarted is given up only when the longest lease, counted from its first answer, has passed; while it does not answer, orders to the former incarnation count as under way for 20 s, as they did before with runs in doubt.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -278,6 +278,7 @@
     }
     endAllRuns(worker, CellDecision::WorkerRestarted);
     m_roster.beginIncarnation(worker, startedAtMs);
+    worker.settledAt = m_outbox.now.steady + restartSettleTime;
     if (m_outbox.now.steady < worker.inheritedUntil) {
         // The deadline of an earlier owner's order refers to the former clock.
         worker.inheritedUntil = longestLeaseEnd();
@@ -292,13 +293,17 @@
         if (run.stopRequested) {
             m_pendingStops.insert(id);
         }
-        worker.settledAt = m_outbox.now.steady + restartSettleTime;
         m_outbox.log(CellDecision::OrderInDoubt, taskName(id), worker.id.name(), run.number, "worker-restarted");
     }
     worker.recorded = false;
     m_writer.changeRoster();
 }
 
+void RunLedger::settleIncarnation(Worker &worker)
+{
+    worker.settledAt = longestLeaseEnd();
+}
+
 void RunLedger::expectUnknownIncarnation(Worker &worker)
 {
     worker.settledAt = std::max(worker.settledAt, longestLeaseEnd());
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -28,8 +28,8 @@
     static constexpr Duration avoidanceTime{3'000};
     /// At most one in this many workers of a pool is avoided at the same time.
     static constexpr std::size_t workersPerAvoided = 3;
-    /// Time after a restart of a worker until orders to its former incarnation have certainly lost their effect: they
-    /// may be carried out seconds late, and then bring a lease.
+    /// Time after a restart of a worker until orders to its former incarnation have certainly lost their effect while
+    /// it does not answer: they may be carried out seconds late, and then bring a lease.
     static constexpr Duration restartSettleTime{20'000};
 
     RunLedger(CellOutbox &outbox, CellWriter &writer, CellTimes times = {});
@@ -70,6 +70,9 @@
     /// Ends all runs of the previous incarnation of a worker and begins a new one, which may have received the orders
     /// of runs that the previous one never listed.
     void endIncarnation(Worker &worker, std::int64_t startedAtMs);
+    /// Takes the runs on a restarted worker as active until the longest lease has expired. The worker has answered
+    /// under its new fencing token, so that only orders before this time may have extended the lease.
+    void settleIncarnation(Worker &worker);
     /// Takes a run on the worker as active until the longest lease has expired, because an incarnation whose clock is
     /// not known has accepted an order.
     void expectUnknownIncarnation(Worker &worker);
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -123,6 +123,9 @@
     worker->clock = event.report.clock;
     worker->clockAt = now;
     if (!worker->fenced) {
+        if (now < worker->settledAt) {
+            m_runs.settleIncarnation(*worker);
+        }
         m_outbox.log(CellDecision::WorkerAdmitted, worker->id.name(), worker->pool.name(), worker->startedAtMs);
     }
     worker->fenced = true;
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -186,6 +186,35 @@
     });
 }
 
+TEST(CellWorkers, ThatHaveRestartedMayHoldALongerLeaseThanTheirOwnerHasGranted)
+{
+    story("a worker restarts while a lease renewal for its former incarnation is held up, and is then cut off", [] {
+        for (int delay = 210; delay <= 2'500; delay += 10) {
+            CellSite site;
+            fillLooms(site, 1);
+            site.durations[JobId("j1")] = 20'000;
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(20'000)));
+            site.run(Duration(12'000));
+            site.loseNextRenewal = delay;
+            while (site.loseNextRenewal) {
+                site.run(Duration(10));
+            }
+            site.run(Duration(200));
+            site.crash("w0");
+            site.revive("w0");
+            site.run(Duration(2'500));
+            ASSERT_EQ(site.runningOn("w0"), 1) << delay;
+            site.worker("w0").cut = true;
+            site.addWorker("w1", "looms", 8'000);
+            section("the task does not start elsewhere while the worker may run it", [&] {
+                site.run(Duration(15'000));
+                EXPECT_EQ(site.runningOn("w1"), 1) << delay;
+            });
+            expectNothingBroken(site);
+        }
+    });
+}
+
 TEST(CellWorkers, KeepTheEndsOfANewIncarnationUntilTheyAreRead)
 {
     story("a worker restarts after its ends were acknowledged, and ends a run before the owner knows", [] {
