Read the whole fencing token in the stand-in of the workers

The stand-in read the token as an `int`, so that it compared only the lower half of a token that has the epoch in the upper half. It reads 64 bits now, which is stricter. The process tests were not run after this change.

--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -362,7 +362,7 @@
             return;
         }
         const json body = json::parse(request.body);
-        const std::uint64_t fence = body.value("fencingToken", 0);
+        const std::uint64_t fence = body.value("fencingToken", std::uint64_t{0});
         if (fence < m_fence) {
             refuse(request, "fence");
             return;
