Release a cell whose takeover was in flight when its host was stopped

Callers may see: refusals (503) for up to 0.6 s more than a handover takes, or for a whole lease, after a host was stopped at the moment at which it took the cell over. Cause: CellStop asked the writer for a transaction with the owner's row, and the activation that follows a stored takeover cleared the writer. The host that refuses all jobs, since it stops, then kept the cell until its first renewal. If the takeover got no answer and the store had carried it out, the stopping host did not write again, and the lease was left to expire. Besides, CellTask reported the cell as released while the takeover was still pending, so that the last stage of the stop did not wait for it. Ruled out: the rebuild; a stop in its midst already released the cell, and it is not begun any more. Change: activation under a stop asks for the owner's row at once, and reads no rows. A stopping host takes a cell again only if the row names this process. CellController::hasReleased tells when nothing is owned and no write is pending. Before: CellOwner.ReleasesACellWhoseTakeoverWasInFlightWhenItWasStopped fails in both stories: no releasing write follows the takeover, and none follows the unanswered one. Conclusion: a stop asks what the platform may hold for the process, and not only what the process knows that it holds.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -49,6 +49,11 @@
         && m_lease.isValid(now);
 }
 
+bool CellController::hasReleased() const
+{
+    return !m_isActive && !m_writer.pending() && !m_lease.owns();
+}
+
 const JobRegistry &CellController::registry() const
 {
     return m_runs.registry();
@@ -70,7 +75,7 @@
     }
     const TimePoint now = m_outbox.now.steady;
     if (!m_isRebuilt) {
-        if (m_pendingRead.value == 0 && now >= m_retryNotBefore) {
+        if (!m_isStopping && m_pendingRead.value == 0 && now >= m_retryNotBefore) {
             m_pendingRead = m_outbox.send(ReadCell{{}, m_cell});
         }
     } else if (!isGivingUp() && isTick) {
@@ -92,8 +97,10 @@
     if (m_isActive && m_release != Release::Pending && m_lease.isKnown() && !m_lease.owns()) {
         deactivate(CellDecision::OwnershipLost, m_lease.owner() ? m_lease.owner()->host.name() : "no-owner");
     }
-    const bool mayAcquire = !m_isActive && !m_isStopping && !m_writer.pending();
-    if (!mayAcquire || !(m_lease.owns() || m_lease.mayTakeOver(now)) || now < m_retryNotBefore) {
+    // A stopping host acquires only a cell that is its own already, by a write without an answer, in order to release
+    // it.
+    const bool mayAcquire = m_lease.owns() || (!m_isStopping && m_lease.mayTakeOver(now));
+    if (m_isActive || m_writer.pending() || !mayAcquire || now < m_retryNotBefore) {
         return;
     }
     CellTransaction transaction;
@@ -133,6 +140,9 @@
     m_pendingRead = CallId{};
     m_outbox.epoch = m_lease.epoch();
     m_writer.clear();
+    if (m_isStopping) {
+        m_writer.requireOwner();
+    }
     m_runs.clear();
     m_hosts.clear();
     m_shares.clear();
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -43,6 +43,8 @@
     const std::optional<OwnerRow> &owner() const;
     /// Whether this process holds a valid lease of the cell and has rebuilt its state.
     bool isServing(TimePoint now) const;
+    /// Whether the cell is not this process's, and no write that could make it so is pending.
+    bool hasReleased() const;
     const JobRegistry &registry() const;
     const WorkerRoster &roster() const;
 
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -46,7 +46,7 @@
         std::visit([this](const auto &alternative) { apply(alternative); }, effect);
     }
     tellOwner();
-    if (m_stopping && !m_owns && !m_toldReleased) {
+    if (m_stopping && m_controller.hasReleased() && !m_toldReleased) {
         m_toldReleased = true;
         released.emit();
     }
@@ -146,7 +146,6 @@
 
 void CellTask::apply(const cells::OwnershipChanged &change)
 {
-    m_owns = change.owns;
     siteCalled.emit(change);
 }
 
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -76,7 +76,6 @@
     std::optional<cells::OwnerRow> m_toldOwner;
     TimePoint m_writeSent;
     bool m_stopping = false;
-    bool m_owns = false;
     bool m_toldReleased = false;
     drivers::TaskStatistics m_statistics;
     drivers::HttpClient m_http;
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/cell_codec.h"
 #include "tests/support/cell_stories.h"
+#include "tests/support/effects.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -29,6 +30,45 @@
     site.restart("b");
 }
 
+/// One entry host in virtual time that may take over a cell without an owner.
+class Takeover
+{
+public:
+    Takeover()
+    {
+        send(OwnerObserved{std::nullopt, 1});
+    }
+
+    CellEffects send(const CellEvent &event)
+    {
+        return controller.handle(event, Instant{m_now, WallTime{}});
+    }
+
+    /// The first effect of one kind within a few seconds.
+    template<typename Effect>
+    std::optional<Effect> advanceTo()
+    {
+        for (const TimePoint end = m_now + Duration{4'000}; m_now < end; m_now += Duration{20}) {
+            for (const CellEvent &event : {CellEvent(StoreContact{m_now}), CellEvent(CellTick{})}) {
+                if (const auto effect = only<Effect>(send(event))) {
+                    return effect;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    std::optional<WriteCell> takeOver()
+    {
+        return advanceTo<WriteCell>();
+    }
+
+    CellController controller{CellId("c0"), HostId("a"), 1, Endpoint{"127.0.0.1", 1}, CellTimes{}, HostCapacity{}};
+
+private:
+    TimePoint m_now = TimePoint(std::chrono::hours(1));
+};
+
 /// Epoch of the ownership as the entry host @p name knows it.
 Epoch epochAt(CellSite &site, const std::string &name)
 {
@@ -304,6 +344,50 @@
     });
 }
 
+TEST(CellOwner, ReleasesACellWhoseTakeoverWasInFlightWhenItWasStopped)
+{
+    story("the takeover is stored after the stop", [] {
+        Takeover host;
+        const auto taking = host.takeOver();
+        ASSERT_TRUE(taking.has_value());
+        EXPECT_FALSE(only<WriteCell>(host.send(CellStop{})).has_value());
+        EXPECT_FALSE(host.controller.hasReleased());
+        const auto releasing
+            = only<WriteCell>(host.send(CellWritten{taking->call, CellWriteOutcome::Written, 2, std::nullopt}));
+        section("the cell is released at once, and not at the first renewal", [&] {
+            ASSERT_TRUE(releasing.has_value());
+            ASSERT_TRUE(releasing->transaction.owner.has_value());
+            EXPECT_TRUE(releasing->transaction.owner->host.empty());
+            host.send(CellWritten{releasing->call, CellWriteOutcome::Written, 3, std::nullopt});
+            EXPECT_TRUE(host.controller.hasReleased());
+        });
+    });
+    story("the takeover gets no answer, and the store has carried it out", [] {
+        Takeover host;
+        const auto taking = host.takeOver();
+        ASSERT_TRUE(taking.has_value());
+        host.send(CellStop{});
+        host.send(CellWritten{taking->call, CellWriteOutcome::Unknown, 0, std::nullopt});
+        host.send(OwnerObserved{taking->transaction.owner, 2});
+        EXPECT_FALSE(host.controller.hasReleased());
+        section("the stopping host writes the row until the cell is released", [&] {
+            auto write = host.advanceTo<WriteCell>();
+            for (std::uint64_t version = 3; write; ++version) {
+                write = only<WriteCell>(
+                    host.send(CellWritten{write->call, CellWriteOutcome::Written, version, std::nullopt}));
+            }
+            EXPECT_TRUE(host.controller.hasReleased());
+            EXPECT_TRUE(host.controller.owner()->host.empty());
+        });
+    });
+    story("a host that owns no cell is stopped", [] {
+        Takeover host;
+        host.send(CellStop{});
+        EXPECT_TRUE(host.controller.hasReleased());
+        section("it does not take one over", [&] { EXPECT_FALSE(host.takeOver().has_value()); });
+    });
+}
+
 TEST(CellOwner, AnswersCallersWhoseRowsItStoresWithItsRelease)
 {
     story("a job waits for the pending write of another one when the owner is asked to stop", [] {
