Leave time for the last answers of a short stop

Callers may see: calls cut at the end of a stop whose grace period is shorter than the balancer's delay and the longest call together, below about 5.2 s for a site. Cause: HostStopTimes::within gave what was left over to the last stage, in which open calls are answered. For short periods that was 0 ms, so that the next event of the stop task ended the process before the answers were written. The test asked only that it is not negative. Change: an eighth of the grace period, at most 0.5 s, belongs to the last stage before the others are given theirs. Tests: FitIntoTheGracePeriod asks for more than 0 ms instead of at least 0 ms, for each stage of each period. Before: with the old function HostStopTimes.FitIntoTheGracePeriod (0 ms for periods of 0.1, 1 and 3 s) and HostStopController.LeavesTimeForTheLastAnswersOfAShortStop fail. Conclusion: the stage that pays what is owed gets its time first.

--- a/core/stop/host_stop_controller.cpp
+++ b/core/stop/host_stop_controller.cpp
@@ -12,15 +12,19 @@
 /// Part of the grace period that is kept for the exit of the process, and its upper limit.
 constexpr int exitDivisor = 8;
 constexpr Duration maxExitTime{500};
+/// Part that is kept for the last answers, and its upper limit.
+constexpr int answerDivisor = 8;
+constexpr Duration maxAnswerTime{500};
 
 } // namespace
 
 HostStopTimes HostStopTimes::within(Duration grace, Duration balancerDelay, Duration longestCall)
 {
     const Duration usable = grace - std::min(maxExitTime, grace / exitDivisor);
+    const Duration beforeRelease = usable - std::min(maxAnswerTime, grace / answerDivisor);
     HostStopTimes times;
-    times.finish = std::min(longestCall, usable / 2);
-    times.leave = std::min(balancerDelay, usable - times.finish);
+    times.finish = std::min(longestCall, beforeRelease / 2);
+    times.leave = std::min(balancerDelay, beforeRelease - times.finish);
     times.release = usable - times.finish - times.leave;
     return times;
 }
--- a/tests/core/stop/host_stop_controller_test.cpp
+++ b/tests/core/stop/host_stop_controller_test.cpp
@@ -69,7 +69,7 @@
             EXPECT_LT(stages.leave + stages.finish + stages.release, grace);
             EXPECT_GT(stages.leave, Duration{0});
             EXPECT_GT(stages.finish, Duration{0});
-            EXPECT_GE(stages.release, Duration{0});
+            EXPECT_GT(stages.release, Duration{0});
         });
     }
 }
@@ -117,6 +117,23 @@
     });
 }
 
+TEST(HostStopController, LeavesTimeForTheLastAnswersOfAShortStop)
+{
+    story("a stop that is too short for the balancer's delay and the longest call", [] {
+        const HostStopTimes stages = HostStopTimes::within(Duration{3'000}, Duration{2'500}, Duration{2'200});
+        Stop stop(stages);
+        stop.handle(StopSignalled{});
+        stop.at(stages.leave);
+        stop.handle(OpenCallsCounted{3});
+        stop.at(stages.leave + stages.finish);
+        ASSERT_EQ(stop.stage(), StopStage::Releasing);
+        section("the next event does not end the process while the answers are being written", [&] {
+            stop.handle(OpenCallsCounted{3});
+            EXPECT_EQ(stop.stage(), StopStage::Releasing);
+        });
+    });
+}
+
 TEST(HostStopController, EndsInTimeWhenNothingIsReleased)
 {
     story("neither the platform nor a caller takes anything", [] {
