Release the claim of a request that ended before it was claimed

Callers saw: a request with an Idempotency-Key is refused as not run (at its deadline, by a new configuration, or by a stop) or its caller leaves, and each repetition with this key is refused as a duplicate, though nothing has ever run. Cause: the claim was in flight when the request ended. The router ignores the decision about a claim whose request is gone, so the row that was written stayed. Ruled out: a request that was claimed and then refused; its claim was released before. Change: the router remembers the claim of a request that ends while it is undecided, and releases it if it succeeds. Before: RequestRouter.ReleasesTheClaimOfARequestThatEndedBeforeItWasClaimed fails for a caller that leaves, a deadline and a stop. Conclusion: an answer that nobody waits for may still have taken something. A claim whose write has an unknown outcome at the resolve timeout stays taken, as before.

--- a/core/routing/request_router.cpp
+++ b/core/routing/request_router.cpp
@@ -161,6 +161,7 @@
         return;
     }
     if (!event.head.idempotent && !event.head.idempotencyKey.empty()) {
+        entry->second.claiming = true;
         m_effects.push_back(ClaimKey{event.exchange, entry->second.team, event.head.idempotencyKey});
         return;
     }
@@ -242,10 +243,17 @@
 
 void RequestRouter::on(const ClaimDecided &event)
 {
+    if (const auto abandoned = m_abandonedClaims.extract(event.exchange)) {
+        if (event.outcome == ClaimOutcome::Claimed) {
+            m_effects.push_back(abandoned.mapped());
+        }
+        return;
+    }
     const auto found = m_exchanges.find(event.exchange);
     if (found == m_exchanges.end() || found->second.stage != Stage::Admitting) {
         return;
     }
+    found->second.claiming = false;
     switch (event.outcome) {
     case ClaimOutcome::Claimed:
         found->second.claimed = true;
@@ -558,6 +566,9 @@
         service(found->second.service).queue.remove(id);
         --m_waiting[found->second.team];
     }
+    if (found->second.claiming) {
+        m_abandonedClaims.emplace(id, ReleaseClaim{found->second.team, found->second.head.idempotencyKey});
+    }
     m_deadlines.erase({found->second.deadline, id});
     m_exchanges.erase(found);
 }
--- a/core/routing/request_router.h
+++ b/core/routing/request_router.h
@@ -56,6 +56,8 @@
         BackendId lastBackend;
         /// An earlier attempt may have run, so the request must not be reported as not run.
         bool mayHaveRun = false;
+        /// ClaimKey was sent, and ClaimDecided has not come.
+        bool claiming = false;
         bool claimed = false;
     };
 
@@ -158,6 +160,8 @@
     std::unordered_map<AttemptId, Attempt> m_attempts;
     /// Attempts whose work may still run, keyed by the time at which that work has certainly ended.
     std::multimap<TimePoint, Attempt> m_unresolved;
+    /// Claims whose requests have ended undecided; they are released if they succeed.
+    std::unordered_map<ExchangeId, ReleaseClaim> m_abandonedClaims;
     std::uint64_t m_lastAttempt = 0;
     std::unordered_map<TeamId, std::uint32_t> m_waiting;
     std::map<TeamId, TeamDemand> m_reportedDemand;
--- a/tests/core/routing/request_router_test.cpp
+++ b/tests/core/routing/request_router_test.cpp
@@ -4,6 +4,10 @@
 #include "tests/support/example_config.h"
 #include "tests/support/story.h"
 
+#include <functional>
+#include <utility>
+#include <vector>
+
 namespace radishvane::tests
 {
 
@@ -110,6 +114,51 @@
     });
 }
 
+TEST(RequestRouter, ReleasesTheClaimOfARequestThatEndedBeforeItWasClaimed)
+{
+    const std::vector<std::pair<std::string, std::function<void(RouterFixture &)>>> ends{
+        {"its caller leaves",
+         [](RouterFixture &router) {
+             router.send(CallerDisconnected{ExchangeId{1}});
+         }},
+        {"its deadline passes",
+         [](RouterFixture &router) {
+             router.advance(Duration(5'000));
+         }},
+        {"the entry host stops",
+         [](RouterFixture &router) {
+             router.send(AnswerOpenRequests{});
+         }},
+    };
+    for (const auto &[name, end] : ends) {
+        story("a request waits for the claim of its key, and " + name, [&end = end] {
+            RouterFixture router;
+            ASSERT_TRUE(only<ClaimKey>(router.request(1, false, "office-key", "order-7")).has_value());
+            end(router);
+            section("the claim that succeeds afterwards is released, so that a repetition may run", [&] {
+                const auto released
+                    = only<ReleaseClaim>(router.send(ClaimDecided{ExchangeId{1}, ClaimOutcome::Claimed}));
+                ASSERT_TRUE(released.has_value());
+                EXPECT_EQ(released->team, TeamId("office"));
+                EXPECT_EQ(released->idempotencyKey, "order-7");
+            });
+            section("and only once", [&] {
+                EXPECT_FALSE(
+                    only<ReleaseClaim>(router.send(ClaimDecided{ExchangeId{1}, ClaimOutcome::Claimed})).has_value());
+            });
+        });
+        story("a request waits for a claim that fails, and " + name, [&end = end] {
+            RouterFixture router;
+            router.request(1, false, "office-key", "order-7");
+            end(router);
+            section("nothing is released", [&] {
+                EXPECT_FALSE(only<ReleaseClaim>(router.send(ClaimDecided{ExchangeId{1}, ClaimOutcome::ClaimedBefore}))
+                                 .has_value());
+            });
+        });
+    }
+}
+
 TEST(RequestRouter, RefusesInadmissibleRequestsWithAReason)
 {
     story("requests that are not admissible are refused", [] {
