Refuse requests that come after a stopping host has answered the open ones

Callers may see: a connection that ends without an answer, if a request comes over a kept connection in the last stage of a stop, while the answer to another caller is still being written. Cause: AnswerOpenRequests answered what was open, and the router went on starting requests that may end before endsBy. A stop that is quiet leaves its second stage early, so that endsBy is still far away, and a run may take longer than the last stage. Ruled out: the open port; it closes when no answer is left to be written, so the window is as long as the slowest caller reads. No run of the programs has shown a cut. Change: after AnswerOpenRequests no run ends early enough, and each request is refused at once. Before: RequestRouter.RefusesRequestsThatComeAfterTheOpenOnesWereAnswered fails: the request is started. After: it passes, with all 190 unit tests. Conclusion: the last look at what is owed also ends the taking of more.

--- a/core/routing/request_router.cpp
+++ b/core/routing/request_router.cpp
@@ -275,6 +275,7 @@
 
 void RequestRouter::on(const AnswerOpenRequests &)
 {
+    m_endsBy = TimePoint::min();
     std::vector<ExchangeId> open;
     for (const auto &[id, exchange] : m_exchanges) {
         open.push_back(id);
--- a/tests/core/routing/request_router_test.cpp
+++ b/tests/core/routing/request_router_test.cpp
@@ -114,6 +114,20 @@
     });
 }
 
+TEST(RequestRouter, RefusesRequestsThatComeAfterTheOpenOnesWereAnswered)
+{
+    story("an entry host with time left has answered its open requests", [] {
+        RouterFixture router;
+        router.send(StopRequested{router.now + std::chrono::hours(1)});
+        router.send(AnswerOpenRequests{});
+        section("a request that a kept connection brings then is refused at once", [&] {
+            const RequestEffects effects = router.request(1, true);
+            EXPECT_FALSE(only<StartAttempt>(effects).has_value());
+            EXPECT_EQ(refusal(effects), RefusalReason::Stopping);
+        });
+    });
+}
+
 TEST(RequestRouter, ReleasesTheClaimOfARequestThatEndedBeforeItWasClaimed)
 {
     const std::vector<std::pair<std::string, std::function<void(RouterFixture &)>>> ends{
