Do not end an entry host by SIGHUP

Callers saw: on the product's own entry host, each open connection ends without an answer when its process gets SIGHUP, as it does when the terminal or session of the operator closes. Cause: only the host of a site handles the signal; elsewhere its default action ends the process at once, without any stage of the stop. Ruled out: SIGTERM and SIGINT, which lead through the stages; a site's host, except before its handler is set. Change: radishvaned ignores SIGHUP from its start. The host of a site sets its handler later and logs the signal as before. Before: ProcessStop.DoesNotFollowAHangup: the caller of a running request gets no answer (status 0), and the host serves no further one. After: it is told 504 at the end of its run, and the host serves on; both ProcessStop tests pass. Conclusion: no signal that an operator sends in passing ends a process that owes answers.

--- a/main/radishvaned.cpp
+++ b/main/radishvaned.cpp
@@ -95,5 +95,7 @@
     }
     // A connection that its peer has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // Settings are read at the start only, and a hangup must not cut open calls.
+    std::signal(SIGHUP, SIG_IGN);
     return onSite ? runOnSite(file) : runEntryHost(file);
 }
--- a/tests/servers/failure_test.cpp
+++ b/tests/servers/failure_test.cpp
@@ -102,6 +102,33 @@
     });
 }
 
+TEST(ProcessStop, DoesNotFollowAHangup)
+{
+    story("an entry host gets SIGHUP while a request runs", [] {
+        Fleet fleet(planAt(26'000));
+        ASSERT_EQ(fleet.apply(), 0);
+        ASSERT_EQ(fleet.request(0).status, 200);
+        for (std::size_t backend = 0; backend < 3; ++backend) {
+            fleet.control(fleet.backendPort(backend), {{"mode", "hang"}});
+        }
+        drivers::HttpAnswer answer;
+        const auto before = fleet.startedAt(0) + fleet.startedAt(1) + fleet.startedAt(2);
+        std::jthread caller([&] { answer = fleet.request(0); });
+        ASSERT_TRUE(
+            Fleet::eventually([&] { return fleet.startedAt(0) + fleet.startedAt(1) + fleet.startedAt(2) > before; }));
+        fleet.entry(0).signal(SIGHUP);
+        caller.join();
+        section("the request is answered at its deadline",
+                [&] { EXPECT_EQ(answer.status, drivers::httpStatus::gatewayTimeout); });
+        section("and the host serves on", [&] {
+            for (std::size_t backend = 0; backend < 3; ++backend) {
+                fleet.control(fleet.backendPort(backend), {{"mode", "ok"}});
+            }
+            EXPECT_TRUE(Fleet::eventually([&] { return fleet.request(0).status == 200; }));
+        });
+    });
+}
+
 TEST(ProcessClaims, RunARepeatedRequestOnce)
 {
     story("the same request at each of three entry hosts", [] {
