Hold calls while a new owner rebuilds the state of its cell

What callers saw: while owners are stopped one after the other, every call of some seconds is refused, although each handover is short.

Cause: of a handover of 0.45 to 0.65 s the rebuild takes 0.32 to 0.43 s (2,900 jobs, 2 MB). During it the new owner refused each call with Retry-After 1 s, so that in a series of handovers a retry met the next one. Besides, an owner that was stopped during its rebuild released the cell and then rebuilt it all the same, as the answer to its read was still awaited.

Release 0.05 to 0.12 s after the SIGTERM, takeover 0.1 to 0.24 s after the release.

Change: a new owner holds calls (at most 256, payloads of 4 MB) for at most 600 ms from its takeover and answers them after the rebuild. It refuses them when the rebuild takes longer, when it is stopped, or when it loses the cell. Losing the cell drops the pending read.

Calls between the release and the takeover, and at the stopping owner, are still refused.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -70,6 +70,9 @@
     }
     const TimePoint now = m_outbox.now.steady;
     if (!m_isRebuilt) {
+        if (now - m_activatedAt >= HeldCalls::patience) {
+            refuseHeldCalls();
+        }
         if (m_pendingRead.value == 0 && now >= m_retryNotBefore) {
             m_pendingRead = m_outbox.send(ReadCell{{}, m_cell});
         }
@@ -146,9 +149,11 @@
         answerAll(job.submitters, CallAnswer::InDoubt);
         answerAll(job.cancellers, CallAnswer::InDoubt);
     }
+    refuseHeldCalls();
     m_isActive = false;
     m_isRebuilt = false;
     m_release = Release::None;
+    m_pendingRead = CallId{};
     m_runs.clear();
     m_writer.clear();
     m_hosts.clear();
@@ -283,6 +288,7 @@
     m_isRebuilt = true;
     m_outbox.add(CellRebuilt{m_outbox.now.steady - m_activatedAt, event.contents->jobs.size(), event.bytes});
     m_outbox.log(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
+    answerHeldCalls();
 }
 
 void CellController::on(const OwnerObserved &event)
@@ -309,6 +315,7 @@
 {
     m_isStopping = true;
     m_writer.requireOwner();
+    refuseHeldCalls();
 }
 
 // ---- state of the platform ----
@@ -392,6 +399,9 @@
 
 void CellController::on(const SubmitJob &event)
 {
+    if (hold(event)) {
+        return;
+    }
     if (!isServing(m_outbox.now.steady) || isGivingUp()) {
         answer(event.exchange, CallAnswer::Unavailable);
         return;
@@ -450,6 +460,9 @@
 
 void CellController::on(const QueryJob &event)
 {
+    if (hold(event)) {
+        return;
+    }
     if (!isServing(m_outbox.now.steady)) {
         answer(event.exchange, CallAnswer::Unavailable);
         return;
@@ -472,6 +485,9 @@
 
 void CellController::on(const CancelJob &event)
 {
+    if (hold(event)) {
+        return;
+    }
     if (!isServing(m_outbox.now.steady)) {
         answer(event.exchange, CallAnswer::Unavailable);
         return;
@@ -497,6 +513,9 @@
 
 void CellController::on(const QueryPending &event)
 {
+    if (hold(event)) {
+        return;
+    }
     if (!isServing(m_outbox.now.steady)) {
         answer(event.exchange, CallAnswer::Unavailable);
         return;
@@ -542,6 +561,31 @@
     exchanges.clear();
 }
 
+bool CellController::hold(const HeldCalls::Call &call)
+{
+    const TimePoint now = m_outbox.now.steady;
+    const bool isRebuilding = m_isActive && !m_isRebuilt && !isGivingUp() && m_lease.isValid(now);
+    if (!isRebuilding || now - m_activatedAt >= HeldCalls::patience || !m_heldCalls.mayAdd(call)) {
+        return false;
+    }
+    m_heldCalls.add(call);
+    return true;
+}
+
+void CellController::answerHeldCalls()
+{
+    for (const HeldCalls::Call &call : m_heldCalls.take()) {
+        std::visit([this](const auto &alternative) { on(alternative); }, call);
+    }
+}
+
+void CellController::refuseHeldCalls()
+{
+    for (const HeldCalls::Call &call : m_heldCalls.take()) {
+        std::visit([this](const auto &alternative) { answer(alternative.exchange, CallAnswer::Unavailable); }, call);
+    }
+}
+
 void CellController::answerTimedOutCallers()
 {
     const TimePoint now = m_outbox.now.steady;
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -4,6 +4,7 @@
 #include "core/cells/cell_lease.h"
 #include "core/cells/cell_outbox.h"
 #include "core/cells/cell_writer.h"
+#include "core/cells/held_calls.h"
 #include "core/cells/host_capacity.h"
 #include "core/cells/host_controller.h"
 #include "core/cells/run_controller.h"
@@ -87,6 +88,10 @@
     void advanceWrites();
     void dropExpiredJobs();
     void answerTimedOutCallers();
+    /// Keeps @p call until the state of the cell is rebuilt, if that is likely to be soon.
+    bool hold(const HeldCalls::Call &call);
+    void answerHeldCalls();
+    void refuseHeldCalls();
     /// Keeps new tasks off the hosts that are about to be moved or maintained.
     void cordonHosts();
     void activate();
@@ -110,6 +115,7 @@
     RunController m_runs;
     HostController m_hosts;
     TeamShares m_shares;
+    HeldCalls m_heldCalls;
 
     bool m_isActive = false;
     bool m_isRebuilt = false;
