Count runs of an occurrence that is not due by the owner's own clock

Cause: the wall clock of an earlier owner may be ahead. The next owner did not know the occurrence that it had started: it acknowledged the ends of its tasks without effect and stopped those that ran as unknown.

Change: an inherited job opens its occurrences up to the one that a worker lists. An owner has found it due, so its other tasks may start, too.

Before: WorkerLeaseController.CountsEndsOfAnOccurrenceThatIsNotDueByItsOwn WallClock fails with the opening switched off.

--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -127,6 +127,18 @@
     }
 }
 
+void JobRegistry::openInheritedOccurrence(const TaskId &id)
+{
+    Job *job = find(id.job);
+    if (job == nullptr || !job->inherited || isFinal(job->state) || id.occurrence >= job->row.spec.occurrences()) {
+        return;
+    }
+    std::uint32_t next = job->open.empty() ? job->firstOpen : job->open.rbegin()->first + 1;
+    for (; next <= id.occurrence; ++next) {
+        job->open[next] = newOccurrence(job->row.spec);
+    }
+}
+
 Job *JobRegistry::find(const JobId &id)
 {
     const auto found = m_jobs.find(id);
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -134,6 +134,8 @@
     void restore(const ProgressRow &row, Instant now);
     /// Adds the occurrences that have become due.
     void openDueOccurrences(Job &job, Instant now);
+    /// Adds the occurrence of @p id, of which an earlier owner has started a run. That owner's wall clock may be ahead.
+    void openInheritedOccurrence(const TaskId &id);
 
     Job *find(const JobId &id);
     const Job *find(const JobId &id) const;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -146,6 +146,7 @@
 
 void WorkerLeaseController::applyEnd(Worker &worker, const EndedRow &row)
 {
+    m_registry.openInheritedOccurrence(row.task);
     Task *task = m_registry.task(row.task);
     if (task == nullptr) {
         return;
@@ -194,6 +195,7 @@
     const TimePoint now = m_outbox.now.steady;
     m_runs.clearForeign(worker);
     for (const RunningRow &row : report.running) {
+        m_registry.openInheritedOccurrence(row.task);
         Task *task = m_registry.task(row.task);
         const bool isKnown
             = task != nullptr && task->run && task->run->number == row.run && task->run->worker == worker.id;
--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -121,4 +121,50 @@
     });
 }
 
+TEST(WorkerLeaseController, CountsEndsOfAnOccurrenceThatIsNotDueByItsOwnWallClock)
+{
+    story("the wall clock of the earlier owner was ahead, and it started an occurrence", [] {
+        CellOutbox outbox;
+        CellWriter writer;
+        RunLedger runs(outbox, writer, CellTimes{});
+        WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
+        outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
+        WorkerEntry entry;
+        entry.id = WorkerId("w");
+        entry.startedAtMs = startedAtMs;
+        runs.roster().observe({entry});
+        JobRow row;
+        row.id = JobId("j");
+        row.spec.steps.resize(1);
+        row.spec.steps[0].count = 2;
+        row.spec.repeats = 2;
+        row.spec.firstDue = outbox.now.wall + Duration(1'000);
+        row.spec.period = Duration(5'000);
+        Job &job = runs.registry().add(row, outbox.now.steady);
+        job.stored = true;
+        job.inherited = true;
+        runs.registry().openDueOccurrences(job, outbox.now);
+        ASSERT_TRUE(job.open.empty());
+
+        leases.renewLeases();
+        const auto renewal = renewalOf(outbox.take());
+        ASSERT_TRUE(renewal);
+        LeaseRenewalAnswered answer = answerTo(*renewal, 1);
+        answer.report.running.push_back(RunningRow{TaskId{JobId("j"), 0, 0, 1}, 1, {}, 10, 0});
+        leases.answered(answer);
+        section("a task that has ended is done, and does not start again", [&] {
+            const Task *ended = runs.registry().task(TaskId{JobId("j"), 0, 0, 0});
+            ASSERT_NE(ended, nullptr);
+            EXPECT_TRUE(ended->progress.done);
+        });
+        section("a task that runs goes on", [&] {
+            const Task *running = runs.registry().task(TaskId{JobId("j"), 0, 0, 1});
+            ASSERT_NE(running, nullptr);
+            ASSERT_TRUE(running->run);
+            EXPECT_FALSE(running->run->stopRequested);
+        });
+        section("the next occurrence waits for its due time", [&] { EXPECT_EQ(job.open.size(), 1U); });
+    });
+}
+
 } // namespace radishvane::tests
