Settle orders for hosts that are gone for good

Cause: only a list that shows a fenced host settled its orders; a host that is gone or down can't be fenced.

Change: a host that no list has shown for 30 s is settled. Hosts that are down or not listed no longer raise the rate of the lists. A host that is down stays in the row, since it may come back.

Before: HostOrderLedger.ForgetsAHostThatIsGoneForGood and AsksForNoFrequentListsBecauseOfHostsThatAreDown fail with both switched off.

--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -128,7 +128,7 @@
     if (now < m_nextList) {
         return;
     }
-    const bool isActive = m_waves.isOpen() || !m_mover.moving().empty() || !m_orders.hosts().empty();
+    const bool isActive = m_waves.isOpen() || !m_mover.moving().empty() || m_orders.awaitsList(m_list);
     m_nextList = now + (isActive ? listInterval : idleListInterval);
     m_pendingLists[m_outbox.send(ListHosts{})] = now;
 }
--- a/core/cells/host_order_ledger.cpp
+++ b/core/cells/host_order_ledger.cpp
@@ -25,13 +25,24 @@
 
 void HostOrderLedger::observe(const HostList &list)
 {
-    std::vector<HostId> known;
-    for (const auto &[host, orders] : m_hosts) {
-        if (!orders.isPending && orders.fencedAt && list.requestedAt && *list.requestedAt > *orders.fencedAt) {
-            known.push_back(host);
+    if (!list.requestedAt) {
+        return;
+    }
+    const TimePoint requestedAt = *list.requestedAt;
+    std::vector<HostId> settled;
+    for (auto &[host, orders] : m_hosts) {
+        if (list.hosts.count(host) > 0) {
+            orders.missingSince.reset();
+        } else if (!orders.missingSince) {
+            orders.missingSince = requestedAt;
+        }
+        const bool isKnown = orders.fencedAt && requestedAt > *orders.fencedAt;
+        const bool isGone = orders.missingSince && requestedAt - *orders.missingSince >= goneTime;
+        if (!orders.isPending && (isKnown || isGone)) {
+            settled.push_back(host);
         }
     }
-    for (const HostId &host : known) {
+    for (const HostId &host : settled) {
         settle(host);
     }
 }
@@ -107,6 +118,14 @@
     return due;
 }
 
+bool HostOrderLedger::awaitsList(const HostList &list) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&list](const auto &entry) {
+        const auto listed = list.hosts.find(entry.first);
+        return !list.requestedAt || (listed != list.hosts.end() && listed->second.state != SiteHostState::Down);
+    });
+}
+
 std::set<HostId> HostOrderLedger::hosts() const
 {
     std::set<HostId> hosts;
--- a/core/cells/host_order_ledger.h
+++ b/core/cells/host_order_ledger.h
@@ -29,13 +29,15 @@
 public:
     /// Interval between two attempts to fence a host.
     static constexpr Duration retryInterval{300};
+    /// A host that no list has shown for this time is gone, and so are the orders for it.
+    static constexpr Duration goneTime{30'000};
 
     explicit HostOrderLedger(CellWriter &writer);
 
     void clear();
     /// Restores the hosts with orders of earlier owners.
     void restore(const HostOrdersRow &row);
-    /// Removes the fenced hosts whose states are known from @p list.
+    /// Removes the fenced hosts whose states are known from @p list, and the hosts that are gone.
     void observe(const HostList &list);
     /// Adds a host for which an order is about to be sent.
     void plan(const HostId &host);
@@ -50,6 +52,8 @@
     /// @param excluded hosts whose orders are sent again instead.
     std::vector<HostFencing> planFencing(const HostList &list, const std::set<HostId> &excluded, TimePoint now);
 
+    /// Whether a newer list than @p list is likely to settle a host. Hosts that are down or not listed may stay so.
+    bool awaitsList(const HostList &list) const;
     /// Hosts with orders that have no answer yet, and those in doubt.
     std::set<HostId> hosts() const;
     /// Hosts that an order without an answer, or an order of an earlier owner, may still end, and hosts whose states
@@ -67,6 +71,8 @@
         bool isInDoubt = false;
         /// The host was fenced at this time; a list that was requested later shows its state.
         std::optional<TimePoint> fencedAt;
+        /// Request time of the first list that did not show the host; empty while lists show it.
+        std::optional<TimePoint> missingSince;
         TimePoint notBefore;
     };
 
