--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -80,6 +80,11 @@
     return bytes;
 }
 
+std::size_t GraphSpec::maxOpenOccurrences() const
+{
+    return std::max<std::size_t>(maxProgressBytes / progressBytes(), 1);
+}
+
 WallTime GraphSpec::dueAt(std::uint32_t occurrence) const
 {
     return firstDue + occurrence * period;
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -95,6 +95,8 @@
     std::uint32_t occurrences() const;
     /// Bytes of the stored progress of one occurrence, without checkpoints and failed runs.
     std::size_t progressBytes() const;
+    /// Occurrences whose progress fits into one row.
+    std::size_t maxOpenOccurrences() const;
     WallTime dueAt(std::uint32_t occurrence) const;
     /// Declared processor time of one occurrence, in thousandths of a core times milliseconds.
     double work() const;
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -121,14 +121,25 @@
     }
     const GraphSpec &spec = job.row.spec;
     std::uint32_t next = job.open.empty() ? job.firstOpen : job.open.rbegin()->first + 1;
-    const std::size_t maxOpen = std::max<std::size_t>(GraphSpec::maxProgressBytes / spec.progressBytes(), 1);
-    while (next < spec.occurrences() && job.open.size() < maxOpen
+    while (next < spec.occurrences() && job.open.size() < spec.maxOpenOccurrences()
            && (spec.repeats == 0 || now.wall >= spec.dueAt(next))) {
         job.open[next] = newOccurrence(spec);
         ++next;
     }
 }
 
+void JobRegistry::openInheritedOccurrence(const TaskId &id)
+{
+    Job *job = find(id.job);
+    if (job == nullptr || !job->inherited || isFinal(job->state) || id.occurrence >= job->row.spec.occurrences()) {
+        return;
+    }
+    std::uint32_t next = job->open.empty() ? job->firstOpen : job->open.rbegin()->first + 1;
+    for (; next <= id.occurrence && job->open.size() < job->row.spec.maxOpenOccurrences(); ++next) {
+        job->open[next] = newOccurrence(job->row.spec);
+    }
+}
+
 Job *JobRegistry::find(const JobId &id)
 {
     const auto found = m_jobs.find(id);
--- a/tests/platform/odd_caller_test.cpp
+++ b/tests/platform/odd_caller_test.cpp
@@ -114,6 +114,12 @@
             EXPECT_EQ(job.open.begin()->first, 1);
             EXPECT_EQ(job.open.size(), open);
         });
+        section("a worker that lists a task of a late occurrence opens no more", [&] {
+            const std::size_t open = job.open.size();
+            job.inherited = true;
+            registry.openInheritedOccurrence(TaskId{row.id, 900'000'000, 0, 0});
+            EXPECT_EQ(job.open.size(), open);
+        });
     });
 }
 
