--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace radishvane::cells
 {
@@ -19,13 +20,18 @@
     return value;
 }
 
+std::uint64_t saturatedSum(std::uint64_t left, std::uint64_t right)
+{
+    return left + std::min(right, std::numeric_limits<std::uint64_t>::max() - left);
+}
+
 } // namespace
 
 Resources &Resources::operator+=(const Resources &other)
 {
-    cpu += other.cpu;
-    memoryMb += other.memoryMb;
-    accelerators += other.accelerators;
+    cpu = saturatedSum(cpu, other.cpu);
+    memoryMb = saturatedSum(memoryMb, other.memoryMb);
+    accelerators = saturatedSum(accelerators, other.accelerators);
     return *this;
 }
 
