Refuse jobs and sets of files of peers that are out of range

Cause: a step of a peer's job could name a later step, which is used as an index, and any number of tasks; a file of a packed set whose name is no text threw type_error, uncaught. Change: both are checked when they are decoded.

--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -38,11 +38,31 @@
     textField(archive, step.image);
 }
 
+/// Bounds on the tasks and on the order of the steps, which later code uses as sizes and indices.
+inline void checkSteps(const std::vector<StepSpec> &steps)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        tasks += steps[index].count;
+        for (const std::uint32_t earlier : steps[index].after) {
+            if (earlier >= index) {
+                throw std::out_of_range("step " + std::to_string(index) + " after " + std::to_string(earlier));
+            }
+        }
+    }
+    if (tasks > mostItems) {
+        throw std::length_error("job of " + std::to_string(tasks) + " tasks");
+    }
+}
+
 template<typename Archive>
 void serialize(Archive &archive, GraphSpec &spec)
 {
     textField(archive, spec.payload);
     listField(archive, spec.steps);
+    if constexpr (Archive::is_loading::value) {
+        checkSteps(spec.steps);
+    }
     archive(spec.repeats);
     wallField(archive, spec.firstDue);
     durationField(archive, spec.period);
--- a/drivers/config_files.cpp
+++ b/drivers/config_files.cpp
@@ -76,7 +76,8 @@
     }
     std::vector<FileText> files;
     for (const auto &file : json) {
-        if (!file.is_object() || !file.contains("name") || !file.contains("text")) {
+        if (!file.is_object() || !file.contains("name") || !file["name"].is_string() || !file.contains("text")
+            || !file["text"].is_string()) {
             return std::vector<ConfigProblem>{problemOf("packed set", "holds an entry that is no file")};
         }
         files.push_back({file.value("name", ""), file.value("text", "")});
