Bound the memory of rows that cannot be read

Cause: the map of versions kept an entry for each key that was ever unreadable. Change: it starts anew at 1,000 entries; some rows are then logged once more.

--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -11,6 +11,8 @@
 
 constexpr auto configKey = "config";
 constexpr std::string_view wavePrefix = "wave/";
+/// Bound on the unreadable rows that are remembered; beyond it some are logged again.
+constexpr std::size_t maxBadRows = 1'000;
 
 } // namespace
 
@@ -155,9 +157,13 @@
 void SiteStoreTask::noteBadRow(const std::string &table, const platform::StoredRow &row, const std::string &problem)
 {
     const std::string place = table + '/' + row.key;
-    if (m_badRows[place] == row.version) {
+    const auto known = m_badRows.find(place);
+    if (known != m_badRows.end() && known->second == row.version) {
         return;
     }
+    if (m_badRows.size() >= maxBadRows) {
+        m_badRows.clear();
+    }
     m_badRows[place] = row.version;
     m_log.line(drivers::LogLevel::Warning, drivers::HostEvent::RowUnreadable, {{"row", place}, {"reason", problem}});
 }
