Count hosts for whole service tasks

Callers may see: service tasks that wait while hosts stand in standby, since a pool's hosts were counted by the sum of what tasks need, and two tasks of 0.34 of a host leave 0.32 that no third one can use. Change: the planner counts whole service tasks for each host, and other work beside them. Before: MovePlanner.CountsHostsForWholeServiceTasks has no counterpart; CellMoves.AddHostsForServiceTasksThatFitOnNoOther passes without the change too (the pool has six hosts then as well) and stays as a check of the whole. After: both pass, with CellMoves, CellWaves and MovePlanner (26 tests).

--- a/core/cells/move_planner.cpp
+++ b/core/cells/move_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <tuple>
 
 namespace radishvane::cells
@@ -23,6 +24,27 @@
         / MovePlanner::usableFraction;
 }
 
+/// Returns how many tasks that need @p each fit on a host with capacity @p room; at least 1.
+std::uint64_t tasksPerHost(const Resources &each, const Resources &room)
+{
+    const auto fitting = [](std::uint64_t need, std::uint64_t capacity) {
+        return need == 0 ? std::numeric_limits<std::uint64_t>::max() : capacity / need;
+    };
+    return std::max<std::uint64_t>(std::min({fitting(each.cpu, room.cpu), fitting(each.memoryMb, room.memoryMb),
+                                             fitting(each.accelerators, room.accelerators)}),
+                                   1);
+}
+
+/// Returns how many hosts with capacity @p room hold whole tasks of all @p services.
+double hostsFor(const std::vector<ServiceTasks> &services, const Resources &room)
+{
+    double hosts = 0;
+    for (const ServiceTasks &tasks : services) {
+        hosts += static_cast<double>(tasks.count) / static_cast<double>(tasksPerHost(tasks.each, room));
+    }
+    return std::ceil(hosts);
+}
+
 Resources meanRoom(const std::vector<MovableHost> &hosts, const PoolId &pool)
 {
     Resources sum;
@@ -74,12 +96,15 @@
             if (demand == demands.end()) {
                 continue;
             }
-            const Resources room = meanRoom(hosts, id);
-            const double forNeeds = hostsFor(demand->second.required(), room == Resources{} ? anyRoom : room);
+            const Resources poolRoom = meanRoom(hosts, id);
+            const Resources room = poolRoom == Resources{} ? anyRoom : poolRoom;
+            const double forNeeds = hostsFor(demand->second.required(), room);
+            const double forWholeServiceTasks
+                = hostsFor(demand->second.services, room) + hostsFor(demand->second.requiredForBatch(), room);
             // Overdue work adds at most one host, so that it ends without delaying other work.
-            const double forOverdue
-                = std::min(1.0, hostsFor(demand->second.overdue, room == Resources{} ? anyRoom : room));
-            balance.needed = std::max(forNeeds, static_cast<double>(demand->second.minHosts)) + forOverdue;
+            const double forOverdue = std::min(1.0, hostsFor(demand->second.overdue, room));
+            balance.needed
+                = std::max({forNeeds, forWholeServiceTasks, static_cast<double>(demand->second.minHosts)}) + forOverdue;
             balance.requiredLabels = demand->second.labels;
         }
         for (const MovableHost &host : hosts) {
--- a/core/cells/pool_demand.cpp
+++ b/core/cells/pool_demand.cpp
@@ -44,13 +44,15 @@
     }
     demand.minHosts = std::max(demand.minHosts, minHosts(spec));
     const bool needsHost = isWaiting && (spec.isService || canMeetObjective(occurrence, now.wall));
-    const Resources needs = needsOf(spec, running + (needsHost ? step.waiting.size() : 0));
+    const std::size_t tasks = running + (needsHost ? step.waiting.size() : 0);
+    const Resources needs = needsOf(spec, tasks);
     demand.current += needs;
     if (isWaiting && !needsHost) {
         demand.overdue += needsOf(spec, step.waiting.size());
     }
     if (spec.isService) {
         demand.serviceTasks += needs;
+        demand.services.push_back(ServiceTasks{tasks, spec.reserved()});
     }
 }
 
@@ -63,6 +65,13 @@
                      std::max(current.accelerators, forecast.accelerators)};
 }
 
+Resources PoolDemand::requiredForBatch() const
+{
+    return Resources{std::max(current.cpu - serviceTasks.cpu, expected.cpu),
+                     std::max(current.memoryMb - serviceTasks.memoryMb, expected.memoryMb),
+                     std::max(current.accelerators - serviceTasks.accelerators, expected.accelerators)};
+}
+
 void DemandForecast::clear()
 {
     m_arrivals.clear();
--- a/core/cells/pool_demand.h
+++ b/core/cells/pool_demand.h
@@ -7,10 +7,19 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace radishvane::cells
 {
 
+/// Service tasks of one step, on workers and waiting.
+struct ServiceTasks
+{
+    std::size_t count = 0;
+    /// What each task reserves.
+    Resources each;
+};
+
 /// Resources that the tasks of one pool need on its hosts.
 struct PoolDemand
 {
@@ -20,6 +29,8 @@
     Resources expected;
     /// Service tasks, both on workers and waiting.
     Resources serviceTasks;
+    /// The same tasks by step, since a task of a service waits as long as no host has room for a whole one.
+    std::vector<ServiceTasks> services;
     /// Waiting tasks of jobs that can no longer meet their objective.
     Resources overdue;
     /// Minimum number of hosts for steps that limit their tasks per worker.
@@ -29,6 +40,8 @@
 
     /// Resources that the pool has to provide soon: the larger of the current and the forecast demand.
     Resources required() const;
+    /// The part of required() that is not for service tasks.
+    Resources requiredForBatch() const;
 };
 
 /// Forecasts the resources that the jobs of each pool need, based on the arrivals of the last seconds.
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -139,6 +139,22 @@
     });
 }
 
+TEST(CellMoves, AddHostsForServiceTasksThatFitOnNoOther)
+{
+    story("four hosts that hold two tasks of a service each, and hosts in standby", [] {
+        CellSite site;
+        fill(site);
+        section("all twelve tasks run after some seconds", [&] {
+            GraphSpec service = graphOf(1, 12, 1'360, Duration(500));
+            service.steps[0].isService = true;
+            site.submit(site.owner(), "lasting", "plans", service);
+            site.run(Duration(9'000));
+            EXPECT_EQ(site.runs("lasting"), 12);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, AddHostsAheadOfARisingPeak)
 {
     story("the load of a queue rises over four seconds to more than twice the capacity of its pool", [] {
--- a/tests/core/cells/move_planner_test.cpp
+++ b/tests/core/cells/move_planner_test.cpp
@@ -66,6 +66,32 @@
 
 } // namespace
 
+TEST(MovePlanner, CountsHostsForWholeServiceTasks)
+{
+    story("twelve service tasks of which two fit on a host, and five hosts", [] {
+        std::vector<MovableHost> hosts;
+        addHosts(hosts, looms, 5, std::nullopt);
+        addHosts(hosts, spare, 8, Duration(5'000));
+        std::map<PoolId, PoolDemand> demands;
+        PoolDemand &demand = demands[looms];
+        demand.services.push_back(ServiceTasks{12, Resources{hostCpu * 34 / 100, 100, 0}});
+        demand.serviceTasks = Resources{12 * hostCpu * 34 / 100, 1'200, 0};
+        demand.current = demand.serviceTasks;
+        section("a sixth host is moved to the pool, and no more",
+                [&] { EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 1U); });
+        section("and more for other work beside them", [&] {
+            demand.current.cpu += static_cast<std::uint64_t>(2 * hostCpu * MovePlanner::usableFraction);
+            EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 3U);
+        });
+        section("no host that a whole task needs goes to standby", [&] {
+            demand.current = demand.serviceTasks;
+            hosts.clear();
+            addHosts(hosts, looms, 6, Duration(5'000));
+            EXPECT_TRUE(MovePlanner::plan(demands, threePools(), hosts).empty());
+        });
+    });
+}
+
 TEST(MovePlanner, MovesIdleHostsToAPoolThatNeedsThem)
 {
     story("a pool has two hosts and needs five", [] {
