Add hosts for service tasks that find no capacity

Cause: the planner took 14 hosts for enough (27 tasks, two a host), while tasks of other services on them left no capacity for a whole task. Nothing told it that a service task had found no worker, so that the tasks waited until other demand brought hosts. When a task ended, a task that had never run took its place, and it joined those that waited. Change: a planning pass records whether a service task has found no worker with capacity, unless its team has reached its ceiling. The planner then needs hosts for those tasks beyond the ones that serve and have arrived, at most one host for each service task. Before: CellMoves.AddHostsForAServiceBesideAnotherThatLeavesNoUsableCapacity: 6 of 8 tasks run. After: 8 of 8.

--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -146,6 +146,7 @@
     if (move != m_moves.end()) {
         view.pool = move->second.plan.to;
         view.serves = true;
+        view.isArriving = true;
         return view;
     }
     const auto notBefore = m_notBefore.find(host.id);
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -77,6 +77,8 @@
     std::uint32_t done = 0;
     /// Number of the step's assigned tasks by worker.
     std::map<WorkerId, std::uint32_t> onWorker;
+    /// The last planning pass found no worker with capacity for a waiting task.
+    bool lacksCapacity = false;
 };
 
 struct Occurrence
--- a/core/cells/move_planner.cpp
+++ b/core/cells/move_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <tuple>
 
@@ -40,11 +41,32 @@
 {
     double hosts = 0;
     for (const ServiceTasks &tasks : services) {
-        hosts += static_cast<double>(tasks.count) / static_cast<double>(tasksPerHost(tasks.each, room));
+        const std::uint64_t fitting = tasksPerHost(tasks.each, room);
+        const std::uint64_t perHost
+            = tasks.maxPerHost == 0 ? fitting : std::min<std::uint64_t>(fitting, tasks.maxPerHost);
+        hosts += static_cast<double>(tasks.count) / static_cast<double>(perHost);
     }
     return std::ceil(hosts);
 }
 
+/// Returns the tasks that a host with capacity @p room can run.
+std::vector<ServiceTasks> runnable(const std::vector<ServiceTasks> &services, const Resources &room)
+{
+    std::vector<ServiceTasks> result;
+    std::copy_if(services.begin(), services.end(), std::back_inserter(result),
+                 [&room](const ServiceTasks &tasks) { return tasks.each.fitsIn(room); });
+    return result;
+}
+
+std::size_t countOf(const std::vector<ServiceTasks> &services)
+{
+    std::size_t count = 0;
+    for (const ServiceTasks &tasks : services) {
+        count += tasks.count;
+    }
+    return count;
+}
+
 Resources meanRoom(const std::vector<MovableHost> &hosts, const PoolId &pool)
 {
     Resources sum;
@@ -63,6 +85,12 @@
 {
     double needed = 0;
     double serving = 0;
+    /// Serving hosts that are still on their way.
+    double arriving = 0;
+    /// Hosts for service tasks that the present hosts have no capacity for.
+    double forUnplaced = 0;
+    /// Limit of @c needed for them.
+    double maxNeeded = 0;
     /// Labels that the steps of the pool's jobs require.
     std::set<std::string> requiredLabels;
     /// Labels that the pool's hosts have.
@@ -105,16 +133,27 @@
             const double forOverdue = std::min(1.0, hostsFor(demand->second.overdue, room));
             balance.needed
                 = std::max({forNeeds, forWholeServiceTasks, static_cast<double>(demand->second.minHosts)}) + forOverdue;
+            balance.forUnplaced = hostsFor(runnable(demand->second.unplacedServices, room), room);
+            // With a host for each service task none can wait for capacity.
+            balance.maxNeeded = static_cast<double>(countOf(demand->second.services))
+                + hostsFor(demand->second.requiredForBatch(), room) + forOverdue;
             balance.requiredLabels = demand->second.labels;
         }
         for (const MovableHost &host : hosts) {
             const auto pool = m_pools.find(host.pool);
             if (pool != m_pools.end() && host.serves) {
                 pool->second.serving += 1;
+                pool->second.arriving += host.isArriving ? 1 : 0;
                 ++pool->second.racks[host.rack];
                 pool->second.hostLabels.insert(host.labels.begin(), host.labels.end());
             }
         }
+        for (auto &[id, balance] : m_pools) {
+            if (balance.forUnplaced > 0) {
+                const double placed = balance.serving - balance.arriving;
+                balance.needed = std::max(balance.needed, std::min(placed + balance.forUnplaced, balance.maxNeeded));
+            }
+        }
     }
 
     /// Returns each pool with a step that none of its hosts can run, and the label that the step requires.
--- a/core/cells/move_planner.h
+++ b/core/cells/move_planner.h
@@ -18,6 +18,8 @@
     RackId rack;
     /// The host runs tasks in this pool or is about to.
     bool serves = false;
+    /// The host is on its way to the pool.
+    bool isArriving = false;
     /// Idle time of a host that may be moved; empty if the host runs tasks or must not be moved.
     std::optional<Duration> idleFor;
     /// Pools that have refused the host.
--- a/core/cells/pool_demand.cpp
+++ b/core/cells/pool_demand.cpp
@@ -52,7 +52,10 @@
     }
     if (spec.isService) {
         demand.serviceTasks += needs;
-        demand.services.push_back(ServiceTasks{tasks, spec.reserved()});
+        demand.services.push_back(ServiceTasks{tasks, spec.reserved(), spec.maxPerWorker});
+        if (isWaiting && step.lacksCapacity && spec.label.empty()) {
+            demand.unplacedServices.push_back(ServiceTasks{step.waiting.size(), spec.reserved(), spec.maxPerWorker});
+        }
     }
 }
 
--- a/core/cells/pool_demand.h
+++ b/core/cells/pool_demand.h
@@ -18,6 +18,8 @@
     std::size_t count = 0;
     /// What each task reserves.
     Resources each;
+    /// Limit of the step's tasks on one host; 0 if there is none.
+    std::uint32_t maxPerHost = 0;
 };
 
 /// Resources that the tasks of one pool need on its hosts.
@@ -31,6 +33,9 @@
     Resources serviceTasks;
     /// The same tasks by step, since a task of a service waits as long as no host has room for a whole one.
     std::vector<ServiceTasks> services;
+    /// Waiting service tasks for which no worker has capacity, although the hosts may suffice by their sums: tasks of
+    /// several steps leave capacity that no whole task can use.
+    std::vector<ServiceTasks> unplacedServices;
     /// Waiting tasks of jobs that can no longer meet their objective.
     Resources overdue;
     /// Minimum number of hosts for steps that limit their tasks per worker.
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -88,7 +88,11 @@
         if (m_isPaced && !spec.isService) {
             continue;
         }
-        if (candidates.isFullFor(ready.pool, spec) || !mayStartAny(job, ready)) {
+        if (!mayStartAny(job, ready)) {
+            continue;
+        }
+        if (candidates.isFullFor(ready.pool, spec)) {
+            recordCapacity(config, ready, false);
             continue;
         }
         if (!ensureAdmitted(config, candidates, ready)) {
@@ -120,6 +124,14 @@
                        [&](std::uint32_t index) { return mayStart(job, step.tasks[index]); });
 }
 
+void StartController::recordCapacity(const SiteConfig &config, const ReadyStep &ready, bool hasCapacity)
+{
+    Job &job = *m_registry.find(ready.job);
+    // More workers do not help a team that has reached its ceiling.
+    job.open.at(ready.occurrence).steps[ready.step].lacksCapacity
+        = !hasCapacity && m_runs.teams().mayAllocate(config, job.row.team, job.row.spec.steps[ready.step].needs);
+}
+
 bool StartController::ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates,
                                      const ReadyStep &ready)
 {
@@ -165,6 +177,7 @@
             continue;
         }
         Worker *worker = chooseWorkerFor(config, candidates, ready, index, true);
+        recordCapacity(config, ready, worker != nullptr);
         if (worker == nullptr) {
             break;
         }
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -55,6 +55,7 @@
     /// Whether no earlier run of the task may still be active.
     bool mayStart(const Job &job, const Task &task) const;
     bool mayStartAny(const Job &job, const ReadyStep &ready) const;
+    void recordCapacity(const SiteConfig &config, const ReadyStep &ready, bool hasCapacity);
     bool ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates, const ReadyStep &ready);
     std::size_t startTasks(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
                            std::size_t maxStarts);
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -155,6 +155,29 @@
     });
 }
 
+TEST(CellMoves, AddHostsForAServiceBesideAnotherThatLeavesNoUsableCapacity)
+{
+    story("a service spreads over the four hosts of its pool, and another one of two tasks a host is submitted", [] {
+        CellSite site;
+        fill(site);
+        GraphSpec first = graphOf(1, 4, 2'100, Duration(500));
+        first.steps[0].isService = true;
+        first.steps[0].maxPerWorker = 1;
+        site.submit(site.owner(), "first", "plans", first);
+        site.run(Duration(4'000));
+        section("all tasks of both run after some seconds", [&] {
+            GraphSpec second = graphOf(1, 8, 1'000, Duration(500));
+            second.steps[0].isService = true;
+            second.steps[0].maxPerWorker = 2;
+            site.submit(site.owner(), "second", "plans", second);
+            site.run(Duration(9'000));
+            EXPECT_EQ(site.runs("first"), 4);
+            EXPECT_EQ(site.runs("second"), 8);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, AddHostsAheadOfARisingPeak)
 {
     story("the load of a queue rises over four seconds to more than twice the capacity of its pool", [] {
--- a/tests/core/cells/move_planner_test.cpp
+++ b/tests/core/cells/move_planner_test.cpp
@@ -92,6 +92,39 @@
     });
 }
 
+TEST(MovePlanner, AddsHostsForServiceTasksThatFindNoCapacity)
+{
+    story("a pool has hosts enough by their sums, and three tasks of a service find no capacity", [] {
+        std::vector<MovableHost> hosts;
+        addHosts(hosts, looms, 5, std::nullopt);
+        addHosts(hosts, spare, 8, Duration(5'000));
+        std::map<PoolId, PoolDemand> demands;
+        PoolDemand &demand = demands[looms];
+        const Resources each{hostCpu / 4, 100, 0};
+        demand.services = {ServiceTasks{12, each, 2}};
+        demand.serviceTasks = Resources{12 * hostCpu / 4, 1'200, 0};
+        demand.current = demand.serviceTasks;
+        demand.unplacedServices = {ServiceTasks{3, each, 2}};
+        section("two hosts are moved, for two tasks each",
+                [&] { EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 2U); });
+        section("and no more while they are on their way", [&] {
+            addHosts(hosts, looms, 2, std::nullopt);
+            hosts[13].isArriving = true;
+            hosts[14].isArriving = true;
+            EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 0U);
+        });
+        section("nor for tasks that fit on no host", [&] {
+            demand.unplacedServices = {ServiceTasks{3, Resources{2 * hostCpu, 100, 0}, 2}};
+            EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 0U);
+        });
+        section("nor more hosts than tasks", [&] {
+            addHosts(hosts, looms, 5, std::nullopt);
+            demand.unplacedServices = {ServiceTasks{3, each, 2}};
+            EXPECT_EQ(movesTo(MovePlanner::plan(demands, threePools(), hosts), looms), 0U);
+        });
+    });
+}
+
 TEST(MovePlanner, MovesIdleHostsToAPoolThatNeedsThem)
 {
     story("a pool has two hosts and needs five", [] {
