--- a/servers/stop_task.cpp
+++ b/servers/stop_task.cpp
@@ -34,7 +34,7 @@
 
 void StopTask::post(Message message)
 {
-    m_mailbox.post(std::move(message));
+    m_mailbox.post(message);
 }
 
 void StopTask::handle(const HostStopEvent &event)
