Give the test of open requests at a stop ports of its own

Cause: ProcessLeaving failed once in the whole check, release build: 'cannot use at() with discarded'. ProcessStop.AnswersARequestThat- IsStillOpenAtItsEnd used the same ports, 21200 on, and runs side by side with it.

--- a/tests/servers/failure_test.cpp
+++ b/tests/servers/failure_test.cpp
@@ -80,7 +80,7 @@
 TEST(ProcessStop, AnswersARequestThatIsStillOpenAtItsEnd)
 {
     story("an entry host is stopped, and its backend servers do not answer", [] {
-        FleetPlan plan = planAt(21'200);
+        FleetPlan plan = planAt(25'400);
         plan.longestRunMilliseconds = 15'000;
         plan.stopWaitMilliseconds = 1'000;
         Fleet fleet(plan);
