Refuse flags, enumerators and times of peers and rows that are out of range

Cause: raw bytes were decoded into bool and enum class members, so a damaged row or message of a peer left values that no code expects (undefined behaviour), and times whose sums overflow. What is written is the same, byte for byte. The bound on times is checked only while reading.

--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -11,11 +11,19 @@
 namespace radishvane::cells
 {
 
+/// Bound on a time of day, so that sums and differences of times stay in range.
+inline constexpr std::int64_t maxWallMilliseconds = std::int64_t{1} << 53U;
+
 template<typename Archive>
 void wallField(Archive &archive, WallTime &time)
 {
     std::int64_t count = time.time_since_epoch().count();
     archive(count);
+    if constexpr (Archive::is_loading::value) {
+        if (count < -maxWallMilliseconds || count > maxWallMilliseconds) {
+            throw std::out_of_range("time of " + std::to_string(count) + " ms since 1970");
+        }
+    }
     time = WallTime(Duration(count));
 }
 
@@ -32,7 +40,10 @@
     durationField(archive, step.estimate);
     durationField(archive, step.tailLatencyTarget);
     listField(archive, step.after);
-    archive(step.checkpoints, step.gang, step.sameRack, step.speculative, step.isService, step.bestEffort);
+    for (bool *flag :
+         {&step.checkpoints, &step.gang, &step.sameRack, &step.speculative, &step.isService, &step.bestEffort}) {
+        flagField(archive, *flag);
+    }
     textField(archive, step.label);
     textField(archive, step.rack);
     textField(archive, step.image);
@@ -85,7 +96,7 @@
 template<typename Archive>
 void serialize(Archive &archive, TaskProgress &task)
 {
-    archive(task.done);
+    flagField(archive, task.done);
     listField(archive, task.failedRuns);
     archive(task.endedRun);
     textField(archive, task.checkpoint);
@@ -94,7 +105,10 @@
 template<typename Archive>
 void serialize(Archive &archive, ProgressRow &row)
 {
-    archive(row.id, row.state, row.begun, row.firstOpen);
+    archive(row.id);
+    enumField(archive, row.state, graphStateNames);
+    flagField(archive, row.begun);
+    archive(row.firstOpen);
     auto size = static_cast<std::uint32_t>(row.open.size());
     archive(size);
     if (size > mostItems) {
@@ -133,7 +147,8 @@
 template<typename Archive>
 void serialize(Archive &archive, WaveRow &row)
 {
-    archive(row.number, row.completed);
+    archive(row.number);
+    flagField(archive, row.completed);
     listField(archive, row.ordered);
 }
 
@@ -204,7 +219,10 @@
 template<typename Archive>
 void serialize(Archive &archive, AnswerCall &answer)
 {
-    archive(answer.exchange, answer.answer, answer.state, answer.pending);
+    archive(answer.exchange);
+    enumField(archive, answer.answer, callAnswerNames);
+    enumField(archive, answer.state, graphStateNames);
+    archive(answer.pending);
     durationField(archive, answer.retryAfter);
 }
 
--- a/drivers/cereal_fields.h
+++ b/drivers/cereal_fields.h
@@ -7,10 +7,13 @@
 #include <cereal/cereal.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <limits>
 #include <stdexcept>
 #include <string>
+#include <string_view>
+#include <type_traits>
 #include <vector>
 
 /// Fields of binary messages and rows, with bounds on lengths from untrusted bytes.
@@ -57,6 +60,30 @@
     }
 }
 
+/// A flag is one byte, 0 or 1. Any other value in a bool is undefined behaviour.
+template<typename Archive>
+void flagField(Archive &archive, bool &flag)
+{
+    std::uint8_t byte = flag ? 1 : 0;
+    archive(byte);
+    if (byte > 1) {
+        throw std::out_of_range("flag of " + std::to_string(byte));
+    }
+    flag = byte == 1;
+}
+
+/// An enumerator is its number, which @p names must contain.
+template<typename Archive, typename Enum, std::size_t Count>
+void enumField(Archive &archive, Enum &value, const std::array<std::string_view, Count> &names)
+{
+    auto number = static_cast<std::underlying_type_t<Enum>>(value);
+    archive(number);
+    if (number < 0 || static_cast<std::size_t>(number) >= names.size()) {
+        throw std::out_of_range("enumerator " + std::to_string(number));
+    }
+    value = static_cast<Enum>(number);
+}
+
 template<typename Archive>
 void durationField(Archive &archive, Duration &duration)
 {
--- a/drivers/peer_codec.cpp
+++ b/drivers/peer_codec.cpp
@@ -65,7 +65,9 @@
 template<typename Archive>
 void serialize(Archive &archive, Heartbeat &heartbeat)
 {
-    archive(heartbeat.sender, heartbeat.sequence, heartbeat.leaving, heartbeat.config);
+    archive(heartbeat.sender, heartbeat.sequence);
+    flagField(archive, heartbeat.leaving);
+    archive(heartbeat.config);
     durationField(archive, heartbeat.configAge);
     listField(archive, heartbeat.echoes);
     listField(archive, heartbeat.known);
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -112,4 +112,55 @@
     });
 }
 
+TEST(CellCodec, RefusesBytesThatAreNoFlagOrEnumerator)
+{
+    const auto withByte = [](std::string bytes, std::size_t position, char value) {
+        bytes.at(position) = value;
+        return bytes;
+    };
+    // The first byte of a message is the byte order. A number of 32 bits precedes each text.
+    story("a row or a message arrives with one damaged byte", [&] {
+        section("a progress row with a state that has no name", [&] {
+            ProgressRow row;
+            row.state = GraphState::Cancelled;
+            const std::string bytes = encodeRow(row);
+            const std::size_t state = bytes.find(static_cast<char>(GraphState::Cancelled));
+            EXPECT_TRUE(decodeProgressRow(bytes));
+            EXPECT_FALSE(decodeProgressRow(withByte(bytes, state, 5)));
+            EXPECT_FALSE(decodeProgressRow(withByte(bytes, state + 3, '\x80')));
+            section("or a flag that is neither 0 nor 1",
+                    [&] { EXPECT_FALSE(decodeProgressRow(withByte(bytes, state + 4, 2))); });
+        });
+        section("a wave row with such a flag", [&] {
+            WaveRow row;
+            row.completed = true;
+            const std::string bytes = encodeRow(row);
+            const std::size_t flag = 1 + sizeof(row.number);
+            EXPECT_TRUE(decodeWaveRow(bytes));
+            EXPECT_FALSE(decodeWaveRow(withByte(bytes, flag, 7)));
+        });
+        section("an answer with a result or a state that has no name", [&] {
+            const std::string bytes = encodeAnswer(AnswerCall{});
+            const std::size_t result = 1 + sizeof(ExchangeId::value);
+            EXPECT_TRUE(decodeAnswer(bytes));
+            EXPECT_FALSE(decodeAnswer(withByte(bytes, result, 99)));
+            EXPECT_FALSE(decodeAnswer(withByte(bytes, result + 4, 99)));
+        });
+        section("a job with a flag of a step that is neither 0 nor 1", [&] {
+            SubmitJob question;
+            question.spec.steps.resize(1);
+            question.spec.steps[0].gang = true;
+            const std::string bytes = encodeQuestion(question);
+            const std::size_t flag = bytes.rfind('\x01');
+            EXPECT_TRUE(decodeQuestion(bytes));
+            EXPECT_FALSE(decodeQuestion(withByte(bytes, flag, 3)));
+        });
+        section("a job that was accepted outside the range of times", [&] {
+            cells::JobRow row;
+            row.accepted = WallTime(Duration::max());
+            EXPECT_FALSE(decodeJobRow(encodeRow(row)));
+        });
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/drivers/odd_peer_test.cpp
+++ b/tests/drivers/odd_peer_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/cell_codec.h"
 #include "drivers/config_files.h"
+#include "drivers/peer_codec.h"
 #include "tests/support/odd_json.h"
 #include "tests/support/story.h"
 
@@ -45,4 +46,19 @@
     });
 }
 
+TEST(Heartbeat, IsRefusedWhenItsFlagIsNeitherTrueNorFalse)
+{
+    story("a heartbeat of a leaving peer arrives", [] {
+        Heartbeat heartbeat;
+        heartbeat.leaving = true;
+        std::string bytes = drivers::encodeHeartbeat(heartbeat);
+        section("unchanged", [&] { EXPECT_TRUE(drivers::decodeHeartbeat(bytes)); });
+        section("with the byte of its flag changed to 2", [&] {
+            const std::size_t flag = bytes.rfind('\x01');
+            bytes.at(flag) = 2;
+            EXPECT_FALSE(drivers::decodeHeartbeat(bytes));
+        });
+    });
+}
+
 } // namespace radishvane::tests
