Move as many hosts as the platform's host service accepts

Cause: a plan moved at most 12 hosts each 200 ms, whatever the size of the fleet. Change: HostOrderPacer limits moves by the rate in the settings (host_orders_per_s), so that one burst and the orders of the next second fit into it; maintenance and fencing count but are not delayed. The planner looks only at hosts that may move. The model's host service refuses orders beyond its rate. Before: CellMoves.FollowAPeakInAFleetOfHundredsOfHosts failed with 60 orders a second. After: it passes, no order refused. Conclusion: limits follow from the fleet or the platform's rates.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -18,14 +18,14 @@
 } // namespace
 
 CellController::CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
-                               HostCapacity capacity)
+                               HostCapacity capacity, HostServiceLimits hostService)
     : m_cell(std::move(cell))
     , m_host(host)
     , m_times(times)
     , m_lease(std::move(host), incarnation, std::move(link), capacity)
     , m_handover(m_host, capacity)
     , m_runs(m_outbox, m_writer, times, capacity)
-    , m_hosts(m_outbox, m_writer, m_host)
+    , m_hosts(m_outbox, m_writer, m_host, hostService)
     , m_config(std::make_shared<SiteConfig>())
 {
 }
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -36,7 +36,7 @@
     static constexpr Duration storeRetryPause{150};
 
     CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
-                   HostCapacity capacity);
+                   HostCapacity capacity, HostServiceLimits hostService = {});
 
     CellEffects handle(const CellEvent &event, Instant now);
 
--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-HostController::HostController(CellOutbox &outbox, CellWriter &writer, HostId holder)
-    : m_outbox(outbox), m_writer(writer), m_holder(std::move(holder)), m_orders(writer)
+HostController::HostController(CellOutbox &outbox, CellWriter &writer, HostId holder, const HostServiceLimits &limits)
+    : m_outbox(outbox), m_writer(writer), m_holder(std::move(holder)), m_orders(writer), m_pacer(limits)
 {
 }
 
@@ -33,6 +33,7 @@
     m_forecast.clear();
     m_pendingLists.clear();
     m_orders.clear();
+    m_pacer.clear();
     m_plannedOrders.clear();
     m_pendingOrders.clear();
     m_pendingReports.clear();
@@ -161,7 +162,8 @@
     const std::map<PoolId, PoolDemand> demands = computePoolDemands(registry, config, m_forecast, m_outbox.now);
     std::set<HostId> occupied = m_waves.occupiedHosts();
     occupied.merge(m_orders.inDoubt());
-    for (const PlannedMove &move : m_mover.plan(demands, config, m_list, roster, occupied, now)) {
+    const std::size_t maxOrders = m_pacer.available(now);
+    for (const PlannedMove &move : m_mover.plan(demands, config, m_list, roster, occupied, maxOrders, now)) {
         planOrder(move.host, move);
     }
 }
@@ -176,6 +178,7 @@
 void HostController::planOrder(const HostId &host, HostOrder order)
 {
     m_orders.plan(host);
+    m_pacer.take();
     m_plannedOrders.emplace_back(host, std::move(order));
 }
 
--- a/core/cells/host_controller.h
+++ b/core/cells/host_controller.h
@@ -4,6 +4,7 @@
 #include "core/cells/cell_writer.h"
 #include "core/cells/host_mover.h"
 #include "core/cells/host_order_ledger.h"
+#include "core/cells/host_order_pacer.h"
 #include "core/cells/wave_controller.h"
 
 #include <map>
@@ -30,7 +31,7 @@
     /// planning takes.
     static constexpr std::size_t jobsPerMillisecond = 8;
 
-    HostController(CellOutbox &outbox, CellWriter &writer, HostId holder);
+    HostController(CellOutbox &outbox, CellWriter &writer, HostId holder, const HostServiceLimits &limits);
 
     void clear();
     void restore(const std::vector<WaveRow> &waves, const HostOrdersRow &orders);
@@ -83,6 +84,7 @@
     WaveController m_waves;
     HostMover m_mover;
     HostOrderLedger m_orders;
+    HostOrderPacer m_pacer;
     DemandForecast m_forecast;
     /// Workers that are cordoned for waves.
     std::set<WorkerId> m_cordonedByWaves;
--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -54,20 +54,22 @@
 
 std::vector<PlannedMove> HostMover::plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
                                          const HostList &list, const WorkerRoster &roster,
-                                         const std::set<HostId> &hostsInWaves, TimePoint now)
+                                         const std::set<HostId> &hostsInWaves, std::size_t maxOrders, TimePoint now)
 {
     removeFinished(config, list, roster, now);
     std::vector<PlannedMove> orders;
     for (auto &[id, move] : m_moves) {
         const Worker *worker = workerOn(roster, id);
         const bool isFree = worker == nullptr || isIdle(*worker);
-        if (move.stage == MoveStage::InDoubt && now >= move.since + retryInterval && isFree) {
+        const bool isDue = move.stage == MoveStage::InDoubt && now >= move.since + retryInterval;
+        if (isDue && isFree && orders.size() < maxOrders) {
             move.stage = MoveStage::Ordered;
             move.worker = worker == nullptr ? WorkerId() : worker->id;
             orders.push_back(move.plan);
         }
     }
-    for (PlannedMove &planned : MovePlanner::plan(demands, config, hosts(list, roster, hostsInWaves, now))) {
+    const std::vector<MovableHost> movable = hosts(list, roster, hostsInWaves, now);
+    for (PlannedMove &planned : MovePlanner::plan(demands, config, movable, maxOrders - orders.size())) {
         Move move;
         move.plan = planned;
         move.since = now;
--- a/core/cells/host_mover.h
+++ b/core/cells/host_mover.h
@@ -26,9 +26,10 @@
     bool isReady(const HostList &list, TimePoint now) const;
     /// Returns the orders that are due now.
     /// @param hostsInWaves hosts that a maintenance wave occupies.
+    /// @param maxOrders limit of the orders; repeated orders go first.
     std::vector<PlannedMove> plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
                                   const HostList &list, const WorkerRoster &roster,
-                                  const std::set<HostId> &hostsInWaves, TimePoint now);
+                                  const std::set<HostId> &hostsInWaves, std::size_t maxOrders, TimePoint now);
     /// Updates the state of a move from the answer to its order.
     /// @return the worker that ran on the host at the time of the order; empty if none was known.
     WorkerId handleOutcome(const HostId &host, HostOrderOutcome outcome, TimePoint now);
--- a/core/cells/move_planner.cpp
+++ b/core/cells/move_planner.cpp
@@ -108,7 +108,6 @@
 public:
     PoolBalances(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
                  const std::vector<MovableHost> &hosts)
-        : m_hosts(hosts)
     {
         Resources anyRoom;
         for (const MovableHost &host : hosts) {
@@ -154,6 +153,7 @@
                 balance.needed = std::max(balance.needed, std::min(placed + balance.forUnplaced, balance.maxNeeded));
             }
         }
+        collectCandidates(hosts);
     }
 
     /// Returns each pool with a step that none of its hosts can run, and the label that the step requires.
@@ -188,20 +188,19 @@
     /// @param label that the host must have; empty for any host.
     const MovableHost *donor(const PoolId &target, const std::string &label = {}) const
     {
+        const std::map<RackId, std::uint32_t> &racks = m_pools.at(target).racks;
         const MovableHost *best = nullptr;
         std::tuple<bool, std::uint32_t, double> bestScore;
-        for (const MovableHost &host : m_hosts) {
+        for (const Candidate &candidate : m_candidates) {
+            const MovableHost &host = *candidate.host;
             const bool hasLabel = label.empty() || host.labels.count(label) > 0;
-            if (!hasLabel || host.pool == target || host.refusingPools.count(target) > 0 || !isFree(host)
-                || m_taken.count(host.id) > 0) {
+            if (!hasLabel || !candidate.isFree() || host.pool == target || host.refusingPools.count(target) > 0) {
                 continue;
             }
-            const bool isStandby = m_standby.count(host.pool) > 0;
-            const auto &racks = m_pools.at(target).racks;
             const auto rackCount = racks.find(host.rack);
-            const std::tuple<bool, std::uint32_t, double> score{isStandby,
-                                                                rackCount == racks.end() ? 0 : rackCount->second,
-                                                                isStandby ? 0 : -m_pools.at(host.pool).surplus()};
+            const std::tuple<bool, std::uint32_t, double> score{
+                candidate.isOnStandby(), rackCount == racks.end() ? 0 : rackCount->second,
+                candidate.isOnStandby() ? 0 : -candidate.from->surplus()};
             if (best == nullptr || score < bestScore) {
                 best = &host;
                 bestScore = score;
@@ -213,11 +212,10 @@
     /// Returns a host that has been idle for at least @c minIdleTime in a pool that does not need it.
     const MovableHost *surplusHost() const
     {
-        for (const MovableHost &host : m_hosts) {
-            const bool isStandby = m_standby.count(host.pool) > 0;
-            if (!isStandby && m_taken.count(host.id) == 0 && isFree(host)
-                && *host.idleFor >= MovePlanner::minIdleTime) {
-                return &host;
+        for (const Candidate &candidate : m_candidates) {
+            if (!candidate.isOnStandby() && candidate.isFree()
+                && *candidate.host->idleFor >= MovePlanner::minIdleTime) {
+                return candidate.host;
             }
         }
         return nullptr;
@@ -233,7 +231,7 @@
     {
         const PoolBalance &decisive = m_pools.at(reason);
         PlannedMove move{host.id, host.pool, target, decisive.needed, decisive.serving};
-        m_taken.insert(host.id);
+        std::erase_if(m_candidates, [&host](const Candidate &candidate) { return candidate.host == &host; });
         const auto from = m_pools.find(host.pool);
         if (from != m_pools.end()) {
             from->second.serving -= 1;
@@ -247,32 +245,54 @@
     }
 
 private:
-    /// Whether the host is idle and its pool does not need it.
-    bool isFree(const MovableHost &host) const
+    /// An idle host that may be moved while its pool has more hosts than it needs.
+    struct Candidate
     {
-        if (!host.idleFor) {
-            return false;
+        const MovableHost *host = nullptr;
+        /// Balance of the host's pool; nullptr if the pool is on standby.
+        const PoolBalance *from = nullptr;
+
+        bool isOnStandby() const
+        {
+            return from == nullptr;
         }
-        const auto pool = m_pools.find(host.pool);
-        if (pool == m_pools.end()) {
-            return m_standby.count(host.pool) > 0;
+        bool isFree() const
+        {
+            return isOnStandby() || from->surplus() >= 1;
         }
-        const bool isRequiredByLabel
-            = std::any_of(host.labels.begin(), host.labels.end(),
-                          [&](const std::string &label) { return pool->second.requiredLabels.count(label) > 0; });
-        return host.serves && !isRequiredByLabel && pool->second.surplus() >= 1;
+    };
+
+    void collectCandidates(const std::vector<MovableHost> &hosts)
+    {
+        for (const MovableHost &host : hosts) {
+            const auto pool = m_pools.find(host.pool);
+            const bool isOnStandby = pool == m_pools.end();
+            if (!host.idleFor || (isOnStandby && m_standby.count(host.pool) == 0)) {
+                continue;
+            }
+            if (isOnStandby) {
+                m_candidates.push_back(Candidate{&host, nullptr});
+            } else if (host.serves && !isRequiredByLabel(host, pool->second)) {
+                m_candidates.push_back(Candidate{&host, &pool->second});
+            }
+        }
+    }
+
+    static bool isRequiredByLabel(const MovableHost &host, const PoolBalance &balance)
+    {
+        return std::any_of(host.labels.begin(), host.labels.end(),
+                           [&](const std::string &label) { return balance.requiredLabels.count(label) > 0; });
     }
 
-    const std::vector<MovableHost> &m_hosts;
     std::map<PoolId, PoolBalance> m_pools;
     std::set<PoolId> m_standby;
-    std::set<HostId> m_taken;
+    std::vector<Candidate> m_candidates;
 };
 
 } // namespace
 
 std::vector<PlannedMove> MovePlanner::plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
-                                           const std::vector<MovableHost> &hosts)
+                                           const std::vector<MovableHost> &hosts, std::size_t maxMoves)
 {
     std::vector<PlannedMove> moves;
     PoolBalances balances(demands, config, hosts);
--- a/core/cells/move_planner.h
+++ b/core/cells/move_planner.h
@@ -52,11 +52,10 @@
     static constexpr double usableFraction = 0.85;
     /// Fraction of a host that a pool may lack before a host is moved to the pool.
     static constexpr double toleratedShortfall = 0.15;
-    /// Limit of moves in one plan.
-    static constexpr std::size_t maxMoves = 12;
 
+    /// @param maxMoves limit of moves in this plan.
     static std::vector<PlannedMove> plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
-                                         const std::vector<MovableHost> &hosts);
+                                         const std::vector<MovableHost> &hosts, std::size_t maxMoves);
 };
 
 } // namespace radishvane::cells
--- a/drivers/site_settings.cpp
+++ b/drivers/site_settings.cpp
@@ -15,6 +15,8 @@
 constexpr double maxCores = 1'024;
 constexpr double minLinkMbps = 0.001;
 constexpr double maxLinkMbps = 1'000'000;
+constexpr double minOrdersPerSecond = 0.001;
+constexpr double maxOrdersPerSecond = 1'000'000;
 
 Duration milliseconds(FieldReader &fields, const std::string &field)
 {
@@ -54,6 +56,8 @@
     settings.capacity.cores = fields.decimal("cores", minCores, maxCores, settings.capacity.cores)
         * fields.decimal("core_speed", minCores, maxCores, 1);
     settings.capacity.linkMbps = fields.decimal("link_mbps", minLinkMbps, maxLinkMbps, settings.capacity.linkMbps);
+    settings.hostServiceLimits.ordersPerSecond = fields.decimal(
+        "host_orders_per_s", minOrdersPerSecond, maxOrdersPerSecond, settings.hostServiceLimits.ordersPerSecond);
     settings.logLevel = readLogLevel(fields);
     fields.finish();
     if (!problems.empty()) {
--- a/drivers/site_settings.h
+++ b/drivers/site_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/base/result.h"
 #include "core/cells/host_capacity.h"
+#include "core/cells/host_service_limits.h"
 #include "core/config/config.h"
 #include "core/config/config_problem.h"
 #include "drivers/log.h"
@@ -43,6 +44,8 @@
     Duration keepEnded{0};
     /// What the host gives this process.
     cells::HostCapacity capacity;
+    /// What the platform's service for hosts accepts.
+    cells::HostServiceLimits hostServiceLimits;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -40,7 +40,7 @@
     , m_log(m_loop, m_clock, settings.host.name(), settings.logLevel)
     , m_store(m_loop, m_clock, m_log, onlyCell, settings.store, settings.hostService)
     , m_cell(m_loop, m_clock, m_log, onlyCell, settings.host, incarnationOf(m_clock), settings.linkListen,
-             settings.admission, timesOf(settings), settings.capacity)
+             settings.admission, timesOf(settings), settings.capacity, settings.hostServiceLimits)
     , m_front(m_loop, m_clock, m_log,
               servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
               settings.keysWithin)
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -8,13 +8,13 @@
 
 CellTask::CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
                    const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
-                   cells::CellTimes times, cells::HostCapacity capacity)
+                   cells::CellTimes times, cells::HostCapacity capacity, cells::HostServiceLimits hostService)
     : m_clock(clock)
     , m_log(log)
     , m_incarnation(incarnation)
     , m_host(host)
     , m_admission(admission)
-    , m_controller(cell, host, incarnation, link, times, capacity)
+    , m_controller(cell, host, incarnation, link, times, capacity, hostService)
     , m_statistics(clock, tickInterval)
     , m_http(loop, &m_statistics, mostCallsPerWorker)
     , m_mailbox(loop,
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -139,6 +139,33 @@
     });
 }
 
+TEST(CellMoves, FollowAPeakInAFleetOfHundredsOfHosts)
+{
+    story("a pool of 60 hosts with 480 on standby, and a host service that accepts 310 orders a second", [] {
+        CellSite site;
+        site.hostService.ordersPerSecond = 310;
+        site.addQueue("plans", "looms");
+        for (int index = 0; index < 60; ++index) {
+            site.addWorker("l" + std::to_string(index), "looms", 4'000);
+        }
+        site.addStandby("spare", 480, 4'000);
+        site.addNode("a");
+        site.addNode("b");
+        site.run(Duration(2'000));
+        section("jobs arrive that need 300 hosts for seconds", [&] {
+            for (int index = 0; index < 150; ++index) {
+                const std::string name = "plans" + std::to_string(index);
+                site.durations[JobId(name)] = 8'000;
+                site.submit(site.owner(), name, "plans", graphOf(1, 8, 1'000, Duration(8'000)));
+            }
+            site.run(Duration(2'000));
+            section("the hosts are ordered within two seconds", [&] { EXPECT_GE(site.hostsIn("looms"), 300U); });
+            section("the host service refuses no order", [&] { EXPECT_EQ(site.excessHostOrders, 0U); });
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, AddHostsForServiceTasksThatFitOnNoOther)
 {
     story("four hosts that hold two tasks of a service each, and hosts in standby", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -169,7 +169,7 @@
     times.leaseTime = Duration(6'000);
     times.stopGrace = Duration(stopTime);
     entry.controller = std::make_unique<CellController>(cell, entry.host, ++m_incarnations, Endpoint{name, 1}, times,
-                                                        entry.capacity);
+                                                        entry.capacity, hostService);
     entry.alive = true;
     ++entry.life;
     entry.frozen = false;
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -3,6 +3,7 @@
 #include "core/cells/cell_controller.h"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -111,6 +112,10 @@
     /// Workers for which the admission service gives tickets.
     std::set<std::string> admitted;
     std::int64_t storeDelay = 6;
+    /// Limits of the host service, for nodes that start from now on. It refuses orders beyond the rate.
+    cells::HostServiceLimits hostService;
+    /// Orders for hosts that were refused because of the rate.
+    std::uint64_t excessHostOrders = 0;
     /// Milliseconds after which a list of hosts arrives; it shows the hosts at the time of the request.
     std::int64_t hostListDelay = 4;
     /// Run time of tasks in milliseconds, by job; 300 when not set.
@@ -258,6 +263,8 @@
     void extendLease(const cells::LeaseRenewalOrder &order);
     void answerLeaseRenewal(const Caller &caller, const cells::LeaseRenewalOrder &order, std::int64_t until);
     void checkHostIsStored(const HostId &host);
+    /// Whether the host service accepts one more order in this second.
+    bool takeHostOrder();
     /// Carries out an order for a host, or a part of the orders late and without an answer.
     void orderHost(const Caller &caller, cells::CallId call, std::function<cells::HostOrderOutcome()> carryOut);
     cells::HostOrderOutcome carryOut(const cells::MaintainHost &order);
@@ -289,6 +296,8 @@
     std::vector<cells::Wave> m_waves;
     std::map<std::string, std::int64_t> m_maintainedUntil;
     std::map<std::string, std::int64_t> m_movingUntil;
+    /// Times of the orders for hosts in the last second.
+    std::deque<std::int64_t> m_hostOrderTimes;
     /// Highest fencing token that was seen for each host.
     std::map<HostId, cells::Epoch> m_hostFences;
     std::set<std::string> m_maintained;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -606,9 +606,23 @@
     }
 }
 
+bool CellSite::takeHostOrder()
+{
+    constexpr std::int64_t second = 1'000;
+    while (!m_hostOrderTimes.empty() && m_hostOrderTimes.front() <= m_now - second) {
+        m_hostOrderTimes.pop_front();
+    }
+    if (static_cast<double>(m_hostOrderTimes.size()) >= hostService.ordersPerSecond) {
+        ++excessHostOrders;
+        return false;
+    }
+    m_hostOrderTimes.push_back(m_now);
+    return true;
+}
+
 void CellSite::orderHost(const Caller &caller, CallId call, std::function<HostOrderOutcome()> carryOut)
 {
-    if (refusesHostOrders) {
+    if (refusesHostOrders || !takeHostOrder()) {
         later(4, [this, caller, call] { give(caller, HostOrderAnswered{call, HostOrderOutcome::Refused}); });
         return;
     }
