Learn the run times of each queue's tasks

Change: RunTimeModel predicts run times by a regression in logarithms on the declared ones, for each queue, from the runs that the owner has seen whole. Expectations change in generations, so that equal jobs have equal ranks; an accepted job keeps the time that it was accepted for when shorter run times are learned. Ruled out: expectations that change with each run, or stay with the job. With both CellOverload.LeavesTheCellWithItsOwner failed (85 to 97 of 106 accepted jobs in time): newer jobs of equal size ranked first until the flood ended. Before: CellJobs.AreForecastByTheRunTimesThatWereSeen failed. After: it, RunTimeModel.* and the 181 tests of cells and wire pass.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -463,7 +463,7 @@
     job.withinShare = withinShare;
     const auto queue = m_config->queues.find(event.queue);
     if (queue != m_config->queues.end() && job.withinShare) {
-        m_hosts.recordAcceptedJob(queue->second.pool, event.spec);
+        m_hosts.recordAcceptedJob(queue->second.pool, job);
     }
     m_outbox.log(CellDecision::JobAccepted, event.id.name(), event.queue.name(), event.spec.steps.size(),
                  job.withinShare ? std::string() : "beyond-share");
--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -67,14 +67,14 @@
         const auto queue = config.queues.find(job->row.queue);
         if (queue != config.queues.end()) {
             const Duration ago = m_outbox.now.wall - job->row.accepted;
-            m_forecast.add(queue->second.pool, job->row.spec, m_outbox.now.steady - ago);
+            m_forecast.add(queue->second.pool, job->row.spec, job->runTimes, m_outbox.now.steady - ago);
         }
     }
 }
 
-void HostController::recordAcceptedJob(const PoolId &pool, const GraphSpec &spec)
+void HostController::recordAcceptedJob(const PoolId &pool, const Job &job)
 {
-    m_forecast.add(pool, spec, m_outbox.now.steady);
+    m_forecast.add(pool, job.row.spec, job.runTimes, m_outbox.now.steady);
 }
 
 void HostController::advance(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster,
--- a/core/cells/host_controller.h
+++ b/core/cells/host_controller.h
@@ -39,7 +39,7 @@
     /// Fills the demand forecast with the jobs of the last seconds, including those that a former owner accepted.
     void restoreForecast(const JobRegistry &registry, const SiteConfig &config);
     /// Adds a job that was accepted for @p pool now to the demand forecast.
-    void recordAcceptedJob(const PoolId &pool, const GraphSpec &spec);
+    void recordAcceptedJob(const PoolId &pool, const Job &job);
     /// Sends the orders and reports that are due.
     /// @param mayOrder whether the lease of the cell is valid.
     void advance(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster, bool mayOrder);
--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -96,12 +96,12 @@
     return firstDue + occurrence * period;
 }
 
-double GraphSpec::work() const
+double GraphSpec::work(const std::vector<Duration> &runTimes) const
 {
     double work = 0;
-    for (const StepSpec &step : steps) {
-        work += static_cast<double>(step.count) * static_cast<double>(step.needs.cpu)
-            * static_cast<double>(step.estimate.count());
+    for (std::size_t index = 0; index < steps.size(); ++index) {
+        work += static_cast<double>(steps[index].count) * static_cast<double>(steps[index].needs.cpu)
+            * toMilliseconds(runTimes[index]);
     }
     return work;
 }
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -98,8 +98,9 @@
     /// Occurrences whose progress fits into one row.
     std::size_t maxOpenOccurrences() const;
     WallTime dueAt(std::uint32_t occurrence) const;
-    /// Declared processor time of one occurrence, in thousandths of a core times milliseconds.
-    double work() const;
+    /// Processor time of one occurrence, in thousandths of a core times milliseconds.
+    /// @param runTimes run time of one task of each step.
+    double work(const std::vector<Duration> &runTimes) const;
 };
 
 struct TaskId
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -58,6 +58,7 @@
 
 void JobRegistry::clear()
 {
+    m_runTimes.clear();
     m_jobs.clear();
     m_queueWork.clear();
     m_live.clear();
@@ -71,7 +72,11 @@
     job.row = std::move(row);
     QueueWork &queue = m_queueWork[job.row.queue];
     queue.jobs += 1;
-    queue.work += job.row.spec.work();
+    for (const StepSpec &step : job.row.spec.steps) {
+        queue.cpu += static_cast<double>(step.count) * static_cast<double>(step.needs.cpu);
+    }
+    queue.declaredWork += job.row.spec.work(declaredRunTimes(job.row.spec));
+    job.runTimes = m_runTimes.expected(job.row.queue, job.row.spec);
     job.addedAt = now;
     m_live.insert(id);
     return job;
@@ -405,10 +410,24 @@
     return row;
 }
 
+RunTimeModel &JobRegistry::runTimes()
+{
+    return m_runTimes;
+}
+
+const RunTimeModel &JobRegistry::runTimes() const
+{
+    return m_runTimes;
+}
+
 double JobRegistry::meanWork(const QueueId &queue) const
 {
     const auto found = m_queueWork.find(queue);
-    return found == m_queueWork.end() ? 0 : found->second.work / found->second.jobs;
+    if (found == m_queueWork.end() || found->second.cpu <= 0) {
+        return 0;
+    }
+    const QueueWork &work = found->second;
+    return work.cpu / work.jobs * m_runTimes.mean(queue, work.declaredWork / work.cpu);
 }
 
 std::uint64_t JobRegistry::pending(const QueueId &queue) const
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -2,6 +2,7 @@
 
 #include "core/cells/cell_messages.h"
 #include "core/cells/cell_rows.h"
+#include "core/cells/run_time_model.h"
 #include "core/cells/worker_roster.h"
 
 #include <map>
@@ -96,11 +97,14 @@
     double value = 1;
     std::uint32_t tasksDone = 0;
     std::optional<std::uint32_t> estimatedAtTasksDone;
+    /// State of the run time model that the estimates were made with.
+    std::uint64_t estimatedAtGeneration = 0;
 };
 
 struct Job
 {
     JobRow row;
+    RunTimes runTimes;
     GraphState state = GraphState::Queued;
     bool begun = false;
     /// The store holds the job's row.
@@ -177,7 +181,9 @@
     void retireIfDone(Job &job);
 
     ProgressRow progressRow(const Job &job) const;
-    /// Mean work of the jobs that were added to @p queue, in thousandths of a core times milliseconds.
+    RunTimeModel &runTimes();
+    const RunTimeModel &runTimes() const;
+    /// Expected mean work of the jobs that were added to @p queue, in thousandths of a core times milliseconds.
     double meanWork(const QueueId &queue) const;
     /// Number of stored jobs of @p queue that have not begun.
     std::uint64_t pending(const QueueId &queue) const;
@@ -188,12 +194,16 @@
     EndEffect countDone(const TaskId &id, TimePoint now);
     void recordAborted(const Job &job);
 
+    /// Sums over the jobs of a queue.
     struct QueueWork
     {
         double jobs = 0;
-        double work = 0;
+        /// Thousandths of a core of all tasks.
+        double cpu = 0;
+        double declaredWork = 0;
     };
 
+    RunTimeModel m_runTimes;
     std::map<JobId, Job> m_jobs;
     std::map<QueueId, QueueWork> m_queueWork;
     std::set<JobId> m_live;
--- a/core/cells/pool_demand.cpp
+++ b/core/cells/pool_demand.cpp
@@ -80,16 +80,17 @@
     m_arrivals.clear();
 }
 
-void DemandForecast::add(const PoolId &pool, const GraphSpec &spec, TimePoint now)
+void DemandForecast::add(const PoolId &pool, const GraphSpec &spec, const RunTimes &runTimes, TimePoint now)
 {
     Arrival arrival;
     arrival.at = now;
-    for (const StepSpec &step : spec.steps) {
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        const StepSpec &step = spec.steps[index];
         if (step.isService || spec.repeats > 0) {
             continue;
         }
         const Resources needs = needsOf(step, step.count);
-        const double length = toMilliseconds(step.estimate);
+        const double length = toMilliseconds(runTimes[index]);
         arrival.cpu += static_cast<double>(needs.cpu) * length;
         arrival.memory += static_cast<double>(needs.memoryMb) * length;
         arrival.accelerators += static_cast<double>(needs.accelerators) * length;
--- a/core/cells/pool_demand.h
+++ b/core/cells/pool_demand.h
@@ -63,7 +63,7 @@
 
     void clear();
     /// Adds a job that was accepted for @p pool at @p now.
-    void add(const PoolId &pool, const GraphSpec &spec, TimePoint now);
+    void add(const PoolId &pool, const GraphSpec &spec, const RunTimes &runTimes, TimePoint now);
     /// Returns the resources that jobs of @p pool without service tasks are expected to use at the same time.
     Resources expected(const PoolId &pool, TimePoint now) const;
 
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -110,6 +110,9 @@
     m_outbox.log(CellDecision::TaskEnded, taskName(id), task->run->worker.name(), number,
                  std::string(enumName(runEndNames, how)));
     release(id);
+    if (how == RunEnd::Done) {
+        learnRunTime(id, *task);
+    }
     const RunEnd counted = task->isDoneEarlier ? RunEnd::Done : how;
     const EndEffect effect = m_registry.end(id, number, counted, maxFailures(id.job), m_outbox.now.steady);
     m_planningRequested = true;
@@ -121,6 +124,20 @@
     applyEffect(id, effect);
 }
 
+void RunLedger::learnRunTime(const TaskId &id, const Task &task)
+{
+    const Run &run = *task.run;
+    const StepSpec &spec = *m_registry.spec(id);
+    // An order's deadline is set only by the owner that sent the order. A run that may have resumed from a checkpoint
+    // is shorter than the task.
+    const bool isWhole
+        = run.startDeadline != 0 && run.phase == RunPhase::Running && (!spec.checkpoints || run.number == 1);
+    if (isWhole && !spec.isService && !spec.gang) {
+        const Duration runTime = std::chrono::duration_cast<Duration>(m_outbox.now.steady - run.confirmedAt);
+        m_registry.runTimes().record(m_registry.find(id.job)->row.queue, spec.estimate, runTime);
+    }
+}
+
 void RunLedger::countFailure(const TaskId &id, RunNumber run)
 {
     const EndEffect effect = m_registry.countFailure(id, run, maxFailures(id.job), m_outbox.now.steady);
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -86,6 +86,8 @@
 
 private:
     std::vector<TaskId> otherGangMembers(const TaskId &id) const;
+    /// Records the run time of a task whose whole run this owner has seen.
+    void learnRunTime(const TaskId &id, const Task &task);
     /// Returns the tasks on a worker that no list of the worker has shown.
     std::set<TaskId> unlistedTasks(const Worker &worker);
     void endGang(const TaskId &id, RunNumber number);
--- a/core/cells/start_backlog.cpp
+++ b/core/cells/start_backlog.cpp
@@ -71,7 +71,7 @@
     }
 }
 
-Duration StartBacklog::lateness(const Queue &queue, const GraphSpec &spec, bool withinShare,
+Duration StartBacklog::lateness(const Queue &queue, const GraphSpec &spec, const RunTimes &runTimes, bool withinShare,
                                 const StartPacer &pacer) const
 {
     const bool hasService
@@ -84,7 +84,7 @@
         bytes += rank->second;
     }
     const Duration wait = pacer.timeFor(bytes);
-    const DeclaredTimes times = declaredTimes(spec, queue);
+    const JobTimes times = expectedTimes(spec, runTimes, queue);
     return wait < minWait ? Duration{0} : std::max(Duration{0}, wait + times.criticalPath - times.objective);
 }
 
--- a/core/cells/start_backlog.h
+++ b/core/cells/start_backlog.h
@@ -29,7 +29,8 @@
     /// the jobs that rank before it. Zero if it would end in time, and for service tasks and jobs with due times.
     ///
     /// Further jobs would not raise the rate of starts, but make the accepted ones end late as well.
-    Duration lateness(const Queue &queue, const GraphSpec &spec, bool withinShare, const StartPacer &pacer) const;
+    Duration lateness(const Queue &queue, const GraphSpec &spec, const RunTimes &runTimes, bool withinShare,
+                      const StartPacer &pacer) const;
 
 private:
     /// Priority of the queue, and whether the job is beyond its team's share.
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -43,7 +43,8 @@
         return Duration{0};
     }
     m_backlog.update(m_registry, config, m_outbox.now);
-    const Duration lateness = m_backlog.lateness(queue->second, job.spec, withinShare, m_pacer);
+    const RunTimes runTimes = m_registry.runTimes().expected(job.queue, job.spec);
+    const Duration lateness = m_backlog.lateness(queue->second, job.spec, runTimes, withinShare, m_pacer);
     if (lateness == Duration{0}) {
         return lateness;
     }
--- a/core/cells/start_planner.cpp
+++ b/core/cells/start_planner.cpp
@@ -52,8 +52,8 @@
                        [&](std::uint32_t index) { return step.tasks[index].notBefore <= now; });
 }
 
-/// Longest path through the steps by declared run times. Steps that are done in @p occurrence have length zero.
-Duration criticalPath(const GraphSpec &spec, const Occurrence *occurrence)
+/// Longest path through the steps. Steps that are done in @p occurrence have length zero.
+Duration criticalPath(const GraphSpec &spec, const RunTimes &runTimes, const Occurrence *occurrence)
 {
     const std::vector<StepSpec> &steps = spec.steps;
     std::vector<Duration> ends(steps.size(), Duration{0});
@@ -65,13 +65,13 @@
         }
         const bool isDone
             = occurrence != nullptr && occurrence->steps[index].done == occurrence->steps[index].tasks.size();
-        ends[index] = begin + (isDone ? Duration{0} : steps[index].estimate);
+        ends[index] = begin + (isDone ? Duration{0} : runTimes[index]);
         longest = std::max(longest, ends[index]);
     }
     return longest;
 }
 
-/// Declared processor time of the tasks that are not done, in thousandths of a core times milliseconds.
+/// Expected processor time of the tasks that are not done, in thousandths of a core times milliseconds.
 double remainingWork(const Job &job, const Occurrence &occurrence)
 {
     double work = 0;
@@ -79,7 +79,7 @@
         const Step &step = occurrence.steps[index];
         const StepSpec &spec = job.row.spec.steps[index];
         work += static_cast<double>(step.tasks.size() - step.done) * static_cast<double>(spec.needs.cpu)
-            * static_cast<double>(spec.estimate.count());
+            * toMilliseconds(job.runTimes[index]);
     }
     return work;
 }
@@ -92,22 +92,25 @@
     return mean <= 0 ? 1 : std::min(maxValue, minValue + (1 - minValue) * work / mean);
 }
 
-/// Recomputes the estimates of an occurrence if tasks of it were completed since the last time.
-void updateEstimates(const JobRegistry &registry, const Job &job, Occurrence &occurrence, std::uint32_t number,
+/// Recomputes the estimates of an occurrence if tasks of it were completed or run times were learned since the last
+/// time.
+void updateEstimates(const JobRegistry &registry, Job &job, Occurrence &occurrence, std::uint32_t number,
                      const Queue &queue)
 {
-    if (occurrence.estimatedAtTasksDone == occurrence.tasksDone) {
+    const std::uint64_t generation = registry.runTimes().generation();
+    if (occurrence.estimatedAtTasksDone == occurrence.tasksDone && occurrence.estimatedAtGeneration == generation) {
         return;
     }
+    occurrence.estimatedAtGeneration = generation;
     const GraphSpec &graph = job.row.spec;
-    if (!occurrence.estimatedAtTasksDone) {
-        const DeclaredTimes times = declaredTimes(graph, queue);
-        const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
-        occurrence.objective = begin + times.objective;
-        occurrence.usefulUntil = begin + times.useful;
-        occurrence.value = relativeValue(graph.work(), registry.meanWork(job.row.queue));
-    }
-    occurrence.remainingCriticalPath = criticalPath(job.row.spec, &occurrence);
+    job.runTimes = registry.runTimes().expected(job.row.queue, graph);
+    const JobTimes times = expectedTimes(graph, job.runTimes, queue);
+    const WallTime begin = graph.repeats > 0 ? graph.dueAt(number) : job.row.accepted;
+    // An accepted job keeps the time that it was accepted for when shorter run times are learned.
+    occurrence.objective = std::max(occurrence.objective, begin + times.objective);
+    occurrence.usefulUntil = std::max(occurrence.usefulUntil, begin + times.useful);
+    occurrence.value = relativeValue(graph.work(job.runTimes), registry.meanWork(job.row.queue));
+    occurrence.remainingCriticalPath = criticalPath(graph, job.runTimes, &occurrence);
     occurrence.remainingWork = remainingWork(job, occurrence);
     occurrence.estimatedAtTasksDone = occurrence.tasksDone;
 }
@@ -156,10 +159,10 @@
     return on == step.onWorker.end() || on->second < spec.maxPerWorker;
 }
 
-DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue)
+JobTimes expectedTimes(const GraphSpec &spec, const RunTimes &runTimes, const Queue &queue)
 {
-    DeclaredTimes times;
-    times.criticalPath = criticalPath(spec, nullptr);
+    JobTimes times;
+    times.criticalPath = criticalPath(spec, runTimes, nullptr);
     times.objective = std::chrono::duration_cast<Duration>(times.criticalPath * queue.stretch) + queue.targetDuration;
     times.useful = lateFactor * times.objective;
     return times;
--- a/core/cells/start_planner.h
+++ b/core/cells/start_planner.h
@@ -19,8 +19,8 @@
     PoolId pool;
 };
 
-/// Declared times of a job, from its acceptance.
-struct DeclaredTimes
+/// Expected times of a job, from its acceptance.
+struct JobTimes
 {
     Duration criticalPath{0};
     /// Time within which the job earns its full value.
@@ -32,7 +32,7 @@
 /// Whether a task of the step fits on the worker, beside the tasks of the step that it runs.
 bool hasCapacity(const Worker &worker, const StepSpec &spec, const Step &step);
 
-DeclaredTimes declaredTimes(const GraphSpec &spec, const Queue &queue);
+JobTimes expectedTimes(const GraphSpec &spec, const RunTimes &runTimes, const Queue &queue);
 
 /// Ranks the steps that can start tasks.
 ///
--- a/tests/core/cells/pool_demand_test.cpp
+++ b/tests/core/cells/pool_demand_test.cpp
@@ -86,13 +86,14 @@
 {
     story("ten jobs arrive in the first second and twenty in the next, each with one task of 1 core and 1 s", [] {
         DemandForecast forecast;
+        const GraphSpec spec = graphOf(1, 1, 1'000, Duration(1'000));
         for (int index = 0; index < 10; ++index) {
-            forecast.add(looms, graphOf(1, 1, 1'000, Duration(1'000)), at(100 * index).steady);
+            forecast.add(looms, spec, declaredRunTimes(spec), at(100 * index).steady);
         }
         section("in the first window the rise is computed from zero",
                 [&] { EXPECT_EQ(forecast.expected(looms, at(999).steady).cpu, 35'000); });
         for (int index = 0; index < 20; ++index) {
-            forecast.add(looms, graphOf(1, 1, 1'000, Duration(1'000)), at(1'000 + 50 * index).steady);
+            forecast.add(looms, spec, declaredRunTimes(spec), at(1'000 + 50 * index).steady);
         }
         section("a rise is extrapolated over the lead time",
                 [&] { EXPECT_EQ(forecast.expected(looms, at(1'999).steady).cpu, 45'000); });
