--- a/main/site_host.h
+++ b/main/site_host.h
@@ -3,7 +3,7 @@
 #include "drivers/event_log.h"
 #include "drivers/event_loop.h"
 #include "drivers/site_settings.h"
-#include "drivers/suspend_clock.h"
+#include "drivers/system_clock.h"
 #include "servers/cell_task.h"
 #include "servers/metrics_task.h"
 #include "servers/site_front_task.h"
@@ -35,7 +35,7 @@
     void wire();
 
     drivers::SiteSettings m_settings;
-    drivers::SuspendClock m_clock;
+    drivers::SystemClock m_clock;
     drivers::EventLoop m_loop;
     drivers::EventLog m_log;
     servers::SiteStoreTask m_store;
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -134,6 +134,66 @@
     });
 }
 
+TEST(CellWorkers, KeepTheirRunsWhileTheyAreSilentForLessThanTheirLease)
+{
+    for (const int silence : {1'000, 2'500, 4'000}) {
+        story("a worker that runs tasks does not answer for " + std::to_string(silence) + " ms", [silence] {
+            CellSite site;
+            fillLooms(site, 1);
+            site.durations[JobId("j1")] = 9'000;
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(9'000)));
+            site.submit(site.owner(), "l", "plans", serviceJob(1, 0));
+            site.run(Duration(2'000));
+            ASSERT_EQ(site.runningOn("w0"), 5);
+            site.addWorker("w1", "looms", 8'000);
+            site.run(Duration(500));
+            site.worker("w0").cut = true;
+            site.run(Duration(silence));
+            site.worker("w0").cut = false;
+            site.run(Duration(12'000));
+            section("the tasks run on, and none is started elsewhere", [&] {
+                EXPECT_EQ(site.runs("j1"), 4);
+                EXPECT_EQ(site.runs("l"), 1);
+                EXPECT_EQ(site.runningOn("w0"), 1);
+            });
+            section("the job is completed", [&] { EXPECT_EQ(site.state("j1"), GraphState::Completed); });
+            expectNothingBroken(site);
+        });
+    }
+}
+
+TEST(CellWorkers, ThatHaveLeftGetNoTasksFromARestartedOwner)
+{
+    story("a worker drains, leaves discovery and goes on answering, and the owner's process restarts", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        site.submit(site.owner(), "before", "plans", graphOf(1, 12, 1'000, Duration(300)));
+        site.run(Duration(1'500));
+        site.worker("w0").entry.state = WorkerState::Draining;
+        site.run(Duration(500));
+        const std::string owner = site.owner();
+        const auto restartAndSubmit = [&](const std::string &job) {
+            site.kill(owner);
+            site.run(Duration(200));
+            site.restart(owner);
+            site.run(Duration(500));
+            ASSERT_EQ(site.owner(), owner);
+            site.submit(owner, job, "plans", graphOf(1, 12, 1'000, Duration(300)));
+            for (int waited = 0; waited < 3'000; waited += 20) {
+                site.run(Duration(20));
+                ASSERT_EQ(site.runningOn("w0"), 0);
+            }
+            EXPECT_EQ(site.state(job), GraphState::Completed);
+        };
+        section("it gets no task while it drains", [&] { restartAndSubmit("draining"); });
+        site.worker("w0").listed = false;
+        site.run(Duration(500));
+        section("nor after it has left, though the stored list of workers may still name it",
+                [&] { restartAndSubmit("gone"); });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellWorkers, ThatRestartUnderTheSameIdLoseTheirRuns)
 {
     story("a worker crashes and restarts at the same address", [] {
--- a/tests/drivers/site_settings_test.cpp
+++ b/tests/drivers/site_settings_test.cpp
@@ -50,6 +50,14 @@
             EXPECT_DOUBLE_EQ(settings.value().capacity.cores, 0.24);
             EXPECT_DOUBLE_EQ(settings.value().capacity.linkMbps, 10);
         });
+        section("the rate of orders that the host service accepts is read", [] {
+            const auto settings
+                = drivers::readSiteSettings(drivers::FileText{"settings", sound + "host_orders_per_s: 310.0\n"});
+            ASSERT_TRUE(settings);
+            EXPECT_DOUBLE_EQ(settings.value().hostServiceLimits.ordersPerSecond, 310);
+            const std::string problems = problemsOf(sound + "host_orders_per_s: 0\n");
+            EXPECT_NE(problems.find("host_orders_per_s"), std::string::npos) << problems;
+        });
         section("a capacity that is no number is named with what was found", [] {
             const std::string problems = problemsOf(sound + "cores: none\nlink_mbps: 0\n");
             EXPECT_NE(problems.find("cores"), std::string::npos) << problems;
