Tests end their programs though nobody reads their output

Cause: a test process that writes to a closed pipe (`process_tests | head`) is ended by SIGPIPE before the destructors of its Process objects run, so its entry hosts and stand-ins go on running and hold their ports. Ruled out: PR_SET_PDEATHSIG (it follows the thread that started the program, and tests start programs from threads that end); process groups (nobody is left to signal the group). Change: starting a program ignores SIGPIPE in the test process; the programs get the default action back, as before. Conclusion: a write to a closed pipe is an error that the test survives, and it ends its programs as usual. A test process that is killed by SIGKILL still leaves its programs running.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -24,9 +24,19 @@
     constexpr int mode = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    if (posix_spawn(&m_id, program.c_str(), &actions, nullptr, pointers.data(), environ) != 0) {
+    // A test that a broken pipe ends would leave its programs running.
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t defaults;
+    sigemptyset(&defaults);
+    sigaddset(&defaults, SIGPIPE);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+    posix_spawnattr_setsigdefault(&attributes, &defaults);
+    if (posix_spawn(&m_id, program.c_str(), &actions, &attributes, pointers.data(), environ) != 0) {
         m_id = -1;
     }
+    posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
 }
 
