Tests of two builds can run at one time

Cause: the tests of each build listen on the same fixed ports and write to the same folders below the temporary folder, so the builds could be tested only one after the other. Ruled out: network namespaces (they need rights that a container may not have); ports that the kernel chooses (the settings of an entry host name the ports of the others before they start). Change: RADISHVANE_PORT_SHIFT, a number, is added to the ports of Fleet, Site and the tests of the HTTP drivers; the folders follow the ports. Before: two process tests at a time with the same name fail to bind. Conclusion: one shift for each build keeps them apart.

--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include "drivers/http_server.h"
 #include "drivers/one_shot.h"
 #include "tests/support/manual_clock.h"
+#include "tests/support/ports.h"
 #include "tests/support/story.h"
 
 #include <arpa/inet.h>
@@ -28,8 +29,8 @@
 
 constexpr auto loopback = "127.0.0.1";
 // Tests run at the same time, so each has a port of its own.
-constexpr std::uint16_t countedPort = 21'610;
-constexpr std::uint16_t limitedPort = 21'611;
+const std::uint16_t countedPort = shiftedPort(21'610);
+const std::uint16_t limitedPort = shiftedPort(21'611);
 
 /// A listening socket that no process accepts from: the kernel takes connections, and nobody reads.
 int listenWithoutReader(std::uint16_t port)
--- a/tests/drivers/http_server_test.cpp
+++ b/tests/drivers/http_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/blocking_http.h"
 #include "drivers/one_shot.h"
+#include "tests/support/ports.h"
 #include "tests/support/story.h"
 
 #include <arpa/inet.h>
@@ -19,9 +20,9 @@
 {
 
 // Each test has a port of its own, since tests run side by side.
-constexpr std::uint16_t port = 21'600;
-constexpr std::uint16_t idlePort = 21'601;
-constexpr std::uint16_t leftPort = 21'602;
+const std::uint16_t port = shiftedPort(21'600);
+const std::uint16_t idlePort = shiftedPort(21'601);
+const std::uint16_t leftPort = shiftedPort(21'602);
 /// More than the kernel takes from a server whose caller does not read.
 constexpr std::size_t answerBytes = 16 << 20;
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/fleet.h"
 
 #include "drivers/blocking_http.h"
+#include "tests/support/ports.h"
 
 #include <gtest/gtest.h>
 
@@ -68,8 +69,10 @@
 
 Fleet::Fleet(const FleetPlan &plan)
     : m_plan(plan)
-    , m_folder(std::filesystem::temp_directory_path() / ("radishvane-test-" + std::to_string(plan.firstPort)))
+    , m_folder(std::filesystem::temp_directory_path()
+               / ("radishvane-test-" + std::to_string(shiftedPort(plan.firstPort))))
 {
+    m_plan.firstPort = shiftedPort(plan.firstPort);
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder + "/config");
     std::vector<std::string> platform;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/site.h"
 
+#include "tests/support/ports.h"
+
 #include <algorithm>
 #include <fstream>
 
@@ -19,8 +21,8 @@
 } // namespace
 
 Site::Site(std::uint16_t firstPort, const std::vector<std::string> &platformOptions, int hosts)
-    : m_firstPort(firstPort)
-    , m_folder(std::filesystem::temp_directory_path() / ("site-" + std::to_string(firstPort)))
+    : m_firstPort(shiftedPort(firstPort))
+    , m_folder(std::filesystem::temp_directory_path() / ("site-" + std::to_string(shiftedPort(firstPort))))
     , m_entries(static_cast<std::size_t>(hosts))
 {
     std::filesystem::remove_all(m_folder);
