Stand-ins include CLI11 in one file only

Cause: CLI11 2.1 is a library of inline functions; a program with two options takes 17 s of processor time to compile at -O2 and 32 s with the address sanitizer, and each of the six stand-ins, of radishvaned, of radishvane and of its commands has its own copy. Ruled out: its precompiled mode (from 2.3 on; Debian 12 has 2.1.2); precompiled headers (three quarters of the time are code generation). Change: the stand-ins declare their options to a class of their support library, whose source file alone includes CLI11. Before: platform_stand_in.cpp 33.5 s of processor time, caller_stand_in.cpp 19.9 s (release, on the busy machine). The ten files of main/ that include CLI11 are left as they are.

--- a/tests/stand_ins/backend_stand_in.cpp
+++ b/tests/stand_ins/backend_stand_in.cpp
@@ -10,9 +10,9 @@
 #include "drivers/one_shot.h"
 #include "drivers/socket_address.h"
 #include "drivers/time_value.h"
+#include "tests/stand_ins/command_line.h"
 #include "tests/stand_ins/control.h"
 
-#include <CLI/CLI.hpp>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -22,6 +22,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace radishvane::stand_ins
 {
@@ -307,14 +308,16 @@
 
 int main(int argumentCount, char **arguments)
 {
-    CLI::App app("Stand-in of backend servers for tests.");
+    radishvane::stand_ins::CommandLine commandLine("Stand-in of backend servers for tests.");
     std::vector<std::uint16_t> ports;
     std::size_t slots = 8;
     std::size_t connections = 64;
-    app.add_option("--port", ports)->required();
-    app.add_option("--slots", slots);
-    app.add_option("--connections", connections);
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--port", ports);
+    commandLine.add("--slots", slots);
+    commandLine.add("--connections", connections);
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     radishvane::drivers::EventLoop loop;
     radishvane::stand_ins::TeamCounts teams;
--- a/tests/stand_ins/caller_stand_in.cpp
+++ b/tests/stand_ins/caller_stand_in.cpp
@@ -6,24 +6,26 @@
 
 #include "core/config/field_reader.h"
 #include "tests/stand_ins/callers.h"
-
-#include <CLI/CLI.hpp>
+#include "tests/stand_ins/command_line.h"
 
 #include <csignal>
+#include <optional>
 
 int main(int argumentCount, char **arguments)
 {
     using namespace radishvane;
-    CLI::App app("Stand-in of callers for tests.");
+    stand_ins::CommandLine commandLine("Stand-in of callers for tests.");
     std::vector<std::string> entries;
     std::vector<std::string> flows;
     std::int64_t seconds = 5;
     std::int64_t timeout = 2'000;
-    app.add_option("--entry", entries)->required();
-    app.add_option("--flow", flows)->required();
-    app.add_option("--seconds", seconds);
-    app.add_option("--timeout-ms", timeout);
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--entry", entries);
+    commandLine.require("--flow", flows);
+    commandLine.add("--seconds", seconds);
+    commandLine.add("--timeout-ms", timeout);
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     std::vector<Endpoint> endpoints;
     for (const std::string &entry : entries) {
--- a/tests/stand_ins/link_stand_in.cpp
+++ b/tests/stand_ins/link_stand_in.cpp
@@ -7,14 +7,14 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_server.h"
 #include "drivers/peer_codec.h"
+#include "tests/stand_ins/command_line.h"
 #include "tests/stand_ins/control.h"
 
-#include <CLI/CLI.hpp>
-
 #include <csignal>
 #include <iostream>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <sstream>
 
@@ -102,12 +102,14 @@
 int main(int argumentCount, char **arguments)
 {
     using namespace radishvane::stand_ins;
-    CLI::App app("Stand-in of the network between entry hosts for tests.");
+    CommandLine commandLine("Stand-in of the network between entry hosts for tests.");
     std::uint16_t port = 0;
     std::vector<std::string> links;
-    app.add_option("--port", port)->required();
-    app.add_option("--link", links)->required();
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--port", port);
+    commandLine.require("--link", links);
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     radishvane::drivers::EventLoop loop;
     Network network(loop);
--- a/tests/stand_ins/platform_stand_in.cpp
+++ b/tests/stand_ins/platform_stand_in.cpp
@@ -8,14 +8,14 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_server.h"
 #include "drivers/one_shot.h"
+#include "tests/stand_ins/command_line.h"
 #include "tests/stand_ins/control.h"
 
-#include <CLI/CLI.hpp>
-
 #include <csignal>
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace radishvane::stand_ins
 {
@@ -300,12 +300,14 @@
 
 int main(int argumentCount, char **arguments)
 {
-    CLI::App app("Stand-in of the platform for tests.");
+    radishvane::stand_ins::CommandLine commandLine("Stand-in of the platform for tests.");
     std::vector<std::uint16_t> ports;
     std::int64_t lag = 500;
-    app.add_option("--port", ports)->required();
-    app.add_option("--host-list-lag-ms", lag);
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--port", ports);
+    commandLine.add("--host-list-lag-ms", lag);
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     radishvane::drivers::EventLoop loop;
     radishvane::stand_ins::Store store(loop, radishvane::Duration(lag));
--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -5,14 +5,14 @@
 #include "drivers/http_server.h"
 #include "drivers/system_clock.h"
 #include "drivers/timer.h"
+#include "tests/stand_ins/command_line.h"
 #include "tests/stand_ins/control.h"
 
-#include <CLI/CLI.hpp>
-
 #include <csignal>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 namespace
 {
@@ -581,18 +581,20 @@
 
 int main(int argumentCount, char **arguments)
 {
-    CLI::App app("The users' platform in small: store, host service and workers.", "site_stand_in");
+    CommandLine commandLine("The users' platform in small: store, host service and workers.", "site_stand_in");
     std::uint16_t port = 0;
     int workerCount = 3;
     bool hasWave = false;
     bool hasStandby = false;
     std::int64_t transactionMilliseconds = 0;
-    app.add_option("--port", port, "the store's; the host service and the workers follow")->required();
-    app.add_option("--workers", workerCount, "workers of the one pool");
-    app.add_flag("--wave", hasWave, "all hosts are due for maintenance");
-    app.add_flag("--standby", hasStandby, "there is a pool whose hosts are switched off");
-    app.add_option("--transaction-ms", transactionMilliseconds, "time that the store takes for a transaction");
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--port", port, "the store's; the host service and the workers follow");
+    commandLine.add("--workers", workerCount, "workers of the one pool");
+    commandLine.addFlag("--wave", hasWave, "all hosts are due for maintenance");
+    commandLine.addFlag("--standby", hasStandby, "there is a pool whose hosts are switched off");
+    commandLine.add("--transaction-ms", transactionMilliseconds, "time that the store takes for a transaction");
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
 
     EventLoop loop;
--- a/tests/stand_ins/worker_stand_in.cpp
+++ b/tests/stand_ins/worker_stand_in.cpp
@@ -9,15 +9,15 @@
 #include "drivers/event_loop.h"
 #include "drivers/http_server.h"
 #include "drivers/one_shot.h"
+#include "tests/stand_ins/command_line.h"
 #include "tests/stand_ins/control.h"
 
-#include <CLI/CLI.hpp>
-
 #include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace radishvane::stand_ins
 {
@@ -253,12 +253,14 @@
 
 int main(int argumentCount, char **arguments)
 {
-    CLI::App app("Stand-in of workers for tests.");
+    radishvane::stand_ins::CommandLine commandLine("Stand-in of workers for tests.");
     std::vector<std::uint16_t> ports;
     std::uint32_t cores = 32;
-    app.add_option("--port", ports)->required();
-    app.add_option("--cores", cores);
-    CLI11_PARSE(app, argumentCount, arguments);
+    commandLine.require("--port", ports);
+    commandLine.add("--cores", cores);
+    if (const std::optional<int> exitCode = commandLine.parse(argumentCount, arguments)) {
+        return *exitCode;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     radishvane::drivers::EventLoop loop;
     std::vector<std::unique_ptr<radishvane::stand_ins::Worker>> workers;
