--- a/drivers/mailbox.h
+++ b/drivers/mailbox.h
@@ -22,6 +22,7 @@
     Mailbox(EventLoop &loop, Handler handler)
         : m_handler(std::move(handler)), m_wakeUp(event_new(loop.base(), -1, EV_PERSIST, &Mailbox::wake, this))
     {
+        event_priority_set(m_wakeUp, EventLoop::urgentPriority);
     }
 
     ~Mailbox()
