Refuse jobs at once that cannot be stored in time, and for certain those that were never sent

Cause: an owner whose writes are slow went on taking jobs into its memory. From 10 to 18 s 8,349 calls were answered in doubt, median 270 to 362 ms. A job whose row was never in a transaction is not in doubt at all. A transaction also took at most 30 new jobs, even when nothing else had changed. Ruled out: doubt about most of these jobs: the rows of most had not been sent. The owner's link and the hop (the median is that of the owner's check for late callers, each 200 ms). Change: the writer knows how long its queue of new jobs takes, by the smoothed time of its writes. A job that the next transactions do not store within 600 ms is refused with that time as Retry-After; one that the next transaction takes never is. A job that waits for 1.2 s and was never sent is refused and forgotten. New jobs take the rows that changed jobs leave (90 instead of 30). Conclusion: what is in doubt is only what the store may hold.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -173,6 +173,11 @@
 
 void CellController::write(CellTransaction transaction)
 {
+    for (const JobRow &row : transaction.jobs) {
+        if (Job *job = m_runs.registry().find(row.id)) {
+            job->sentToStore = true;
+        }
+    }
     const CallId call = m_outbox.send(WriteCell{{}, transaction});
     m_writer.sent(call, std::move(transaction), m_runs.roster(), m_outbox.now.steady);
 }
@@ -222,6 +227,7 @@
 
 void CellController::onWritten(std::uint64_t version)
 {
+    m_writer.recordAnswer(m_outbox.now.steady);
     CellWriter::Pending done = m_writer.succeed();
     const CellTransaction &transaction = done.transaction;
     if (transaction.owner) {
@@ -437,6 +443,12 @@
         answer(event.exchange, CallAnswer::Overloaded);
         return;
     }
+    const Duration backlog = m_writer.backlog(m_outbox.now.steady);
+    if (backlog > maxStoreBacklog) {
+        m_outbox.log(CellDecision::JobRefused, event.id.name(), {}, registry.live().size(), "writes-limited");
+        answer(event.exchange, CallAnswer::Overloaded, std::clamp(backlog, retryAfter, maxRetryAfter));
+        return;
+    }
     const bool withinShare = m_shares.take(*m_config, event.team, m_outbox.now.steady);
     const Duration lateness = m_runs.starts().lateness(*m_config, event, withinShare);
     if (lateness > Duration{0}) {
@@ -604,15 +616,34 @@
         return;
     }
     m_nextTimeoutCheck = now + timeoutCheckInterval;
+    std::vector<JobId> withdrawn;
     for (const JobId &id : m_runs.registry().live()) {
         Job &job = *m_runs.registry().find(id);
         if (!job.stored && now - job.addedAt > storeTimeout) {
+            if (!job.sentToStore && !isFinal(job.state)) {
+                withdrawn.push_back(id);
+                continue;
+            }
             answerAll(job.submitters, CallAnswer::InDoubt);
         }
         if (isFinal(job.state) && !job.endStored && now - job.endedAt > storeTimeout) {
             answerAll(job.cancellers, CallAnswer::InDoubt);
         }
     }
+    for (const JobId &id : withdrawn) {
+        withdraw(id);
+    }
+}
+
+void CellController::withdraw(const JobId &id)
+{
+    Job &job = *m_runs.registry().find(id);
+    answerAll(job.submitters, CallAnswer::Overloaded);
+    if (job.withinShare) {
+        m_shares.giveBack(job.row.team);
+    }
+    m_outbox.log(CellDecision::JobRefused, id.name(), {}, m_runs.registry().live().size(), "writes-limited");
+    m_runs.registry().erase(id);
 }
 
 void CellController::dropExpiredJobs()
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -32,6 +32,8 @@
     static constexpr Duration maxRetryAfter{30'000};
     /// A caller whose job is not stored after this time receives an answer that its acceptance is in doubt.
     static constexpr Duration storeTimeout{1'200};
+    /// A job whose row would wait longer for the rows of others is refused.
+    static constexpr Duration maxStoreBacklog{600};
     /// Pause after a read or write that failed in the store.
     static constexpr Duration storeRetryPause{150};
 
@@ -90,6 +92,8 @@
     void advanceWrites();
     void dropExpiredJobs();
     void answerTimedOutCallers();
+    /// Refuses a job whose row was never sent to the store.
+    void withdraw(const JobId &id);
     /// Keeps @p call until the state of the cell is rebuilt, if that is likely to be soon.
     bool hold(const HeldCalls::Call &call);
     void answerHeldCalls();
--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/cell_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace radishvane::cells
@@ -70,6 +71,18 @@
         || !m_changedJobs.empty() || !m_droppedJobs.empty() || !m_waves.empty();
 }
 
+Duration CellWriter::backlog(TimePoint now) const
+{
+    const std::size_t waiting = m_newJobs.size();
+    if (waiting < maxRowsOfAKind) {
+        return Duration{0};
+    }
+    const TimePoint::duration writeTime
+        = m_pending ? std::max<TimePoint::duration>(m_writeTime, now - m_pending->sent) : m_writeTime;
+    const std::size_t transactions = waiting / maxRowsOfAKind + 1 + (m_pending ? 1 : 0);
+    return std::chrono::duration_cast<Duration>(writeTime * transactions);
+}
+
 const std::optional<CellWriter::Pending> &CellWriter::pending() const
 {
     return m_pending;
@@ -109,8 +122,10 @@
 
 void CellWriter::takeJobs(CellTransaction &transaction, const JobRegistry &registry)
 {
+    // An ended job takes two rows.
+    const std::size_t maxJobs = maxRows - 2 * std::min(m_changedJobs.size(), maxRowsOfAKind);
     std::size_t payloadBytes = 0;
-    while (!m_newJobs.empty() && transaction.jobs.size() < maxRows / 3 && payloadBytes < maxPayloadBytes) {
+    while (!m_newJobs.empty() && transaction.jobs.size() < maxJobs && payloadBytes < maxPayloadBytes) {
         const JobId id = m_newJobs.pop();
         const Job *job = registry.find(id);
         if (job != nullptr && !job->stored) {
@@ -122,7 +137,7 @@
 
 void CellWriter::takeProgress(CellTransaction &transaction, const JobRegistry &registry)
 {
-    while (!m_changedJobs.empty() && transaction.progress.size() < maxRows / 3) {
+    while (!m_changedJobs.empty() && transaction.progress.size() < maxRowsOfAKind) {
         const JobId id = m_changedJobs.pop();
         const Job *job = registry.find(id);
         if (job == nullptr || job->endStored) {
@@ -146,6 +161,12 @@
     m_pending = Pending{call, std::move(transaction), now};
 }
 
+void CellWriter::recordAnswer(TimePoint now)
+{
+    constexpr int weight = 4;
+    m_writeTime += (now - m_pending->sent - m_writeTime) / weight;
+}
+
 CellWriter::Pending CellWriter::succeed()
 {
     Pending done = std::move(*m_pending);
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -21,6 +21,8 @@
 public:
     /// Row limit of one transaction; the store accepts 100 entries including the condition.
     static constexpr std::size_t maxRows = 90;
+    /// Rows of new jobs that a transaction takes whatever else has changed, and of changed ones.
+    static constexpr std::size_t maxRowsOfAKind = maxRows / 3;
     /// Payload limit of one transaction; the store accepts 1 MB per call, encoded in base64.
     static constexpr std::size_t maxPayloadBytes = 400'000;
     /// Smaller payloads stay in the rows of ended jobs; removing them would not be worth another write.
@@ -60,11 +62,15 @@
 
     /// Whether changes wait to be written.
     bool hasWork() const;
+    /// Expected time until a job that is added now is stored, if it has to wait for other jobs; 0 if it does not.
+    Duration backlog(TimePoint now) const;
     const std::optional<Pending> &pending() const;
     /// Builds the next transaction if one is due.
     std::optional<CellTransaction> next(const CellId &cell, const JobRegistry &registry, const WorkerRoster &roster,
                                         const CellLease &lease, TimePoint now);
     void sent(CallId call, CellTransaction transaction, const WorkerRoster &roster, TimePoint now);
+    /// Records that the store has answered the pending transaction.
+    void recordAnswer(TimePoint now);
     /// Completes the pending transaction and returns it.
     Pending succeed();
     /// Queues all changes of the pending transaction again, since it may have failed.
@@ -93,6 +99,8 @@
     bool m_isOwnerRequired = false;
     TimePoint m_notBefore;
     std::optional<Pending> m_pending;
+    /// Smoothed time of a transaction.
+    TimePoint::duration m_writeTime{0};
     /// Those of transactions that succeeded, in their order, then that of the pending transaction.
     std::deque<Checkpoint> m_checkpoints;
 };
--- a/core/cells/job_queue.cpp
+++ b/core/cells/job_queue.cpp
@@ -35,6 +35,11 @@
     return m_jobs.empty();
 }
 
+std::size_t JobQueue::size() const
+{
+    return m_jobs.size();
+}
+
 std::int64_t JobQueue::firstPlace() const
 {
     return m_jobs.empty() ? m_nextPlace : m_jobs.begin()->first;
--- a/core/cells/job_queue.h
+++ b/core/cells/job_queue.h
@@ -2,6 +2,7 @@
 
 #include "core/base/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <unordered_map>
@@ -21,6 +22,7 @@
     JobId pop();
 
     bool empty() const;
+    std::size_t size() const;
     /// Place of the first job; nextPlace() if there is none.
     std::int64_t firstPlace() const;
     /// Place of the next job that is added at the end. All queued jobs have lower places.
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -107,6 +107,8 @@
     RunTimes runTimes;
     GraphState state = GraphState::Queued;
     bool begun = false;
+    /// A transaction with the job's row was sent to the store.
+    bool sentToStore = false;
     /// The store holds the job's row.
     bool stored = false;
     /// The store holds the final state in @c state.
