Refuse calls at once to an owner that is known to be silent

Cause: SiteFrontTask::forward sent each call to the owner and waited up to 2.2 s, however long the owner had answered nothing. Ruled out: to regard an owner as silent by unanswered submissions alone: they wait for the store, which may be slow while the owner is well. Change: OwnerContact, a state in the core. 200 ms after a question without an answer a probe follows, which needs no store (pending jobs); 400 ms later, if nothing was answered, further calls are refused with Unavailable and the time that a takeover may last. They were not sent, so they are certainly not taken. One probe at a time goes on; any answer or another owner ends the silence. A pause of the own host is none of the owner. The log tells of it by dependency-lost and dependency-regained with dependency owner. Conclusion: what a caller of a silent owner risks is one wait of at most 0.6 s to know it, apart from calls already sent.

--- a/servers/site_front_task.cpp
+++ b/servers/site_front_task.cpp
@@ -38,6 +38,18 @@
                       question);
 }
 
+drivers::HttpCall linkCall(const Endpoint &link, const CellQuestion &question, Duration timeout)
+{
+    drivers::HttpCall call;
+    call.endpoint = link;
+    call.peer = drivers::PeerKind::EntryHost;
+    call.method = drivers::HttpMethod::Post;
+    call.target = linkPath;
+    call.body = drivers::encodeQuestion(question);
+    call.timeout = timeout;
+    return call;
+}
+
 /// For the log: whole milliseconds.
 std::string inMilliseconds(TimePoint::duration time)
 {
@@ -105,6 +117,11 @@
 
 void SiteFrontTask::on(const OwnerKnown &message)
 {
+    const bool isSame = m_owner.owner && message.owner && m_owner.owner->epoch == message.owner->epoch
+        && m_owner.owner->host == message.owner->host;
+    if (!isSame) {
+        m_contact.changeOwner();
+    }
     m_owner = message;
 }
 
@@ -224,16 +241,17 @@
         settle(cells::AnswerCall{id, cells::CallAnswer::Unavailable, {}, 0, retryAfter});
         return;
     }
-    drivers::HttpCall call;
-    call.endpoint = m_owner.owner->link;
-    call.peer = drivers::PeerKind::EntryHost;
-    call.method = drivers::HttpMethod::Post;
-    call.target = linkPath;
-    call.body = drivers::encodeQuestion(question);
-    call.timeout = timeout;
-    m_http.send(call, [this, id, inDoubt = answerInDoubt(question)](drivers::HttpOutcome &&outcome) {
+    const TimePoint now = m_clock.now();
+    if (m_contact.isSilent(now)) {
+        settle(cells::AnswerCall{id, cells::CallAnswer::Unavailable, {}, 0, m_contact.retryAfter(now)});
+        return;
+    }
+    const drivers::HttpCall call = linkCall(m_owner.owner->link, question, timeout);
+    const auto owner = m_contact.questionSent(now);
+    m_http.send(call, [this, id, owner, inDoubt = answerInDoubt(question)](drivers::HttpOutcome &&outcome) {
         cells::AnswerCall answer{id, inDoubt, {}, 0, retryAfter};
         if (const auto *http = std::get_if<drivers::HttpAnswer>(&outcome)) {
+            m_contact.answered(owner);
             const auto decoded = drivers::decodeAnswer(http->body);
             if (http->status == drivers::httpStatus::ok && decoded) {
                 answer = decoded.value();
@@ -246,6 +264,35 @@
     });
 }
 
+void SiteFrontTask::probeOwner()
+{
+    if (m_owner.isSelf || !m_owner.owner || m_owner.owner->host.empty()) {
+        return;
+    }
+    const auto owner = m_contact.probeSent(m_clock.now());
+    m_http.send(linkCall(m_owner.owner->link, cells::QueryPending{}, cells::OwnerContact::probeTimeout),
+                [this, owner](drivers::HttpOutcome &&outcome) {
+                    if (std::holds_alternative<drivers::HttpAnswer>(outcome)) {
+                        m_contact.answered(owner);
+                    } else {
+                        m_contact.probeFailed(owner);
+                    }
+                });
+}
+
+void SiteFrontTask::noteOwner(bool isSilent)
+{
+    if (isSilent == m_wasSilent) {
+        return;
+    }
+    m_wasSilent = isSilent;
+    m_log.line(isSilent ? drivers::LogLevel::Warning : drivers::LogLevel::Info,
+               isSilent ? drivers::HostEvent::DependencyLost : drivers::HostEvent::DependencyRegained,
+               {{"dependency", "owner"},
+                {"owner", m_owner.owner ? m_owner.owner->host.name() : std::string()},
+                {"epoch", std::to_string(m_owner.owner ? m_owner.owner->epoch : 0)}});
+}
+
 void SiteFrontTask::takeLink(const drivers::HttpRequest &request)
 {
     auto question = drivers::decodeQuestion(request.body);
@@ -309,7 +356,15 @@
     if (m_statistics.tick()) {
         loadMeasured.emit(std::make_shared<const TaskLoad>(TaskLoad{SiteTask::Front, m_statistics.take()}));
     }
-    m_statistics.measure([this] { tellStatus(); });
+    m_statistics.measure([this] {
+        const TimePoint now = m_clock.now();
+        m_contact.tick(now);
+        if (m_contact.isProbeDue(now)) {
+            probeOwner();
+        }
+        noteOwner(m_contact.isSilent(now));
+        tellStatus();
+    });
 }
 
 void SiteFrontTask::tellStatus()
--- a/servers/site_front_task.h
+++ b/servers/site_front_task.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/call_authorizer.h"
+#include "core/cells/owner_contact.h"
 #include "core/stop/host_stop_controller.h"
 #include "drivers/event_log.h"
 #include "drivers/http_client.h"
@@ -93,6 +94,9 @@
     void pass(const cells::AuthorizedCall &pass, const drivers::HttpRequest &request);
     void takeLink(const drivers::HttpRequest &request);
     void forward(const CellQuestion &question, ExchangeId id, Duration timeout);
+    /// Asks the owner for an answer that needs no store.
+    void probeOwner();
+    void noteOwner(bool isSilent);
     void settle(const cells::AnswerCall &answer);
     void answerOpenCalls();
     void closeWhenIdle();
@@ -105,6 +109,8 @@
     Ports m_ports;
     cells::CallAuthorizer m_authorizer;
     OwnerKnown m_owner;
+    cells::OwnerContact m_contact;
+    bool m_wasSilent = false;
     StopStage m_stage = StopStage::Serving;
     bool m_wasReady = false;
     TimePoint m_nextAges;
