Store lists of workers in parts that fit into rows of the store

Cause: the list of workers is one row that grows with the fleet, and the store takes 65,536 bytes a row. The store refuses the whole transaction, so that the owner stores nothing any more, not even the renewal of its lease of the cell. The row of a release has the same fault with 31 bytes a worker. The progress of 30 large jobs in one transaction could exceed the 1 MB of a call, since only payloads of new jobs were bounded.

Ruled out: job and progress rows do not grow with the workers; a job whose progress may exceed 56,000 bytes is refused.

Change: the list is split into parts, "roster" (64,000 bytes, the row of the versions before) and "roster/N" (16,000 bytes). A worker stays in its part, a change writes the parts that differ, four a transaction; a worker gets tasks once the part with it is stored, as before. Of two entries of a worker, which an owner of a version before may leave, the one with the later start counts. A release is split along the workers, each part with its epoch, in the one transaction of the release. Payloads and progress of a transaction share 400,000 bytes. The store of the site model refuses rows above 65,536 bytes and calls above 100 entries, as the platform's does.

--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace radishvane::cells
@@ -74,9 +75,11 @@
     bool operator==(const KnownWorker &) const = default;
 };
 
-/// All workers that may have received orders.
+/// One part of the list of all workers that may have received orders. Each part is a row of its own.
 struct RosterRow
 {
+    /// Part of the row's key, not of its value.
+    std::uint32_t part = 0;
     std::vector<KnownWorker> workers;
 };
 
@@ -108,10 +111,12 @@
     Duration leaseLeft{0};
 };
 
-/// What an owner knew about runs when it released the cell. It is stored in the same transaction as the release, after
-/// which the owner grants no leases, and holds for the next epoch only.
+/// What an owner knew about runs when it released the cell, or a part of that. It is stored in the same transaction as
+/// the release, after which the owner grants no leases, and holds for the next epoch only.
 struct ReleaseRow
 {
+    /// Part of the row's key, not of its value.
+    std::uint32_t part = 0;
     /// Epoch that ended with the release.
     Epoch epoch = 0;
     std::vector<ReleasedWorker> workers;
@@ -141,10 +146,10 @@
     std::optional<OwnerRow> owner;
     std::vector<JobRow> jobs;
     std::vector<ProgressRow> progress;
-    std::optional<RosterRow> roster;
+    std::vector<RosterRow> roster;
     std::vector<WaveRow> waves;
     std::optional<HostOrdersRow> hostOrders;
-    std::optional<ReleaseRow> release;
+    std::vector<ReleaseRow> release;
     /// Jobs whose rows are deleted.
     std::vector<JobId> deletedJobs;
 };
@@ -154,12 +159,16 @@
 {
     std::vector<JobRow> jobs;
     std::vector<ProgressRow> progress;
-    RosterRow roster;
+    std::vector<RosterRow> roster;
+    /// Parts of the list of workers that cannot be read.
+    std::set<std::uint32_t> lostRosterParts;
     std::vector<WaveRow> waves;
     /// Empty if the row does not exist.
     HostOrdersRow hostOrders;
-    /// The last release of the cell.
-    std::optional<ReleaseRow> release;
+    /// The row exists and cannot be read.
+    bool areHostOrdersLost = false;
+    /// Parts of the last releases of the cell.
+    std::vector<ReleaseRow> release;
 };
 
 } // namespace radishvane::cells
--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/cell_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace radishvane::cells
@@ -14,10 +15,34 @@
     return row;
 }
 
-/// Number of rows that a transaction writes and deletes, apart from those of the owner and of the workers.
+std::size_t payloadBytes(const CellTransaction &transaction)
+{
+    std::size_t bytes = 0;
+    for (const JobRow &row : transaction.jobs) {
+        bytes += row.spec.payload.size();
+    }
+    return bytes;
+}
+
+/// Bytes of the encoded progress, apart from the few of the job and of each step.
+std::size_t progressBytes(const ProgressRow &row)
+{
+    constexpr std::size_t bytesPerTask = 17;
+    std::size_t bytes = 0;
+    for (const auto &[number, steps] : row.open) {
+        for (const std::vector<TaskProgress> &tasks : steps) {
+            for (const TaskProgress &task : tasks) {
+                bytes += bytesPerTask + task.failedRuns.size() * sizeof(RunNumber) + task.checkpoint.size();
+            }
+        }
+    }
+    return bytes;
+}
+
+/// Number of rows that a transaction writes and deletes, apart from those of the owner and of hosts with orders.
 std::size_t rowCount(const CellTransaction &transaction)
 {
-    return transaction.jobs.size() + transaction.progress.size() + transaction.waves.size()
+    return transaction.jobs.size() + transaction.progress.size() + transaction.waves.size() + transaction.roster.size()
         + 2 * transaction.deletedJobs.size();
 }
 
@@ -66,8 +91,8 @@
 
 bool CellWriter::hasWork() const
 {
-    return m_isRosterChanged || m_isOwnerRequired || m_areHostOrdersUrgent || !m_newJobs.empty()
-        || !m_changedJobs.empty() || !m_droppedJobs.empty() || !m_waves.empty();
+    return m_isRosterChanged || !m_rosterParts.empty() || m_isOwnerRequired || m_areHostOrdersUrgent
+        || !m_newJobs.empty() || !m_changedJobs.empty() || !m_droppedJobs.empty() || !m_waves.empty();
 }
 
 const std::optional<CellWriter::Pending> &CellWriter::pending() const
@@ -91,10 +116,7 @@
     }
     takeJobs(transaction, registry);
     takeProgress(transaction, registry);
-    if (m_isRosterChanged) {
-        transaction.roster = roster.row(now);
-        m_isRosterChanged = false;
-    }
+    takeRoster(transaction, roster, now);
     transaction.hostOrders = std::exchange(m_hostOrders, std::nullopt);
     m_areHostOrdersUrgent = false;
     for (const auto &[number, wave] : m_waves) {
@@ -104,17 +126,21 @@
     while (!m_droppedJobs.empty() && rowCount(transaction) + 2 <= maxRows) {
         transaction.deletedJobs.push_back(m_droppedJobs.pop());
     }
+    if (!transaction.owner && !transaction.hostOrders && rowCount(transaction) == 0) {
+        // What was due is stored already; the write renews the lease instead.
+        transaction.owner = lease.nextRow();
+    }
     return transaction;
 }
 
 void CellWriter::takeJobs(CellTransaction &transaction, const JobRegistry &registry)
 {
-    std::size_t payloadBytes = 0;
-    while (!m_newJobs.empty() && transaction.jobs.size() < maxRows / 3 && payloadBytes < maxPayloadBytes) {
+    std::size_t bytes = 0;
+    while (!m_newJobs.empty() && transaction.jobs.size() < maxRows / 3 && bytes < maxPayloadBytes) {
         const JobId id = m_newJobs.pop();
         const Job *job = registry.find(id);
         if (job != nullptr && !job->stored) {
-            payloadBytes += job->row.spec.payload.size();
+            bytes += job->row.spec.payload.size();
             transaction.jobs.push_back(job->row);
         }
     }
@@ -122,13 +148,15 @@
 
 void CellWriter::takeProgress(CellTransaction &transaction, const JobRegistry &registry)
 {
-    while (!m_changedJobs.empty() && transaction.progress.size() < maxRows / 3) {
+    std::size_t bytes = payloadBytes(transaction);
+    while (!m_changedJobs.empty() && transaction.progress.size() < maxRows / 3 && bytes < maxPayloadBytes) {
         const JobId id = m_changedJobs.pop();
         const Job *job = registry.find(id);
         if (job == nullptr || job->endStored) {
             continue;
         }
         transaction.progress.push_back(registry.progressRow(*job));
+        bytes += progressBytes(transaction.progress.back());
         // An ended job needs no payload. Both rows change in one transaction, so that no live job loses its payload.
         if (isFinal(job->state) && job->stored && job->row.spec.payload.size() >= minRemovedPayload) {
             transaction.jobs.push_back(withoutPayload(job->row));
@@ -136,6 +164,33 @@
     }
 }
 
+void CellWriter::takeRoster(CellTransaction &transaction, const WorkerRoster &roster, TimePoint now)
+{
+    if (!m_isRosterChanged && m_rosterParts.empty()) {
+        return;
+    }
+    std::vector<RosterRow> rows = roster.rows(now);
+    if (m_isRosterChanged) {
+        const auto isUnrecorded = [&roster](const KnownWorker &known) {
+            return !roster.find(known.id)->recorded;
+        };
+        for (const RosterRow &row : rows) {
+            const auto written = m_writtenRoster.find(row.part);
+            const bool isSame = written != m_writtenRoster.end() && written->second == row.workers;
+            if (!isSame || std::any_of(row.workers.begin(), row.workers.end(), isUnrecorded)) {
+                m_rosterParts.insert(row.part);
+            }
+        }
+        m_isRosterChanged = false;
+    }
+    for (RosterRow &row : rows) {
+        if (transaction.roster.size() < maxRosterParts && m_rosterParts.erase(row.part) > 0) {
+            m_writtenRoster[row.part] = row.workers;
+            transaction.roster.push_back(std::move(row));
+        }
+    }
+}
+
 void CellWriter::sent(CallId call, CellTransaction transaction, const WorkerRoster &roster, TimePoint now)
 {
     Checkpoint checkpoint{m_changedJobs.nextPlace(), {}};
@@ -176,7 +231,10 @@
         m_hostOrders = m_hostOrders ? m_hostOrders : transaction.hostOrders;
         m_areHostOrdersUrgent = true;
     }
-    m_isRosterChanged = m_isRosterChanged || transaction.roster.has_value();
+    for (const RosterRow &row : transaction.roster) {
+        m_rosterParts.insert(row.part);
+        m_writtenRoster.erase(row.part);
+    }
     m_isOwnerRequired = true;
     m_notBefore = now + retryPause;
     m_checkpoints.pop_back();
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace radishvane::cells
 {
@@ -21,8 +23,11 @@
 public:
     /// Row limit of one transaction; the store accepts 100 entries including the condition.
     static constexpr std::size_t maxRows = 90;
-    /// Payload limit of one transaction; the store accepts 1 MB per call, encoded in base64.
+    /// Limit of the payloads and of the progress in one transaction; the store accepts 1 MB per call, encoded in
+    /// base64.
     static constexpr std::size_t maxPayloadBytes = 400'000;
+    /// Limit of the parts of the list of workers in one transaction.
+    static constexpr std::size_t maxRosterParts = 4;
     /// Smaller payloads stay in the rows of ended jobs; removing them would not be worth another write.
     static constexpr std::size_t minRemovedPayload = 256;
     /// Pause after a write that the store refused or left unanswered.
@@ -82,6 +87,7 @@
 
     void takeJobs(CellTransaction &transaction, const JobRegistry &registry);
     void takeProgress(CellTransaction &transaction, const JobRegistry &registry);
+    void takeRoster(CellTransaction &transaction, const WorkerRoster &roster, TimePoint now);
 
     JobQueue m_newJobs;
     JobQueue m_changedJobs;
@@ -89,7 +95,12 @@
     std::map<std::uint64_t, WaveRow> m_waves;
     std::optional<HostOrdersRow> m_hostOrders;
     bool m_areHostOrdersUrgent = false;
+    /// Parts of the list of workers may have changed that are not in @c m_rosterParts yet.
     bool m_isRosterChanged = false;
+    /// Parts of the list of workers that have to be stored.
+    std::set<std::uint32_t> m_rosterParts;
+    /// Workers in each part when it was last written.
+    std::map<std::uint32_t, std::vector<KnownWorker>> m_writtenRoster;
     bool m_isOwnerRequired = false;
     TimePoint m_notBefore;
     std::optional<Pending> m_pending;
--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -35,6 +35,9 @@
 /// Capacity of the workers that may execute unknown runs; empty if that of one of them is unknown.
 std::optional<Resources> unknownRoom(const WorkerRoster &roster, TimePoint now)
 {
+    if (roster.hasUnknownWorkers(now)) {
+        return std::nullopt;
+    }
     Resources room;
     for (const auto &[id, worker] : roster.all()) {
         if (!mayRunUnknownTasks(worker, now)) {
@@ -96,8 +99,9 @@
     std::map<TeamId, Resources> result;
     const bool isAnyLimited = std::any_of(config.teams.begin(), config.teams.end(),
                                           [&config](const auto &team) { return hasCeiling(config, team.first); });
-    const bool isAnyUnknown = std::any_of(roster.all().begin(), roster.all().end(),
-                                          [now](const auto &worker) { return mayRunUnknownTasks(worker.second, now); });
+    const bool isAnyUnknown = roster.hasUnknownWorkers(now)
+        || std::any_of(roster.all().begin(), roster.all().end(),
+                       [now](const auto &worker) { return mayRunUnknownTasks(worker.second, now); });
     if (!isAnyLimited || !isAnyUnknown) {
         return result;
     }
--- a/core/cells/released_runs.cpp
+++ b/core/cells/released_runs.cpp
@@ -11,48 +11,122 @@
 namespace
 {
 
-/// Bound on the tasks in the row, which has to fit into the store beside several hundred workers.
+/// Bound on the tasks in all rows.
 constexpr std::size_t maxReleasedTasks = 500;
+/// Bounds on the encoded workers and steps of a row, which together fit into a row of the store.
+constexpr std::size_t maxWorkerBytes = 40'000;
+constexpr std::size_t maxStepBytes = 20'000;
+/// Bytes of the encoded entry of a worker, of a step and of a task, apart from texts.
+constexpr std::size_t workerEntryBytes = 5;
+constexpr std::size_t stepEntryBytes = 13;
+constexpr std::size_t taskEntryBytes = 8;
 
-using WorkerPositions = std::map<WorkerId, std::uint32_t>;
+/// A worker's place in the rows.
+struct Place
+{
+    std::size_t row = 0;
+    std::uint32_t position = 0;
+};
 
-/// Returns the worker that may run the task, or @c nowhere; empty if any worker may.
-std::optional<std::uint32_t> positionOf(const Job &job, const Task &task, const WorkerRoster &roster,
-                                        const WorkerPositions &positions, TimePoint now)
+/// Collects what is released in as many rows as it takes. A task is named in the row of its worker.
+class ReleaseRows
 {
-    const bool isReconciled = !roster.hasUnreconciledWorker(now) || !mayHaveUnknownRuns(job, task, roster, now);
+public:
+    explicit ReleaseRows(Epoch epoch) : m_epoch(epoch)
+    {
+        addRow();
+    }
+
+    void addWorker(const WorkerId &id, Duration leaseLeft)
+    {
+        const std::size_t bytes = id.name().size() + workerEntryBytes;
+        if (m_workerBytes + bytes > maxWorkerBytes) {
+            addRow();
+        }
+        m_workerBytes += bytes;
+        std::vector<ReleasedWorker> &workers = m_rows.back().workers;
+        m_places[id] = Place{m_rows.size() - 1, static_cast<std::uint32_t>(workers.size())};
+        workers.push_back(ReleasedWorker{id, leaseLeft});
+    }
+
+    std::optional<Place> placeOf(const WorkerId &id) const
+    {
+        const auto found = m_places.find(id);
+        return found == m_places.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    bool isFull() const
+    {
+        return m_tasks >= maxReleasedTasks;
+    }
+
+    /// A task that the row has no capacity for is left out, so that it waits for all workers.
+    void addTask(const TaskId &task, const Place &place)
+    {
+        std::vector<ReleasedStep> &steps = m_rows[place.row].steps;
+        const bool isSameStep = !steps.empty() && steps.back().job == task.job
+            && steps.back().occurrence == task.occurrence && steps.back().step == task.step;
+        const std::size_t bytes = taskEntryBytes + (isSameStep ? 0 : task.job.name().size() + stepEntryBytes);
+        if (isFull() || m_stepBytes[place.row] + bytes > maxStepBytes) {
+            return;
+        }
+        m_stepBytes[place.row] += bytes;
+        if (!isSameStep) {
+            steps.push_back(ReleasedStep{task.job, task.occurrence, task.step, {}});
+        }
+        steps.back().tasks.push_back(ReleasedTask{task.index, place.position});
+        ++m_tasks;
+    }
+
+    std::vector<ReleaseRow> take()
+    {
+        return std::move(m_rows);
+    }
+
+private:
+    void addRow()
+    {
+        m_rows.push_back(ReleaseRow{static_cast<std::uint32_t>(m_rows.size()), m_epoch, {}, {}});
+        m_stepBytes.push_back(0);
+        m_workerBytes = 0;
+    }
+
+    Epoch m_epoch = 0;
+    std::vector<ReleaseRow> m_rows;
+    std::map<WorkerId, Place> m_places;
+    /// Of the last row.
+    std::size_t m_workerBytes = 0;
+    std::vector<std::size_t> m_stepBytes;
+    std::size_t m_tasks = 0;
+};
+
+/// Returns the place of the worker that may run the task, or @c nowhere; empty if any worker may.
+std::optional<Place> placeOf(const Job &job, const Task &task, const WorkerRoster &roster, const ReleaseRows &rows,
+                             bool isAnyUnreconciled, TimePoint now)
+{
+    const bool isReconciled = !isAnyUnreconciled || !mayHaveUnknownRuns(job, task, roster, now);
     if (!task.run && isReconciled) {
-        return ReleasedTask::nowhere;
+        return Place{0, ReleasedTask::nowhere};
     }
-    const auto position = positions.find(task.run ? task.run->worker : task.releasedOn);
-    return position == positions.end() ? std::nullopt : std::optional(position->second);
+    return rows.placeOf(task.run ? task.run->worker : task.releasedOn);
 }
 
-/// @return the number of tasks that were added, at most @p maxTasks.
-std::size_t addTasks(ReleaseRow &row, const Job &job, const WorkerRoster &roster, const WorkerPositions &positions,
-                     std::size_t maxTasks, TimePoint now)
+void addTasks(ReleaseRows &rows, const Job &job, const WorkerRoster &roster, bool isAnyUnreconciled, TimePoint now)
 {
-    std::size_t count = 0;
     for (const auto &[number, occurrence] : job.open) {
         for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
             const StepSpec &spec = job.row.spec.steps[index];
             if (!spec.isService || spec.gang) {
                 continue;
             }
-            ReleasedStep released{job.row.id, number, index, {}};
             const std::vector<Task> &tasks = occurrence.steps[index].tasks;
-            for (std::uint32_t task = 0; task < tasks.size() && count < maxTasks; ++task) {
-                if (const auto position = positionOf(job, tasks[task], roster, positions, now)) {
-                    released.tasks.push_back(ReleasedTask{task, *position});
-                    ++count;
+            for (std::uint32_t task = 0; task < tasks.size() && !rows.isFull(); ++task) {
+                if (const auto place = placeOf(job, tasks[task], roster, rows, isAnyUnreconciled, now)) {
+                    rows.addTask(TaskId{job.row.id, number, index, task}, *place);
                 }
             }
-            if (!released.tasks.empty()) {
-                row.steps.push_back(std::move(released));
-            }
         }
     }
-    return count;
 }
 
 void restoreStep(const ReleaseRow &row, const ReleasedStep &released, JobRegistry &registry, const WorkerRoster &roster)
@@ -80,24 +154,21 @@
     return task.releasedOn.empty() || !roster.isReconciled(task.releasedOn, now);
 }
 
-ReleaseRow releaseRow(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster, Duration longestLease,
-                      TimePoint now)
+std::vector<ReleaseRow> releaseRows(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster,
+                                    Duration longestLease, TimePoint now)
 {
-    ReleaseRow row;
-    row.epoch = epoch;
-    WorkerPositions positions;
+    ReleaseRows rows(epoch);
     for (const auto &[id, worker] : roster.all()) {
-        positions[id] = static_cast<std::uint32_t>(row.workers.size());
-        row.workers.push_back(ReleasedWorker{id, worker.leaseLeft(now).value_or(longestLease)});
+        rows.addWorker(id, worker.leaseLeft(now).value_or(longestLease));
     }
-    std::size_t count = 0;
+    const bool isAnyUnreconciled = roster.hasUnreconciledWorker(now);
     for (const JobId &id : registry.live()) {
         const Job &job = *registry.find(id);
         if (!isFinal(job.state)) {
-            count += addTasks(row, job, roster, positions, maxReleasedTasks - count, now);
+            addTasks(rows, job, roster, isAnyUnreconciled, now);
         }
     }
-    return row;
+    return rows.take();
 }
 
 void restoreRelease(const ReleaseRow &row, JobRegistry &registry, WorkerRoster &roster, TimePoint now)
--- a/core/cells/released_runs.h
+++ b/core/cells/released_runs.h
@@ -12,8 +12,8 @@
 
 /// Describes what is known about the runs of service tasks when the owner of @p epoch releases the cell.
 /// @param longestLease longest lease that a worker grants.
-ReleaseRow releaseRow(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster, Duration longestLease,
-                      TimePoint now);
+std::vector<ReleaseRow> releaseRows(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster,
+                                    Duration longestLease, TimePoint now);
 
 /// Shortens the waits for workers and tasks by what the last owner knew at its release.
 void restoreRelease(const ReleaseRow &row, JobRegistry &registry, WorkerRoster &roster, TimePoint now);
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -2,6 +2,8 @@
 
 #include "core/cells/released_runs.h"
 
+#include <algorithm>
+
 namespace radishvane::cells
 {
 
@@ -33,6 +35,10 @@
     // No earlier owner granted a longer lease. The factor covers worker clocks that run up to 2 % slow.
     const auto longestLease = std::chrono::duration_cast<Duration>(m_times.leaseTime * 1.03) + CellLease::clockMargin;
     m_roster.reset(contents.roster, now.steady + longestLease);
+    // A worker that is not known may have been restarted, so that its runs last for the longest lease of the platform.
+    const auto longestUnknownLease = std::chrono::duration_cast<Duration>(m_times.longestLease * 1.03);
+    m_roster.loseParts(contents.lostRosterParts,
+                       now.steady + std::max(longestLease, longestUnknownLease + CellLease::clockMargin));
     for (const JobRow &row : contents.jobs) {
         Job &job = m_registry.add(row, now.steady);
         job.stored = true;
@@ -50,17 +56,19 @@
         }
     }
     // An owner that did not store a release may have granted leases after the release of the one before.
-    if (contents.release && contents.release->epoch + 1 == m_outbox.epoch) {
-        restoreRelease(*contents.release, m_registry, m_roster, now.steady);
+    for (const ReleaseRow &row : contents.release) {
+        if (row.epoch + 1 == m_outbox.epoch) {
+            restoreRelease(row, m_registry, m_roster, now.steady);
+        }
     }
     observe(entries);
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
     m_runs.requestPlanning();
 }
 
-ReleaseRow RunController::released() const
+std::vector<ReleaseRow> RunController::released() const
 {
-    return releaseRow(m_outbox.epoch, m_registry, m_roster, m_times.longestLease, m_outbox.now.steady);
+    return releaseRows(m_outbox.epoch, m_registry, m_roster, m_times.longestLease, m_outbox.now.steady);
 }
 
 JobRegistry &RunController::registry()
@@ -122,8 +130,8 @@
             worker->stored = std::max(worker->stored, end.second);
         }
     }
-    if (done.transaction.roster) {
-        for (const KnownWorker &known : done.transaction.roster->workers) {
+    for (const RosterRow &row : done.transaction.roster) {
+        for (const KnownWorker &known : row.workers) {
             Worker *worker = m_roster.find(known.id);
             // The worker may have restarted after the transaction was sent.
             if (worker != nullptr && !worker->incarnationEnded && worker->startedAtMs == known.startedAtMs
@@ -197,6 +205,10 @@
             m_registry.openDueOccurrences(job, m_outbox.now);
         }
     }
+    if (m_roster.regainLostParts(m_outbox.now.steady)) {
+        m_writer.changeRoster();
+        m_runs.requestPlanning();
+    }
     m_leases.expireLeases();
     if (mayOrder) {
         m_leases.renewLeases();
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -29,7 +29,7 @@
     void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries);
     void clear();
     /// What the next owner may rely on if this owner releases the cell now.
-    ReleaseRow released() const;
+    std::vector<ReleaseRow> released() const;
 
     void observe(const std::vector<WorkerEntry> &entries);
     /// Ends the incarnations of workers that the list of hosts shows to be over.
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -15,6 +15,15 @@
 constexpr std::int64_t leaseExpiryMarginMs = 250;
 /// A list of hosts that is requested this long after an order reflects the effect of the order.
 constexpr Duration listDelay{600};
+/// Bytes of an encoded part without workers, and of a worker's entry apart from its texts.
+constexpr std::size_t emptyPartBytes = 5;
+constexpr std::size_t entryBytes = 14;
+
+std::size_t storedBytes(const Worker &worker)
+{
+    return worker.id.name().size() + worker.host.name().size() + worker.pool.name().size()
+        + worker.endpoint.address.size() + entryBytes;
+}
 
 } // namespace
 
@@ -97,23 +106,63 @@
     return WorkerAddress{id, endpoint};
 }
 
-void WorkerRoster::reset(const RosterRow &recorded, TimePoint inheritedUntil)
+void WorkerRoster::reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil)
 {
     m_workers.clear();
-    for (const KnownWorker &known : recorded.workers) {
-        Worker worker;
-        worker.id = known.id;
-        worker.incarnationNumber = ++m_incarnations;
-        worker.host = known.host;
-        worker.pool = known.pool;
-        worker.endpoint = known.endpoint;
-        worker.startedAtMs = known.startedAtMs;
-        worker.recorded = true;
-        worker.inheritedUntil = inheritedUntil;
-        m_workers[known.id] = std::move(worker);
+    m_partBytes.clear();
+    m_lostParts.clear();
+    m_unknownUntil = TimePoint{};
+    for (const RosterRow &row : recorded) {
+        m_partBytes.try_emplace(row.part, emptyPartBytes);
+        for (const KnownWorker &known : row.workers) {
+            const auto [place, isNew] = m_workers.try_emplace(known.id);
+            Worker &worker = place->second;
+            // An owner of a version that knows the first part only may have left an older entry in another one.
+            if (!isNew && known.startedAtMs <= worker.startedAtMs) {
+                continue;
+            }
+            if (!isNew) {
+                m_partBytes[worker.rosterPart] -= storedBytes(worker);
+            }
+            worker.id = known.id;
+            worker.incarnationNumber = ++m_incarnations;
+            worker.host = known.host;
+            worker.pool = known.pool;
+            worker.endpoint = known.endpoint;
+            worker.startedAtMs = known.startedAtMs;
+            worker.recorded = true;
+            worker.inheritedUntil = inheritedUntil;
+            worker.rosterPart = row.part;
+            m_partBytes[row.part] += storedBytes(worker);
+        }
     }
 }
 
+void WorkerRoster::loseParts(const std::set<std::uint32_t> &parts, TimePoint unknownUntil)
+{
+    if (!parts.empty()) {
+        m_lostParts = parts;
+        m_unknownUntil = unknownUntil;
+    }
+}
+
+bool WorkerRoster::hasUnknownWorkers(TimePoint now) const
+{
+    return now < m_unknownUntil;
+}
+
+bool WorkerRoster::regainLostParts(TimePoint now)
+{
+    if (m_lostParts.empty() || hasUnknownWorkers(now)) {
+        return false;
+    }
+    for (const std::uint32_t part : m_lostParts) {
+        m_partBytes.try_emplace(part, emptyPartBytes);
+    }
+    m_lostParts.clear();
+    return true;
+}
+
 std::vector<WorkerId> WorkerRoster::observe(const std::vector<WorkerEntry> &entries)
 {
     std::vector<WorkerId> restarted;
@@ -127,6 +176,7 @@
             worker.id = entry.id;
             worker.incarnationNumber = ++m_incarnations;
             worker.startedAtMs = entry.startedAtMs;
+            worker.inheritedUntil = m_unknownUntil;
         } else if (entry.startedAtMs > worker.startedAtMs) {
             // Discovery may lag behind the worker's own answer, so an earlier start time is ignored.
             restarted.push_back(entry.id);
@@ -136,10 +186,17 @@
         if (isNew || worker.endpoint != entry.endpoint || worker.pool != entry.pool) {
             worker.recorded = false;
         }
+        if (!isNew) {
+            m_partBytes[worker.rosterPart] -= storedBytes(worker);
+        }
         worker.host = entry.host;
         worker.pool = entry.pool;
         worker.endpoint = entry.endpoint;
         worker.entry = entry;
+        if (isNew) {
+            assignPart(worker);
+        }
+        m_partBytes[worker.rosterPart] += storedBytes(worker);
     }
     return restarted;
 }
@@ -198,7 +255,11 @@
 
 void WorkerRoster::remove(const WorkerId &id)
 {
-    m_workers.erase(id);
+    const auto found = m_workers.find(id);
+    if (found != m_workers.end()) {
+        m_partBytes[found->second.rosterPart] -= storedBytes(found->second);
+        m_workers.erase(found);
+    }
 }
 
 Worker *WorkerRoster::find(const WorkerId &id)
@@ -225,8 +286,9 @@
 
 bool WorkerRoster::hasUnreconciledWorker(TimePoint now) const
 {
-    return std::any_of(m_workers.begin(), m_workers.end(),
-                       [now](const auto &pair) { return !pair.second.isReconciled(now); });
+    return hasUnknownWorkers(now) || std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &pair) {
+               return !pair.second.isReconciled(now);
+           });
 }
 
 bool WorkerRoster::isReconciled(const WorkerId &id, TimePoint now) const
@@ -235,17 +297,41 @@
     return worker == nullptr || worker->isReconciled(now);
 }
 
-RosterRow WorkerRoster::row(TimePoint now) const
+std::vector<RosterRow> WorkerRoster::rows(TimePoint now) const
 {
-    RosterRow row;
+    std::map<std::uint32_t, RosterRow> parts;
+    for (const auto &[part, bytes] : m_partBytes) {
+        parts[part].part = part;
+    }
     for (const auto &[id, worker] : m_workers) {
         // A recorded worker may get tasks after it has answered.
         if (!worker.recorded && worker.holdsNoLease(now)) {
             continue;
         }
-        row.workers.push_back(KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs});
+        parts[worker.rosterPart].workers.push_back(
+            KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs});
+    }
+    std::vector<RosterRow> rows;
+    for (auto &[part, row] : parts) {
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+void WorkerRoster::assignPart(Worker &worker)
+{
+    const std::size_t bytes = storedBytes(worker);
+    std::uint32_t part = 0;
+    for (;; ++part) {
+        const std::size_t maxBytes = part == 0 ? maxFirstPartBytes : maxPartBytes;
+        const auto known = m_partBytes.find(part);
+        const bool isUsable = m_lostParts.count(part) == 0;
+        if (isUsable && (known == m_partBytes.end() || known->second + bytes <= maxBytes)) {
+            break;
+        }
     }
-    return row;
+    worker.rosterPart = part;
+    m_partBytes.try_emplace(part, emptyPartBytes);
 }
 
 void WorkerRoster::beginIncarnation(Worker &worker, std::int64_t startedAtMs)
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -23,6 +23,9 @@
     /// Its entry in discovery; empty while discovery does not list the worker.
     std::optional<WorkerEntry> entry;
 
+    /// Part of the stored list that names the worker. It stays the same, so that no part has to be written before
+    /// another.
+    std::uint32_t rosterPart = 0;
     /// The worker has answered under this epoch, so it refuses orders of older epochs and its clock is known.
     bool fenced = false;
     /// The stored list of workers includes the worker, so that a later owner queries it too.
@@ -114,9 +117,22 @@
 class WorkerRoster
 {
 public:
+    /// Bounds on the encoded parts of the list, below the size of a row that the store accepts. A version that knows
+    /// the first part only reads all workers of a fleet that fits into one row.
+    static constexpr std::size_t maxFirstPartBytes = 64'000;
+    static constexpr std::size_t maxPartBytes = 16'000;
+
     /// Starts a new epoch with the workers that the last owner recorded.
     /// @param inheritedUntil time by which all runs of the last owner have ended.
-    void reset(const RosterRow &recorded, TimePoint inheritedUntil);
+    void reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil);
+    /// Records that parts of the list cannot be read, so that any worker may run tasks of earlier owners.
+    /// @param unknownUntil time by which these tasks have ended. The parts are not written before.
+    void loseParts(const std::set<std::uint32_t> &parts, TimePoint unknownUntil);
+    /// Whether tasks of earlier owners may run on workers that are not known.
+    bool hasUnknownWorkers(TimePoint now) const;
+    /// Makes lost parts usable once the tasks on their workers have ended.
+    /// @return whether there were any.
+    bool regainLostParts(TimePoint now);
     /// Updates the roster from the entries in discovery.
     /// @return workers whose former incarnations have ended, since a newer one has the same id.
     std::vector<WorkerId> observe(const std::vector<WorkerEntry> &entries);
@@ -139,14 +155,21 @@
     bool hasUnreconciledWorker(TimePoint now) const;
     /// Whether worker @p id runs no unknown tasks of an earlier owner.
     bool isReconciled(const WorkerId &id, TimePoint now) const;
-    /// The workers that may have received orders and whose leases are not known to have expired.
-    RosterRow row(TimePoint now) const;
+    /// The workers that may have received orders and whose leases are not known to have expired, in parts. A part
+    /// whose workers are gone is empty.
+    std::vector<RosterRow> rows(TimePoint now) const;
     /// Resets the state of a worker for a new incarnation.
     void beginIncarnation(Worker &worker, std::int64_t startedAtMs);
 
 private:
+    void assignPart(Worker &worker);
+
     std::uint64_t m_incarnations = 0;
     std::map<WorkerId, Worker> m_workers;
+    /// Upper bound of the encoded size of each part.
+    std::map<std::uint32_t, std::size_t> m_partBytes;
+    std::set<std::uint32_t> m_lostParts;
+    TimePoint m_unknownUntil;
 };
 
 } // namespace radishvane::cells
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -1,4 +1,5 @@
 #include "core/cells/cell_writer.h"
+#include "drivers/cell_codec.h"
 #include "tests/support/story.h"
 
 #include <gtest/gtest.h>
@@ -311,4 +312,124 @@
     });
 }
 
+TEST(CellWriter, StoresTheListOfWorkersInBoundedParts)
+{
+    story("an owner learns of 3,000 workers with the longest names, and of their changes", [] {
+        OwnersWriter owner;
+        constexpr std::size_t workers = 3'000;
+        std::vector<WorkerEntry> entries(workers);
+        for (std::size_t index = 0; index < workers; ++index) {
+            const std::string name = std::to_string(index);
+            entries[index].id = WorkerId(name + std::string(200 - name.size(), 'w'));
+            entries[index].host = HostId(name + std::string(200 - name.size(), 'h'));
+            entries[index].pool = PoolId(std::string(200, 'p'));
+            entries[index].endpoint = Endpoint{"127.0.0.1", 1};
+            entries[index].startedAtMs = 7;
+        }
+        owner.roster.observe(entries);
+        std::map<std::uint32_t, std::vector<KnownWorker>> stored;
+        const auto writeAll = [&] {
+            std::size_t parts = 0;
+            while (owner.writer.hasWork()) {
+                const CellTransaction &transaction = owner.send();
+                EXPECT_LE(transaction.roster.size(), CellWriter::maxRosterParts);
+                for (const RosterRow &row : transaction.roster) {
+                    EXPECT_LE(drivers::encodeRow(row).size(),
+                              row.part == 0 ? WorkerRoster::maxFirstPartBytes : WorkerRoster::maxPartBytes);
+                    stored[row.part] = row.workers;
+                    for (const KnownWorker &known : row.workers) {
+                        owner.roster.find(known.id)->recorded = true;
+                    }
+                    ++parts;
+                }
+                owner.writer.succeed();
+            }
+            return parts;
+        };
+        const auto storedWorkers = [&stored] {
+            std::set<WorkerId> names;
+            for (const auto &[part, row] : stored) {
+                for (const KnownWorker &known : row) {
+                    EXPECT_TRUE(names.insert(known.id).second);
+                }
+            }
+            return names;
+        };
+        section("all of them are stored, each in one part", [&] {
+            owner.writer.changeRoster();
+            writeAll();
+            EXPECT_EQ(storedWorkers().size(), workers);
+        });
+        section("a change of one worker writes one part", [&] {
+            Worker &worker = *owner.roster.find(entries[workers / 2].id);
+            owner.roster.beginIncarnation(worker, 8);
+            worker.recorded = false;
+            owner.writer.changeRoster();
+            EXPECT_EQ(writeAll(), 1);
+        });
+        section("a part of a failed transaction is written again", [&] {
+            owner.roster.find(entries[0].id)->recorded = false;
+            owner.writer.changeRoster();
+            ASSERT_EQ(owner.send().roster.size(), 1);
+            owner.writer.fail(owner.now);
+            EXPECT_EQ(writeAll(), 1);
+        });
+        section("what has not changed is not written", [&] {
+            owner.writer.changeRoster();
+            EXPECT_EQ(writeAll(), 0);
+        });
+        section("a worker that is gone leaves its part, and another one takes its place", [&] {
+            const std::uint32_t part = owner.roster.find(entries[0].id)->rosterPart;
+            owner.roster.remove(entries[0].id);
+            WorkerEntry entry = entries[0];
+            entry.id = WorkerId("new");
+            entries[0] = entry;
+            owner.roster.observe(entries);
+            EXPECT_EQ(owner.roster.find(entry.id)->rosterPart, part);
+            owner.writer.changeRoster();
+            EXPECT_EQ(writeAll(), 1);
+            EXPECT_EQ(storedWorkers().count(entry.id), 1);
+            EXPECT_EQ(storedWorkers().size(), workers);
+        });
+        section("the next owner leaves each worker in its part", [&] {
+            std::vector<RosterRow> rows;
+            for (const auto &[part, row] : stored) {
+                rows.push_back(RosterRow{part, row});
+            }
+            WorkerRoster next;
+            next.reset(rows, owner.now);
+            for (const RosterRow &row : next.rows(owner.now)) {
+                EXPECT_EQ(row.workers, stored[row.part]);
+            }
+        });
+    });
+}
+
+TEST(CellWriter, KeepsToTheSizeOfACallWhenManyLargeJobsChange)
+{
+    story("30 jobs of 3,200 tasks change at the same time", [] {
+        constexpr std::size_t jobs = 30;
+        constexpr std::size_t maxCallBytes = 1'000'000;
+        OwnersWriter owner;
+        for (std::size_t number = 0; number < jobs; ++number) {
+            Job &job = owner.addJob(numbered("j", number), true);
+            job.row.spec.steps[0].count = 3'200;
+            owner.registry.openDueOccurrences(job, Instant{owner.now, WallTime{}});
+            owner.writer.changeJob(numbered("j", number));
+        }
+        std::size_t written = 0;
+        while (owner.writer.hasWork()) {
+            const CellTransaction &transaction = owner.send();
+            std::size_t bytes = 0;
+            for (const ProgressRow &row : transaction.progress) {
+                bytes += drivers::encodeRow(row).size() * 4 / 3;
+            }
+            EXPECT_LE(bytes, maxCallBytes);
+            written += transaction.progress.size();
+            owner.writer.succeed();
+        }
+        EXPECT_EQ(written, jobs);
+    });
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -87,6 +87,9 @@
 public:
     /// Milliseconds that a worker takes to stop a task.
     static constexpr std::int64_t stopTime = 900;
+    /// Bytes of a row and entries of a call that the store accepts.
+    static constexpr std::size_t maxRowBytes = 65'536;
+    static constexpr std::size_t maxStoreEntries = 100;
 
     explicit CellSite(std::uint64_t seed = 1);
 
@@ -171,6 +174,10 @@
     /// What a new owner reads from the store.
     cells::CellContents stored() const;
 
+    /// Parts of the list of workers, and the row of hosts with orders, that cannot be read until they are written.
+    std::set<std::uint32_t> lostRosterParts;
+    bool areHostOrdersLost = false;
+
     std::vector<std::string> broken;
     std::set<std::uint64_t> completedWaves;
     std::uint64_t storeWrites = 0;
@@ -252,6 +259,7 @@
     /// time limit of the call, the call is answered with @p unknown before.
     std::int64_t linkDelay(const Caller &caller, std::size_t payloadBytes, const std::function<void()> &unknown);
     void write(const Caller &caller, const cells::WriteCell &call);
+    bool fitsIntoStore(const cells::CellTransaction &transaction) const;
     cells::CellWritten carryOut(const cells::WriteCell &call);
     void read(const Caller &caller, const cells::ReadCell &call);
     /// Carries a request for a handover to the owner that its sender knows.
@@ -307,10 +315,10 @@
     std::optional<cells::OwnerRow> m_owner;
     std::map<JobId, cells::JobRow> m_jobs;
     std::map<JobId, cells::ProgressRow> m_progress;
-    cells::RosterRow m_roster;
+    std::map<std::uint32_t, cells::RosterRow> m_roster;
     std::map<std::uint64_t, cells::WaveRow> m_waveRows;
     cells::HostOrdersRow m_hostOrders;
-    std::optional<cells::ReleaseRow> m_release;
+    std::map<std::uint32_t, cells::ReleaseRow> m_release;
 
     std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
     std::map<std::string, std::int64_t> m_toldAt;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -1,4 +1,5 @@
 #include "core/base/overloaded.h"
+#include "drivers/cell_codec.h"
 #include "tests/support/cell_site.h"
 
 #include <algorithm>
@@ -96,12 +97,40 @@
     });
 }
 
+bool CellSite::fitsIntoStore(const CellTransaction &transaction) const
+{
+    std::size_t rows = 0;
+    bool fits = true;
+    const auto check = [&](const auto &row) {
+        ++rows;
+        fits = fits && drivers::encodeRow(row).size() <= maxRowBytes;
+    };
+    const auto checkAll = [&check](const auto &list) {
+        std::for_each(list.begin(), list.end(), check);
+    };
+    checkAll(transaction.jobs);
+    checkAll(transaction.progress);
+    checkAll(transaction.waves);
+    checkAll(transaction.roster);
+    checkAll(transaction.release);
+    if (transaction.owner) {
+        check(*transaction.owner);
+    }
+    if (transaction.hostOrders) {
+        check(*transaction.hostOrders);
+    }
+    return fits && 1 + rows + 2 * transaction.deletedJobs.size() <= maxStoreEntries;
+}
+
 CellWritten CellSite::carryOut(const WriteCell &call)
 {
     const CellTransaction &transaction = call.transaction;
     if (transaction.expectedOwnerVersion != m_ownerVersion) {
         return CellWritten{call.call, CellWriteOutcome::Conflict, m_ownerVersion, m_owner};
     }
+    if (!fitsIntoStore(transaction)) {
+        return CellWritten{call.call, CellWriteOutcome::Refused, 0, std::nullopt};
+    }
     ++storeWrites;
     ++m_version;
     if (transaction.owner) {
@@ -120,14 +149,16 @@
     for (const WaveRow &row : transaction.waves) {
         m_waveRows[row.number] = row;
     }
-    if (transaction.roster) {
-        m_roster = *transaction.roster;
+    for (const RosterRow &row : transaction.roster) {
+        m_roster[row.part] = row;
+        lostRosterParts.erase(row.part);
     }
     if (transaction.hostOrders) {
         m_hostOrders = *transaction.hostOrders;
+        areHostOrdersLost = false;
     }
-    if (transaction.release) {
-        m_release = transaction.release;
+    for (const ReleaseRow &row : transaction.release) {
+        m_release[row.part] = row;
     }
     return CellWritten{call.call, CellWriteOutcome::Written, m_version, std::nullopt};
 }
@@ -165,9 +196,19 @@
     for (const auto &[number, row] : m_waveRows) {
         contents.waves.push_back(row);
     }
-    contents.roster = m_roster;
-    contents.hostOrders = m_hostOrders;
-    contents.release = m_release;
+    for (const auto &[part, row] : m_roster) {
+        if (lostRosterParts.count(part) == 0) {
+            contents.roster.push_back(row);
+        }
+    }
+    contents.lostRosterParts = lostRosterParts;
+    contents.areHostOrdersLost = areHostOrdersLost;
+    if (!areHostOrdersLost) {
+        contents.hostOrders = m_hostOrders;
+    }
+    for (const auto &[part, row] : m_release) {
+        contents.release.push_back(row);
+    }
     return contents;
 }
 
@@ -601,7 +642,7 @@
 void CellSite::checkHostIsStored(const HostId &host)
 {
     const std::vector<HostId> &hosts = m_hostOrders.hosts;
-    if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
+    if (!areHostOrdersLost && std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
         broken.push_back("an order for a host that the store does not name: " + host.name());
     }
 }
