--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -126,7 +126,7 @@
 void CellController::cordonHosts()
 {
     m_runs.cordon(m_hosts.cordoned(m_runs.roster()));
-    m_runs.withholdTasks(m_hosts.hostsWithOrders());
+    m_runs.withholdTasks(m_hosts.hostsWithOrders(m_runs.roster()));
 }
 
 bool CellController::isGivingUp() const
@@ -294,6 +294,9 @@
     }
     m_hosts.restoreForecast(m_runs.registry(), *m_config);
     m_hosts.restore(event.contents->waves, event.contents->hostOrders);
+    if (event.contents->areHostOrdersLost) {
+        m_hosts.loseOrders();
+    }
     m_hosts.observe(m_knownWaves);
     cordonHosts();
     m_isRebuilt = true;
--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -4,6 +4,7 @@
 #include "core/base/overloaded.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace radishvane::cells
 {
@@ -46,6 +47,11 @@
     m_orders.restore(orders);
 }
 
+void HostController::loseOrders()
+{
+    m_orders.lose();
+}
+
 void HostController::observe(const std::vector<Wave> &waves)
 {
     m_waves.observe(waves);
@@ -111,9 +117,15 @@
     m_plannedOrders.erase(m_plannedOrders.begin(), firstUnstored);
 }
 
-std::set<HostId> HostController::hostsWithOrders() const
+std::set<HostId> HostController::hostsWithOrders(const WorkerRoster &roster) const
 {
-    return m_orders.hosts();
+    std::set<HostId> hosts = m_orders.hosts();
+    if (m_orders.isLost()) {
+        for (const auto &[id, worker] : roster.all()) {
+            hosts.insert(worker.host);
+        }
+    }
+    return hosts;
 }
 
 std::set<WorkerId> HostController::cordoned(const WorkerRoster &roster) const
@@ -170,7 +182,9 @@
 
 void HostController::fenceHosts()
 {
-    for (const HostFencing &order : m_orders.planFencing(m_list, m_mover.moving(), m_outbox.now.steady)) {
+    const TimePoint now = m_outbox.now.steady;
+    const std::size_t maxOrders = m_orders.wasLost() ? m_pacer.available(now) : std::numeric_limits<std::size_t>::max();
+    for (const HostFencing &order : m_orders.planFencing(m_list, m_mover.moving(), maxOrders, now)) {
         planOrder(order.host, order);
     }
 }
--- a/core/cells/host_controller.h
+++ b/core/cells/host_controller.h
@@ -35,6 +35,8 @@
 
     void clear();
     void restore(const std::vector<WaveRow> &waves, const HostOrdersRow &orders);
+    /// Records that the row of hosts with orders cannot be read.
+    void loseOrders();
     void observe(const std::vector<Wave> &waves);
     /// Fills the demand forecast with the jobs of the last seconds, including those that a former owner accepted.
     void restoreForecast(const JobRegistry &registry, const SiteConfig &config);
@@ -48,7 +50,7 @@
     /// Sends the planned orders for hosts that the store names.
     void sendStored(bool mayOrder);
     /// Hosts with orders that may still be carried out; their workers get no new tasks.
-    std::set<HostId> hostsWithOrders() const;
+    std::set<HostId> hostsWithOrders(const WorkerRoster &roster) const;
     /// Workers that get no new tasks and are drained.
     std::set<WorkerId> cordoned(const WorkerRoster &roster) const;
 
--- a/core/cells/host_order_ledger.cpp
+++ b/core/cells/host_order_ledger.cpp
@@ -12,6 +12,9 @@
 void HostOrderLedger::clear()
 {
     m_hosts.clear();
+    m_isLost = false;
+    m_wasLost = false;
+    m_isTooLarge = false;
 }
 
 void HostOrderLedger::restore(const HostOrdersRow &row)
@@ -23,11 +26,36 @@
     }
 }
 
+void HostOrderLedger::lose()
+{
+    m_isLost = true;
+    m_wasLost = true;
+}
+
+bool HostOrderLedger::isLost() const
+{
+    return m_isLost;
+}
+
+bool HostOrderLedger::wasLost() const
+{
+    return m_wasLost;
+}
+
 void HostOrderLedger::observe(const HostList &list)
 {
     if (!list.requestedAt) {
         return;
     }
+    if (m_isLost) {
+        m_isLost = false;
+        for (const auto &[host, listed] : list.hosts) {
+            // The next owner, too, takes any host for one with orders until the row is written.
+            m_hosts[host].isStored = true;
+            m_hosts[host].isInDoubt = true;
+        }
+        store(CellWriter::Urgency::Now);
+    }
     const TimePoint requestedAt = *list.requestedAt;
     std::vector<HostId> settled;
     for (auto &[host, orders] : m_hosts) {
@@ -52,7 +80,7 @@
     const auto [place, isNew] = m_hosts.try_emplace(host);
     place->second.isPending = true;
     if (isNew) {
-        m_writer.changeHostOrders(row(), CellWriter::Urgency::Now);
+        store(CellWriter::Urgency::Now);
     }
 }
 
@@ -102,14 +130,14 @@
 }
 
 std::vector<HostFencing> HostOrderLedger::planFencing(const HostList &list, const std::set<HostId> &excluded,
-                                                      TimePoint now)
+                                                      std::size_t maxOrders, TimePoint now)
 {
     std::vector<HostFencing> due;
     for (auto &[host, orders] : m_hosts) {
         const auto listed = list.hosts.find(host);
         const bool isUp = listed != list.hosts.end() && listed->second.state == SiteHostState::Up;
         const bool needsFencing = orders.isInDoubt && !orders.isPending && !orders.fencedAt;
-        if (!needsFencing || !isUp || excluded.count(host) > 0 || now < orders.notBefore) {
+        if (due.size() >= maxOrders || !needsFencing || !isUp || excluded.count(host) > 0 || now < orders.notBefore) {
             continue;
         }
         orders.isPending = true;
@@ -149,7 +177,22 @@
 void HostOrderLedger::settle(const HostId &host)
 {
     m_hosts.erase(host);
-    m_writer.changeHostOrders(row(), CellWriter::Urgency::WithNextWrite);
+    store(CellWriter::Urgency::WithNextWrite);
+}
+
+void HostOrderLedger::store(CellWriter::Urgency urgency)
+{
+    constexpr std::size_t emptyRowBytes = 5;
+    std::size_t bytes = emptyRowBytes;
+    for (const auto &[host, orders] : m_hosts) {
+        bytes += 1 + host.name().size();
+    }
+    if (bytes > maxRowBytes) {
+        m_isTooLarge = true;
+        return;
+    }
+    m_writer.changeHostOrders(row(), m_isTooLarge ? CellWriter::Urgency::Now : urgency);
+    m_isTooLarge = false;
 }
 
 HostOrdersRow HostOrderLedger::row() const
--- a/core/cells/host_order_ledger.h
+++ b/core/cells/host_order_ledger.h
@@ -31,12 +31,20 @@
     static constexpr Duration retryInterval{300};
     /// A host that no list has shown for this time is gone, and so are the orders for it.
     static constexpr Duration goneTime{30'000};
+    /// Bound on the encoded row, below the size that the store accepts.
+    static constexpr std::size_t maxRowBytes = 64'000;
 
     explicit HostOrderLedger(CellWriter &writer);
 
     void clear();
     /// Restores the hosts with orders of earlier owners.
     void restore(const HostOrdersRow &row);
+    /// Records that the stored row exists and cannot be read, so that any host may have orders of earlier owners.
+    void lose();
+    /// Whether any host may have orders of earlier owners. The next list of hosts puts those that it shows in doubt.
+    bool isLost() const;
+    /// Whether the row could not be read in this epoch, so that all hosts are to be fenced.
+    bool wasLost() const;
     /// Removes the fenced hosts whose states are known from @p list, and the hosts that are gone.
     void observe(const HostList &list);
     /// Adds a host for which an order is about to be sent.
@@ -50,7 +58,8 @@
     void answered(const HostFencing &fencing, HostOrderOutcome outcome, TimePoint now);
     /// Returns the hosts to be fenced now.
     /// @param excluded hosts whose orders are sent again instead.
-    std::vector<HostFencing> planFencing(const HostList &list, const std::set<HostId> &excluded, TimePoint now);
+    std::vector<HostFencing> planFencing(const HostList &list, const std::set<HostId> &excluded, std::size_t maxOrders,
+                                         TimePoint now);
 
     /// Whether a newer list than @p list is likely to settle a host. Hosts that are down or not listed may stay so.
     bool awaitsList(const HostList &list) const;
@@ -77,9 +86,15 @@
     };
 
     void settle(const HostId &host);
+    /// Stores the row unless it is larger than the store accepts. Orders for hosts that it would name then wait.
+    void store(CellWriter::Urgency urgency);
     HostOrdersRow row() const;
 
     CellWriter &m_writer;
+    bool m_isLost = false;
+    bool m_wasLost = false;
+    /// The row was too large for the store when it last changed, so that hosts wait for it.
+    bool m_isTooLarge = false;
     std::map<HostId, HostOrders> m_hosts;
 };
 
--- a/tests/core/cells/row_sizes_test.cpp
+++ b/tests/core/cells/row_sizes_test.cpp
@@ -99,4 +99,46 @@
     });
 }
 
+TEST(HostOrdersRow, IsNotWrittenBeyondTheSizeOfARow)
+{
+    story("an owner plans orders for 3,000 hosts with the longest names", [] {
+        CellWriter writer;
+        HostOrderLedger orders(writer);
+        JobRegistry registry;
+        WorkerRoster roster;
+        CellLease lease{HostId("a"), 1, Endpoint{"a", 1}, HostCapacity{}};
+        lease.recordWrite(lease.nextRow(), 1, start);
+        std::size_t written = 0;
+        const auto write = [&] {
+            if (const auto transaction = writer.next(CellId("c0"), registry, roster, lease, start)) {
+                ASSERT_TRUE(transaction->hostOrders);
+                EXPECT_LE(drivers::encodeRow(*transaction->hostOrders).size(), maxRowBytes);
+                writer.sent(CallId{1}, *transaction, roster, start);
+                orders.stored(*writer.succeed().transaction.hostOrders);
+                ++written;
+            }
+        };
+        for (std::size_t index = 0; index < workers; ++index) {
+            orders.plan(HostId(numbered(index, 'h')));
+            write();
+        }
+        const auto isStored = [&orders](std::size_t index) {
+            return orders.isStored(HostId(numbered(index, 'h')));
+        };
+        section("those that the row has no capacity for wait", [&] {
+            EXPECT_EQ(orders.hosts().size(), workers);
+            EXPECT_TRUE(isStored(0));
+            EXPECT_FALSE(isStored(workers - 1));
+            EXPECT_LT(written, workers);
+        });
+        section("their orders go out once others have ended", [&] {
+            for (std::size_t index = 0; index + 1 < workers; ++index) {
+                orders.answered(HostId(numbered(index, 'h')), HostOrderOutcome::Accepted);
+            }
+            write();
+            EXPECT_TRUE(isStored(workers - 1));
+        });
+    });
+}
+
 } // namespace radishvane::tests
