Orders that are lost at random do not slow the starts of an owner

Cause: StartPacer compared the late answers that arrived in an interval with the other answers of the same interval. An order without an answer is noticed 1.2 s after it was sent, so the late answers to a burst met few others, and outnumbered them. Ruled out: the link itself; the orders that were answered had their answers within some ms. Change: answers are counted by the interval in which the orders were sent, and are a sign of congestion when more than three quarters of them are late. A congested link delays nearly all orders. Before: StartPacer.IgnoresOrdersThatAreLostWhileTheOthersAreAnsweredInTime fails (10,556 ms for 1 MB in place of 1,600). After: the test passes.

--- a/core/cells/start_pacer.cpp
+++ b/core/cells/start_pacer.cpp
@@ -11,6 +11,13 @@
 
 /// Bytes per millisecond in one megabit per second.
 constexpr double bytesPerMegabit = 125;
+/// Time for which the answers to the orders of an interval are counted.
+constexpr Duration answerRetention{5'000};
+
+std::int64_t intervalOf(TimePoint time)
+{
+    return time.time_since_epoch() / StartPacer::slowdownInterval;
+}
 
 } // namespace
 
@@ -26,8 +33,7 @@
     m_refilledAt.reset();
     m_lastTick.reset();
     m_slowedAt.reset();
-    m_answers = 0;
-    m_lateAnswers = 0;
+    m_answers.clear();
 }
 
 void StartPacer::recordTick(TimePoint now)
@@ -40,14 +46,15 @@
 
 void StartPacer::recordAnswer(TimePoint sentAt, OrderOutcome outcome, TimePoint now)
 {
-    if (now - m_answersSince > slowdownInterval) {
-        m_answersSince = now;
-        m_answers = 0;
-        m_lateAnswers = 0;
-    }
-    ++m_answers;
-    m_lateAnswers += outcome == OrderOutcome::Unknown || now - sentAt > maxAnswerTime ? 1 : 0;
-    if (m_lateAnswers >= minLateAnswers && 2 * m_lateAnswers > m_answers) {
+    // An order that is lost is noticed long after the answers to the others, so orders are compared by when they were
+    // sent.
+    const std::int64_t interval = intervalOf(sentAt);
+    m_answers.erase(m_answers.begin(), m_answers.lower_bound(std::min(interval, intervalOf(now - answerRetention))));
+    Answers &answers = m_answers[interval];
+    ++answers.all;
+    answers.late += outcome == OrderOutcome::Unknown || now - sentAt > maxAnswerTime ? 1 : 0;
+    if (answers.late >= minLateAnswers
+        && static_cast<double>(answers.late) > lateShare * static_cast<double>(answers.all)) {
         slowDown(now);
     }
 }
--- a/core/cells/start_pacer.h
+++ b/core/cells/start_pacer.h
@@ -5,6 +5,8 @@
 #include "core/cells/host_capacity.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 
 namespace radishvane::cells
@@ -27,9 +29,12 @@
     static constexpr Duration maxTickGap{250};
     static constexpr Duration maxAnswerTime{500};
     static constexpr Duration maxWriteTime{500};
-    /// Late answers in one interval that are a sign of congestion if they outnumber the others. Fewer come from single
-    /// workers that do not answer.
+    /// Late answers to the orders of one interval that are a sign of congestion if few others are answered in time.
+    /// Fewer come from single workers that do not answer.
     static constexpr std::size_t minLateAnswers = 8;
+    /// Part of the answers above which late ones are a sign of congestion. A congested link delays nearly all of them,
+    /// while lost orders leave the others in time.
+    static constexpr double lateShare = 0.75;
     /// The rate falls at most once in this time.
     static constexpr Duration slowdownInterval{250};
     static constexpr double slowdownFactor = 0.7;
@@ -61,6 +66,13 @@
     static double orderBytes(std::size_t payloadBytes);
 
 private:
+    /// Answers to the orders of one interval.
+    struct Answers
+    {
+        std::size_t all = 0;
+        std::size_t late = 0;
+    };
+
     void refill(TimePoint now);
     void slowDown(TimePoint now);
 
@@ -72,10 +84,8 @@
     std::optional<TimePoint> m_refilledAt;
     std::optional<TimePoint> m_lastTick;
     std::optional<TimePoint> m_slowedAt;
-    /// Answers since the beginning of the interval.
-    TimePoint m_answersSince;
-    std::size_t m_answers = 0;
-    std::size_t m_lateAnswers = 0;
+    /// Answers to the orders that were sent in each of the last intervals, by the number of the interval.
+    std::map<std::int64_t, Answers> m_answers;
 };
 
 } // namespace radishvane::cells
--- a/tests/core/cells/start_pacer_test.cpp
+++ b/tests/core/cells/start_pacer_test.cpp
@@ -118,6 +118,27 @@
     });
 }
 
+TEST(StartPacer, IgnoresOrdersThatAreLostWhileTheOthersAreAnsweredInTime)
+{
+    story("an owner that sends its orders in bursts, and gets no answer to half of them", [] {
+        constexpr int burstInterval = 600;
+        constexpr int timeLimit = 1'200;
+        StartPacer pacer(smallHost);
+        ordersBetween(pacer, 0, 12'000);
+        const Duration before = pacer.timeFor(1'000'000);
+        for (int sent = 12'000; sent < 20'000; sent += burstInterval) {
+            for (int index = 0; index < 20 && sent - timeLimit >= 12'000; ++index) {
+                pacer.recordAnswer(at(sent - timeLimit), OrderOutcome::Unknown, at(sent));
+            }
+            for (int index = 0; index < 20; ++index) {
+                pacer.recordAnswer(at(sent), OrderOutcome::Accepted, at(sent + 5));
+            }
+        }
+        section("the link carries the other half in time, so the rate stays",
+                [&] { EXPECT_EQ(pacer.timeFor(1'000'000), before); });
+    });
+}
+
 TEST(StartPacer, DoesNotLimitAHostWithAFastLink)
 {
     story("an owner on a host with a link of 1,000 Mbit/s that starts 1,200 tasks a second", [] {
