Refuse jobs that the workers of a pool cannot end within their objective

Cause: the only admission was the owner's link in bytes (StartBacklog). A burst of three times the calls was accepted whole; late work then took the workers from work that could still be in time, also after the burst. Ruled out: ending accepted jobs that are too late. Change: WorkBacklog counts work by rank and capacity by pool (workers, hosts on their way, hosts that can still be moved), and CellController refuses at once with `workers-limited`. Retry-After is spread by the job's id, up to twice the delay.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -15,6 +15,18 @@
 /// Interval between two checks for callers whose write has timed out.
 constexpr Duration timeoutCheckInterval{200};
 
+/// Returns a delay between @p delay and twice as much that depends on the job, so that callers who were refused
+/// together do not return together.
+Duration spreadDelay(const JobId &job, Duration delay)
+{
+    // FNV-1a, since the library's hash differs between platforms.
+    std::uint64_t hash = 14'695'981'039'346'656'037U;
+    for (const char letter : job.name()) {
+        hash = (hash ^ static_cast<unsigned char>(letter)) * 1'099'511'628'211U;
+    }
+    return delay + Duration(static_cast<Duration::rep>(hash % static_cast<std::uint64_t>(delay.count())));
+}
+
 } // namespace
 
 CellController::CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
@@ -438,13 +450,10 @@
         return;
     }
     const bool withinShare = m_shares.take(*m_config, event.team, m_outbox.now.steady);
-    const Duration lateness = m_runs.starts().lateness(*m_config, event, withinShare);
-    if (lateness > Duration{0}) {
+    if (refuseIfLate(event, withinShare)) {
         if (withinShare) {
             m_shares.giveBack(event.team);
         }
-        m_outbox.log(CellDecision::JobRefused, event.id.name(), {}, registry.live().size(), "starts-limited");
-        answer(event.exchange, CallAnswer::Overloaded, std::clamp(lateness, retryAfter, maxRetryAfter));
         return;
     }
     m_runs.starts().jobAccepted(*m_config, event, withinShare);
@@ -469,6 +478,25 @@
                  job.withinShare ? std::string() : "beyond-share");
 }
 
+bool CellController::refuseIfLate(const SubmitJob &job, bool withinShare)
+{
+    StartController &starts = m_runs.starts();
+    if (starts.isWorkCountDue()) {
+        starts.countWork(*m_config, m_hosts.incoming(*m_config, m_runs.roster()));
+    }
+    const Duration startLateness = starts.lateness(*m_config, job, withinShare);
+    const Duration workLateness = starts.workLateness(*m_config, job, withinShare);
+    const Duration lateness = std::max(startLateness, workLateness);
+    if (lateness == Duration{0}) {
+        return false;
+    }
+    m_outbox.log(CellDecision::JobRefused, job.id.name(), {}, m_runs.registry().live().size(),
+                 startLateness >= workLateness ? "starts-limited" : "workers-limited");
+    const Duration delay = spreadDelay(job.id, std::max(lateness, retryAfter));
+    answer(job.exchange, CallAnswer::Overloaded, std::min(delay, maxRetryAfter));
+    return true;
+}
+
 void CellController::on(const QueryJob &event)
 {
     if (hold(event)) {
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -103,6 +103,9 @@
     void onConflict(const CellWritten &event);
     bool isGivingUp() const;
     void applyConfig(Job &job) const;
+    /// Refuses a job that would end too late if it were accepted now.
+    /// @return whether the job was refused.
+    bool refuseIfLate(const SubmitJob &job, bool withinShare);
     void answer(ExchangeId exchange, CallAnswer answer, Duration retryDelay = retryAfter);
     void answerAll(std::vector<ExchangeId> &exchanges, CallAnswer reply);
     static GraphState reportedState(const Job &job);
--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -77,6 +77,13 @@
     m_forecast.add(pool, job.row.spec, job.runTimes, m_outbox.now.steady);
 }
 
+IncomingHosts HostController::incoming(const SiteConfig &config, const WorkerRoster &roster) const
+{
+    std::set<HostId> occupied = m_waves.occupiedHosts();
+    occupied.merge(m_orders.inDoubt());
+    return m_mover.incoming(config, m_list, roster, occupied, m_pacer.ordersPerMillisecond(), m_outbox.now.steady);
+}
+
 void HostController::advance(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster,
                              bool mayOrder)
 {
--- a/core/cells/host_controller.h
+++ b/core/cells/host_controller.h
@@ -40,6 +40,8 @@
     void restoreForecast(const JobRegistry &registry, const SiteConfig &config);
     /// Adds a job that was accepted for @p pool now to the demand forecast.
     void recordAcceptedJob(const PoolId &pool, const Job &job);
+    /// Hosts that are on their way to a pool or may be moved to any pool.
+    IncomingHosts incoming(const SiteConfig &config, const WorkerRoster &roster) const;
     /// Sends the orders and reports that are due.
     /// @param mayOrder whether the lease of the cell is valid.
     void advance(const JobRegistry &registry, const SiteConfig &config, const WorkerRoster &roster, bool mayOrder);
--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -132,6 +132,33 @@
     return movable;
 }
 
+IncomingHosts HostMover::incoming(const SiteConfig &config, const HostList &list, const WorkerRoster &roster,
+                                  const std::set<HostId> &occupied, double ordersPerMillisecond, TimePoint now) const
+{
+    IncomingHosts incoming;
+    for (const auto &[id, move] : m_moves) {
+        const auto host = list.hosts.find(id);
+        if (host == list.hosts.end() || (move.stage == MoveStage::Moving && hasArrived(move, config, list, roster))) {
+            continue;
+        }
+        incoming.moving[move.plan.to].push_back(ArrivingCapacity{Duration{0}, host->second.room});
+    }
+    for (const auto &[id, host] : list.hosts) {
+        const auto pool = config.pools.find(host.pool);
+        const auto lastBusy = m_lastBusy.find(host.worker);
+        const bool isStandby = pool != config.pools.end() && pool->second.standby;
+        const bool isIdle = lastBusy != m_lastBusy.end() && now - lastBusy->second >= MovePlanner::minIdleTime;
+        if (host.state != SiteHostState::Up || m_moves.count(id) > 0 || occupied.count(id) > 0
+            || (!isStandby && !isIdle)) {
+            continue;
+        }
+        const auto order
+            = static_cast<Duration::rep>(static_cast<double>(incoming.available.size()) / ordersPerMillisecond);
+        incoming.available.push_back(ArrivingCapacity{Duration(order), host.room});
+    }
+    return incoming;
+}
+
 MovableHost HostMover::toMovableHost(const SiteHost &host, const Worker *worker, bool inWave, TimePoint now) const
 {
     MovableHost view;
--- a/core/cells/host_mover.h
+++ b/core/cells/host_mover.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/cells/move_planner.h"
+#include "core/cells/work_backlog.h"
 #include "core/cells/worker_roster.h"
 
 namespace radishvane::cells
@@ -30,6 +31,11 @@
     std::vector<PlannedMove> plan(const std::map<PoolId, PoolDemand> &demands, const SiteConfig &config,
                                   const HostList &list, const WorkerRoster &roster,
                                   const std::set<HostId> &hostsInWaves, std::size_t maxOrders, TimePoint now);
+    /// Hosts that are on their way to a pool or may be moved to any pool.
+    /// @param occupied hosts that a maintenance wave or an order in doubt occupies.
+    /// @param ordersPerMillisecond rate at which the available hosts can be moved.
+    IncomingHosts incoming(const SiteConfig &config, const HostList &list, const WorkerRoster &roster,
+                           const std::set<HostId> &occupied, double ordersPerMillisecond, TimePoint now) const;
     /// Updates the state of a move from the answer to its order.
     /// @return the worker that ran on the host at the time of the order; empty if none was known.
     WorkerId handleOutcome(const HostId &host, HostOrderOutcome outcome, TimePoint now);
--- a/core/cells/host_order_pacer.cpp
+++ b/core/cells/host_order_pacer.cpp
@@ -36,6 +36,11 @@
     return static_cast<std::size_t>(std::max(0.0, m_available));
 }
 
+double HostOrderPacer::ordersPerMillisecond() const
+{
+    return m_ordersPerMillisecond;
+}
+
 void HostOrderPacer::take()
 {
     m_available -= 1;
--- a/core/cells/host_order_pacer.h
+++ b/core/cells/host_order_pacer.h
@@ -26,6 +26,8 @@
     void clear();
     /// Number of moves that may be ordered now.
     std::size_t available(TimePoint now);
+    /// Rate at which moves can be ordered.
+    double ordersPerMillisecond() const;
     /// Counts an order that is sent.
     void take();
 
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -33,6 +33,7 @@
     m_admission.clear();
     m_pacer.clear();
     m_backlog.clear();
+    m_work.clear();
     m_pendingStarts.clear();
 }
 
@@ -61,9 +62,30 @@
     const auto queue = config.queues.find(job.queue);
     if (queue != config.queues.end()) {
         m_backlog.add(queue->second, job.spec, withinShare);
+        m_work.add(queue->second, job.spec, m_registry.runTimes().expected(job.queue, job.spec), withinShare);
     }
 }
 
+Duration StartController::workLateness(const SiteConfig &config, const SubmitJob &job, bool withinShare) const
+{
+    const auto queue = config.queues.find(job.queue);
+    if (queue == config.queues.end()) {
+        return Duration{0};
+    }
+    const RunTimes runTimes = m_registry.runTimes().expected(job.queue, job.spec);
+    return m_work.lateness(queue->second, job.spec, runTimes, withinShare);
+}
+
+bool StartController::isWorkCountDue() const
+{
+    return m_work.isDue(m_outbox.now.steady);
+}
+
+void StartController::countWork(const SiteConfig &config, const IncomingHosts &incoming)
+{
+    m_work.count(m_registry, m_roster, config, incoming, m_outbox.now);
+}
+
 StartPacer &StartController::pacer()
 {
     return m_pacer;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -5,6 +5,7 @@
 #include "core/cells/start_backlog.h"
 #include "core/cells/start_pacer.h"
 #include "core/cells/start_planner.h"
+#include "core/cells/work_backlog.h"
 
 #include <map>
 #include <string>
@@ -39,6 +40,11 @@
     /// Returns how long after its objective a job would end because the pacer limits the starts; zero if it would end
     /// in time or if the workers limit the starts.
     Duration lateness(const SiteConfig &config, const SubmitJob &job, bool withinShare);
+    /// Returns how much too late the workers would end a job that is submitted now; zero if in time.
+    Duration workLateness(const SiteConfig &config, const SubmitJob &job, bool withinShare) const;
+    /// Whether the count of the work of the accepted jobs is too old.
+    bool isWorkCountDue() const;
+    void countWork(const SiteConfig &config, const IncomingHosts &incoming);
     /// Counts the starts of a job that was accepted.
     void jobAccepted(const SiteConfig &config, const SubmitJob &job, bool withinShare);
     StartPacer &pacer();
@@ -78,6 +84,7 @@
     AdmissionController m_admission;
     StartPacer m_pacer;
     StartBacklog m_backlog;
+    WorkBacklog m_work;
     std::map<CallId, PendingStart> m_pendingStarts;
     /// A worker may run unknown tasks of earlier owners in the present pass.
     bool m_hasUnreconciledWorker = false;
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -316,6 +316,7 @@
     story("200 jobs with payloads of 4,000 bytes have ended and can still be queried, and 20 are waiting", [] {
         CellSite site;
         fillLooms(site);
+        site.setTargetDuration("plans", Duration(60'000));
         const auto submit = [&site](const std::string &job) {
             GraphSpec spec = graphOf(2, 1, 1'000, Duration(300));
             spec.payload = std::string(4'000, job.front());
@@ -360,6 +361,7 @@
     story("the owner has work continuously and is asked to stop", [] {
         CellSite site;
         fillLooms(site);
+        site.setTargetDuration("plans", Duration(60'000));
         const std::string first = site.owner();
         for (int index = 0; index < 40; ++index) {
             site.submit(first, "j" + std::to_string(index), "plans", graphOf(2, 6, 1'000, Duration(300)));
--- a/tests/core/cells/cell_overload_test.cpp
+++ b/tests/core/cells/cell_overload_test.cpp
@@ -161,6 +161,7 @@
     story("an owner with a fast link fails with thousands of waiting tasks, and a small host takes over", [] {
         CellSite site;
         fillLargeSite(site, HostCapacity{});
+        site.setTargetDuration("plans", Duration(60'000));
         const std::string first = site.owner();
         const std::string second = other(site);
         site.kill(second);
@@ -201,6 +202,7 @@
     story("a small owner with two workers, which are full for a long time", [] {
         CellSite site;
         site.addQueue("plans", "looms");
+        site.setTargetDuration("plans", Duration(600'000));
         site.addWorker("w0", "looms", 8'000);
         site.addWorker("w1", "looms", 8'000);
         site.addNode("a", HostCapacity{0.12, 10});
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -272,6 +272,7 @@
     story("a job that fills the workers is cancelled, and the owner stops immediately after", [] {
         CellSite site;
         fillLooms(site, 2);
+        site.setTargetDuration("plans", Duration(60'000));
         site.durations[JobId("j1")] = 60'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 16, 1'000, Duration(60'000)));
         site.run(Duration(1'000));
@@ -369,6 +370,7 @@
     story("a gang of six tasks on workers with capacity for four", [] {
         CellSite site;
         fillLooms(site, 2);
+        site.setTargetDuration("plans", Duration(60'000));
         site.durations[JobId("j1")] = 3'000;
         site.submit(site.owner(), "j1", "plans", graphOf(1, 12, 1'000, Duration(3'000)));
         site.run(Duration(500));
@@ -540,6 +542,7 @@
     story("a backlog of 600 jobs on one worker, which runs eight tasks of 300 ms at a time", [] {
         CellSite site;
         fillLooms(site, 1);
+        site.setTargetDuration("plans", Duration(60'000));
         for (int index = 0; index < 600; ++index) {
             site.submit(site.owner(), "j" + std::to_string(index), "plans", graphOf(2, 4, 1'000, Duration(300)));
         }
--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -113,6 +113,8 @@
     story("the queues of two pools peak one after the other", [] {
         CellSite site;
         fill(site);
+        site.setTargetDuration("plans", Duration(60'000));
+        site.setTargetDuration("quotes", Duration(60'000));
         section("without work all hosts are switched off", [&] {
             site.run(Duration(4'000));
             EXPECT_EQ(site.hostsIn("spare"), 12);
@@ -232,6 +234,8 @@
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             CellSite site(seed);
             fill(site);
+            site.setTargetDuration("plans", Duration(600'000));
+            site.setTargetDuration("quotes", Duration(600'000));
             site.lostHostOrders = 0.5;
             site.hostOrderDelay = seed % 2 == 0 ? 3'000 : 7'000;
             GraphSpec service = graphOf(1, 3, 1'000, Duration(0));
@@ -300,6 +304,8 @@
     story("the owner crashes while hosts are moving", [] {
         CellSite site;
         fill(site);
+        site.setTargetDuration("plans", Duration(60'000));
+        site.setTargetDuration("quotes", Duration(60'000));
         site.run(Duration(4'000));
         peak(site, "plans", 12, 100);
         const std::string first = site.owner();
@@ -420,6 +426,8 @@
     story("a wave over most hosts runs while the load of a queue peaks", [] {
         CellSite site;
         fill(site);
+        site.setTargetDuration("plans", Duration(60'000));
+        site.setTargetDuration("quotes", Duration(60'000));
         site.addWave(1, {"l0", "l1", "l2", "l3", "f0", "f1", "f2", "f3", "spare0", "spare1"}, 2);
         const auto jobs = peak(site, "plans", 100, 100);
         site.run(Duration(20'000));
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -102,6 +102,11 @@
     m_config->queues.at(QueueId(queue)).priority = priority;
 }
 
+void CellSite::setTargetDuration(const std::string &queue, Duration time)
+{
+    m_config->queues.at(QueueId(queue)).targetDuration = time;
+}
+
 void CellSite::setAdmission(const std::string &queue)
 {
     m_config->queues.at(QueueId(queue)).admission = AdmissionTimes{Duration(20), Duration(2), Duration(3'000)};
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -125,6 +125,8 @@
     ModelWorker &addWorker(const std::string &id, const std::string &pool, std::uint64_t cpu);
     void addQueue(const std::string &name, const std::string &pool, std::uint32_t maxFailures = 3);
     void setPriority(const std::string &queue, std::uint32_t priority);
+    /// Time that is added to the objective of the queue's jobs.
+    void setTargetDuration(const std::string &queue, Duration time);
     /// Lets the admission service decide about the steps of a queue.
     void setAdmission(const std::string &queue);
     void addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight = 1'000);
