Revert "Handle timers, messages and the store before the other sockets when the loop is late"

Cause: with messages as urgent events the loop ends its turn after each socket event that posts one (each call, each answer for the cell), asks the kernel again, and handles urgent events only. Each such turn is a wake-up and a system call. Other sockets starve. Conclusion: only the store's connections and timers may be urgent, not all messages; to be tried with a mailbox of its own for the store's answers.

--- a/drivers/event_loop.cpp
+++ b/drivers/event_loop.cpp
@@ -1,7 +1,5 @@
 #include "drivers/event_loop.h"
 
-#include "drivers/time_value.h"
-
 #include <event2/event.h>
 #include <event2/thread.h>
 
@@ -13,19 +11,11 @@
 namespace
 {
 
-constexpr int priorities = 2;
-
 event_base *makeBase()
 {
     static std::once_flag threadsReady;
     std::call_once(threadsReady, [] { evthread_use_pthreads(); });
-    event_config *config = event_config_new();
-    const timeval interval = toTimeval(EventLoop::urgentInterval);
-    event_config_set_max_dispatch_interval(config, &interval, -1, EventLoop::usualPriority);
-    event_base *base = event_base_new_with_config(config);
-    event_config_free(config);
-    event_base_priority_init(base, priorities);
-    return base;
+    return event_base_new();
 }
 
 } // namespace
--- a/drivers/event_loop.h
+++ b/drivers/event_loop.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "core/base/clock.h"
-
 #include <atomic>
 #include <memory>
 
@@ -11,18 +9,9 @@
 {
 
 /// One libevent loop; tasks on it sleep until a message, a socket or a timer wakes them.
-///
-/// Urgent events are timers, messages between tasks and the connections to the store. They do not wait until all
-/// sockets that are ready have been handled, since leases, commits and ticks depend on them when the loop is late.
 class EventLoop
 {
 public:
-    static constexpr int urgentPriority = 0;
-    /// That of events whose priority is not set.
-    static constexpr int usualPriority = 1;
-    /// Time after which urgent events go before usual ones that are waiting.
-    static constexpr Duration urgentInterval{10};
-
     EventLoop();
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -203,13 +203,8 @@
     evhttp_connection *connection = exchange->connection;
     const evhttp_cmd_type command = toCommand(call.method);
     const std::string target = call.target;
-    const bool isUrgent = call.peer == PeerKind::Store;
     m_exchanges.emplace(exchange->id, std::move(exchange));
     evhttp_make_request(connection, request, command, target.c_str());
-    if (isUrgent) {
-        // Connecting has reset the priority.
-        bufferevent_priority_set(evhttp_connection_get_bufferevent(connection), EventLoop::urgentPriority);
-    }
 }
 
 std::size_t HttpClient::open() const
--- a/drivers/mailbox.h
+++ b/drivers/mailbox.h
@@ -22,7 +22,6 @@
     Mailbox(EventLoop &loop, Handler handler)
         : m_handler(std::move(handler)), m_wakeUp(event_new(loop.base(), -1, EV_PERSIST, &Mailbox::wake, this))
     {
-        event_priority_set(m_wakeUp, EventLoop::urgentPriority);
     }
 
     ~Mailbox()
--- a/drivers/timer.cpp
+++ b/drivers/timer.cpp
@@ -13,7 +13,6 @@
           loop.base(), -1, EV_PERSIST,
           [](evutil_socket_t, short, void *self) { static_cast<Timer *>(self)->m_handler(); }, this))
 {
-    event_priority_set(m_event, EventLoop::urgentPriority);
     const timeval time = toTimeval(interval);
     event_add(m_event, &time);
 }
