Count rows that cannot be read on the metrics page

Ruled out: counting in the log's drop counter, which is about lines.

Change: radishvane_rows_unreadable_total, by table. It counts what is logged: each version of a row once, a row of a cell once at a host.

Before: no such line on the page. After: radishvaned builds. No test of the page with such a row was added, and process_tests were not run.

Conclusion: built, not shown by a run.

--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -81,6 +81,7 @@
     m_cell.leaseRenewed.connect([this](const cells::CellLeaseRenewed &renewal) { m_metrics.post(renewal); });
     m_cell.rebuilt.connect([this](const cells::CellRebuilt &rebuild) { m_metrics.post(rebuild); });
     m_cell.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
+    m_store.rowUnreadable.connect([this](const servers::RowUnreadable &row) { m_metrics.post(row); });
     m_store.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
     m_front.loadMeasured.connect([this](const servers::TaskLoadPtr &load) { m_metrics.post(load); });
     m_front.openCallsCounted.connect([this](const OpenCallsCounted &count) { m_stop.post(count); });
--- a/servers/metrics_task.cpp
+++ b/servers/metrics_task.cpp
@@ -89,6 +89,11 @@
     m_loadLog.add(message);
 }
 
+void MetricsTask::on(const RowUnreadable &message)
+{
+    m_page.count("radishvane_rows_unreadable_total", label("table", message.table));
+}
+
 void MetricsTask::on(const TaskLoadPtr &message)
 {
     const std::string task = label("task", enumName(siteTaskNames, message->task));
--- a/servers/metrics_task.h
+++ b/servers/metrics_task.h
@@ -17,7 +17,7 @@
 {
 public:
     using Message = std::variant<cells::DecisionLogEntry, CallMeasured, WriteMeasured, BeliefAges,
-                                 cells::CellLeaseRenewed, cells::CellRebuilt, TaskLoadPtr>;
+                                 cells::CellLeaseRenewed, cells::CellRebuilt, RowUnreadable, TaskLoadPtr>;
 
     MetricsTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, Endpoint listen);
 
@@ -31,6 +31,7 @@
     void on(const BeliefAges &message);
     void on(const cells::CellLeaseRenewed &message);
     void on(const cells::CellRebuilt &message);
+    void on(const RowUnreadable &message);
     void on(const TaskLoadPtr &message);
     void show(drivers::PeerKind kind, const drivers::PeerCalls &calls);
 
--- a/servers/site_messages.h
+++ b/servers/site_messages.h
@@ -46,6 +46,12 @@
     double milliseconds = 0;
 };
 
+/// A version of a row in the store cannot be read.
+struct RowUnreadable
+{
+    std::string table;
+};
+
 /// How old what the process believes is.
 struct BeliefAges
 {
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -166,6 +166,7 @@
     }
     m_badRows[place] = row.version;
     m_log.line(drivers::LogLevel::Warning, drivers::HostEvent::RowUnreadable, {{"row", place}, {"reason", problem}});
+    rowUnreadable.emit(RowUnreadable{table});
 }
 
 void SiteStoreTask::noteStore(bool answers, const std::string &reason)
--- a/servers/site_store_task.h
+++ b/servers/site_store_task.h
@@ -35,6 +35,7 @@
     sigc::signal<void(const cells::CellEvent &)> cellEvent;
     sigc::signal<void(const cells::SiteConfigPtr &)> configChanged;
     sigc::signal<void(const OperatorContact &)> operatorAnswered;
+    sigc::signal<void(const RowUnreadable &)> rowUnreadable;
     sigc::signal<void(const TaskLoadPtr &)> loadMeasured;
 
 private:
