--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -312,6 +312,7 @@
             KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs});
     }
     std::vector<RosterRow> rows;
+    rows.reserve(parts.size());
     for (auto &[part, row] : parts) {
         rows.push_back(std::move(row));
     }
