Orders to a worker do not reach the next worker of a moved host

The platform rules this out: after a move "a new runner joins the pool", "a runner is one life of a machine", and "X-Radishvane-Target-Instance names the intended incarnation. Any other incarnation responds with 421" (PROTOCOL.md). Change: a worker that joins after a move or maintenance has another address in the model, and orders to the former one get no answer. After a crash the address stays, so late orders are still carried out there, as PROTOCOL.md allows ("may start again under the id that it had"). Conclusion: the check is as strict as before for crashes.

--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -272,4 +272,24 @@
     });
 }
 
+TEST(CellWaves, DoNotCarryOutALateStartOnTheNextWorkerOfAHost)
+{
+    for (int delay = 3'000; delay < 7'000; delay += 50) {
+        story("a start is carried out " + std::to_string(delay) + " ms late, and its host is maintained meanwhile",
+              [delay] {
+                  CellSite site;
+                  fillLooms(site, 2);
+                  site.loseNextStart = delay;
+                  site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(300)));
+                  site.run(Duration(100));
+                  site.addWave(1, {"w0", "w1"}, 2);
+                  site.run(Duration(12'000));
+                  EXPECT_EQ(site.state("j1"), GraphState::Completed);
+                  EXPECT_EQ(site.runs("j1"), 1);
+                  EXPECT_TRUE(site.isMaintained("w0") && site.isMaintained("w1"));
+                  expectNothingBroken(site);
+              });
+    }
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -234,6 +234,9 @@
 void CellSite::comeBack(const std::string &id)
 {
     beginIncarnation(id);
+    // A new worker joins after an order for the host, unlike after a crash, so orders to the former one do not reach
+    // it.
+    ++worker(id).entry.endpoint.port;
     if (isStandby(id)) {
         worker(id).alive = false;
         worker(id).listed = false;
