Revert "A worker stays in use when a single order to it is lost"

A reason that fits, by reading: an unreachable worker is asked for its lists at once, while the next renewal to a reachable one waits up to 1 s for an end, so that ends and starts in doubt are learned of later.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -311,7 +311,7 @@
     m_pendingStarts.erase(found);
     m_pacer.recordAnswer(pending.sentAt, event.outcome, m_outbox.now.steady);
     checkIncarnation(pending, event);
-    startAnswered(pending, event);
+    startAnswered(pending.task, pending.run, event);
     return true;
 }
 
@@ -327,12 +327,11 @@
     }
 }
 
-void StartController::startAnswered(const PendingStart &start, const OrderAnswered &event)
+void StartController::startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event)
 {
-    const TaskId &id = start.task;
     Task *task = m_registry.task(id);
     // The run may have been given up meanwhile, and another run of the task may be active.
-    if (task == nullptr || !task->run || task->run->number != start.run || task->run->phase != RunPhase::Ordered) {
+    if (task == nullptr || !task->run || task->run->number != number || task->run->phase != RunPhase::Ordered) {
         return;
     }
     Run &run = *task->run;
@@ -343,15 +342,11 @@
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
         run.progressAt = now;
-        if (Worker *worker = m_roster.find(run.worker)) {
-            worker->reachedAt = std::max(worker->reachedAt, start.sentAt);
-        }
         return;
     case OrderOutcome::Unknown:
         run.phase = RunPhase::InDoubt;
         if (Worker *worker = m_roster.find(run.worker)) {
-            // A single order is lost when the worker has answered another one since.
-            worker->unreachable = worker->unreachable || worker->reachedAt < start.sentAt;
+            worker->unreachable = true;
         }
         m_outbox.log(CellDecision::OrderInDoubt, taskName(id), run.worker.name(), run.number, "start");
         return;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -67,7 +67,7 @@
     void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
-    void startAnswered(const PendingStart &start, const OrderAnswered &event);
+    void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
     /// Detects from the clock in an answer that the worker has restarted.
     void checkIncarnation(const PendingStart &start, const OrderAnswered &event);
 
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -96,10 +96,7 @@
     const TimePoint now = m_outbox.now.steady;
     if (event.outcome != OrderOutcome::Accepted) {
         worker->nextRenewal = now + renewalRetry;
-        // A single renewal is lost when the worker has answered an order since.
-        const bool isLost = event.outcome == OrderOutcome::Unknown && worker->reachedAt > worker->renewalSentAt
-            && now - worker->reachedAt < recentContact;
-        worker->unreachable = !isLost;
+        worker->unreachable = true;
         if (event.outcome == OrderOutcome::NotSent) {
             worker->leaseDeadline = worker->previousDeadline;
         }
@@ -115,7 +112,6 @@
         return;
     }
     worker->unreachable = false;
-    worker->reachedAt = std::max(worker->reachedAt, worker->renewalSentAt);
     if (!worker->recorded) {
         m_writer.changeRoster();
     }
--- a/core/cells/worker_lease_controller.h
+++ b/core/cells/worker_lease_controller.h
@@ -18,8 +18,6 @@
     static constexpr Duration renewalPause{60};
     /// Pause after a renewal without an answer.
     static constexpr Duration renewalRetry{250};
-    /// A worker that has answered an order of this age is still reachable.
-    static constexpr Duration recentContact{500};
     /// A task is stalled when its percentage has not risen for this time.
     static constexpr Duration stallTimeout{2'200};
     /// Time for which a worker gets no best-effort tasks after they brought a service task near its latency target.
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -254,7 +254,6 @@
     worker.incarnationNumber = ++m_incarnations;
     worker.fenced = false;
     worker.unreachable = false;
-    worker.reachedAt = TimePoint{};
     worker.hasUnlistedEnds = false;
     worker.incarnationEnded = false;
     // The answer to a pending renewal may come from the former incarnation, whose clock and ends are not those of the
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -27,10 +27,8 @@
     bool fenced = false;
     /// The stored list of workers includes the worker, so that a later owner queries it too.
     bool recorded = false;
-    /// A call was not answered, and no later one was; the worker gets no lease renewal and no tasks until it answers.
+    /// The last call was not answered; the worker gets no lease renewal and no tasks until it answers.
     bool unreachable = false;
-    /// Time at which the last call was sent that the worker has answered.
-    TimePoint reachedAt;
     /// The worker's last list of ended runs was full, so it may have ended runs that the owner does not know.
     bool hasUnlistedEnds = false;
     /// The incarnation is known to have ended, although discovery may still list the worker.
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -118,26 +118,6 @@
     });
 }
 
-TEST(CellWorkers, GetTasksWhileOneOrderOfManyHasNoAnswer)
-{
-    story("a worker answers its orders, except for one that is lost", [] {
-        CellSite site;
-        fillLooms(site, 1);
-        site.loseNextStart = 6'000;
-        constexpr int jobs = 20;
-        for (int index = 0; index < jobs; ++index) {
-            const std::string job = "j" + std::to_string(index);
-            site.durations[JobId(job)] = 20'000;
-            site.submit(site.owner(), job, "plans", graphOf(1, 1, 100, Duration(20'000)));
-            site.run(Duration(150));
-            // The first start is the one that is lost.
-            EXPECT_EQ(site.runs(job), index == 0 ? 0 : 1) << job << " at " << site.time();
-        }
-        section("the task of the lost order runs after its deadline", [&] { EXPECT_EQ(site.runs("j0"), 1); });
-        expectNothingBroken(site);
-    });
-}
-
 TEST(CellWorkers, KeepTheirLeaseDeadlineWhenQueriesAreNotSent)
 {
     story("a worker was granted a lease, and later queries cannot be sent", [] {
