--- a/tests/core/cells/host_moves_test.cpp
+++ b/tests/core/cells/host_moves_test.cpp
@@ -113,8 +113,6 @@
     story("the queues of two pools peak one after the other", [] {
         CellSite site;
         fill(site);
-        site.setTargetDuration("plans", Duration(60'000));
-        site.setTargetDuration("quotes", Duration(60'000));
         section("without work all hosts are switched off", [&] {
             site.run(Duration(4'000));
             EXPECT_EQ(site.hostsIn("spare"), 12);
