Do not count service tasks without a host as used capacity

Callers: jobs were refused (workers-limited) with every worker idle, for as long as a service waited for hosts that never come. Cause: WorkBacklog took waiting service tasks off the pool's capacity. Change: only service tasks on workers count. A wait is bounded before it is converted, since a capacity near zero overflowed. Before: CellBurst.AcceptsJobsBesideAServiceThatCannotBePlaced fails. After: it passes, with the other unit tests.

--- a/core/cells/work_backlog.cpp
+++ b/core/cells/work_backlog.cpp
@@ -14,6 +14,9 @@
 /// A job is accepted if it is expected to end within this multiple of its objective.
 constexpr double objectives = 1;
 
+/// Longer waits are not told apart.
+constexpr Duration maxWait{std::chrono::hours(1)};
+
 /// Part of its run time that a running task still needs on average.
 constexpr double remainingPart = 0.5;
 
@@ -121,7 +124,8 @@
             const auto waiting = static_cast<double>(step.waiting.size());
             const double running = static_cast<double>(step.tasks.size() - step.done) - waiting;
             if (spec.isService) {
-                pool.services.add(needs, waiting + running);
+                // Waiting ones hold no capacity, and may wait for hosts that will never come.
+                pool.services.add(needs, running);
                 continue;
             }
             const double time = toMilliseconds(job.runTimes[index]);
@@ -261,7 +265,8 @@
         rate += static_cast<double>(host.room.*room) * MovePlanner::usableFraction;
     }
     // A pool without hosts says nothing about the time of their arrival.
-    return rate <= 0 ? Duration{0} : Duration(static_cast<Duration::rep>(since + work / rate));
+    const double wait = rate <= 0 ? 0 : since + work / rate;
+    return Duration(static_cast<Duration::rep>(std::min(wait, toMilliseconds(maxWait))));
 }
 
 } // namespace radishvane::cells
--- a/tests/core/cells/cell_burst_test.cpp
+++ b/tests/core/cells/cell_burst_test.cpp
@@ -218,4 +218,21 @@
     });
 }
 
+TEST(CellBurst, AcceptsJobsBesideAServiceThatCannotBePlaced)
+{
+    story("a service waits for hosts with a label that no host has, and would fill most of the pool", [] {
+        CellSite site;
+        fillLooms(site);
+        GraphSpec service = serviceJob(26, 1);
+        service.steps[0].label = "missing";
+        site.submit(site.owner(), "service", "plans", service);
+        site.run(Duration(1'000));
+        Load load(site);
+        const auto jobs = load.submit({"plans"}, fullRate / 2, 4);
+        site.run(jobUseful);
+        EXPECT_EQ(load.completedWithin(jobs, jobObjective), static_cast<int>(jobs.size()));
+        expectNothingBroken(site);
+    });
+}
+
 } // namespace radishvane::tests
