Leave room for progress and waves in each transaction

Cause: new jobs with large payloads filled the bytes of a transaction, so that no end of a run was stored for as long as they came; waves were added to a full transaction, which the store refuses beyond 100 entries, and which was then built again alike. Change: while progress waits, new jobs take half of the bytes; waves come first, ten at most. Before: CellWriter.StoresProgressBesideLargeNewJobs and LeavesRoomForTheReleaseWhenManyWavesChange fail (102 rows). After: both pass. Open: a release of many rows beside a full transaction may still exceed 100 entries.

--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -126,15 +126,14 @@
         transaction.owner = lease.nextRow();
         m_isOwnerRequired = false;
     }
+    while (!m_waves.empty() && transaction.waves.size() < maxWaves) {
+        transaction.waves.push_back(std::move(m_waves.extract(m_waves.begin()).mapped()));
+    }
     takeJobs(transaction, registry);
     takeProgress(transaction, registry);
     takeRoster(transaction, roster, now);
     transaction.hostOrders = std::exchange(m_hostOrders, std::nullopt);
     m_areHostOrdersUrgent = false;
-    for (const auto &[number, wave] : m_waves) {
-        transaction.waves.push_back(wave);
-    }
-    m_waves.clear();
     while (!m_droppedJobs.empty() && rowCount(transaction) + 2 <= maxRows) {
         transaction.deletedJobs.push_back(m_droppedJobs.pop());
     }
@@ -148,9 +147,10 @@
 void CellWriter::takeJobs(CellTransaction &transaction, const JobRegistry &registry)
 {
     // An ended job takes two rows.
-    const std::size_t maxJobs = maxRows - 2 * std::min(m_changedJobs.size(), maxRowsOfAKind);
+    const std::size_t maxJobs = maxRows - transaction.waves.size() - 2 * std::min(m_changedJobs.size(), maxRowsOfAKind);
+    const std::size_t maxBytes = m_changedJobs.empty() ? maxPayloadBytes : maxPayloadBytes / 2;
     std::size_t bytes = 0;
-    while (!m_newJobs.empty() && transaction.jobs.size() < maxJobs && bytes < maxPayloadBytes) {
+    while (!m_newJobs.empty() && transaction.jobs.size() < maxJobs && bytes < maxBytes) {
         const JobId id = m_newJobs.pop();
         const Job *job = registry.find(id);
         if (job != nullptr && !job->stored) {
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -28,6 +28,8 @@
     /// Limit of the payloads and of the progress in one transaction; the store accepts 1 MB per call, encoded in
     /// base64.
     static constexpr std::size_t maxPayloadBytes = 400'000;
+    /// Limit of the rows of waves in one transaction.
+    static constexpr std::size_t maxWaves = 10;
     /// Limit of the parts of the list of workers in one transaction.
     static constexpr std::size_t maxRosterParts = 4;
     /// Smaller payloads stay in the rows of ended jobs; removing them would not be worth another write.
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace radishvane::tests
 {
@@ -432,4 +433,43 @@
     });
 }
 
+TEST(CellWriter, StoresProgressBesideLargeNewJobs)
+{
+    story("more large jobs come than a transaction takes, while others change", [] {
+        OwnersWriter owner;
+        for (std::size_t number = 0; number < maxRowsOfAKind; ++number) {
+            owner.addJob(numbered("new", number), false, std::string(50'000, 'x'));
+            owner.writer.addJob(numbered("new", number));
+        }
+        owner.addJob(JobId("old"), true);
+        owner.writer.changeJob(JobId("old"));
+        EXPECT_EQ(rowsOf(owner.send().progress, JobId("old")), 1);
+    });
+}
+
+TEST(CellWriter, LeavesRoomForTheReleaseWhenManyWavesChange)
+{
+    story("as many jobs come as a transaction takes, and many waves change", [] {
+        OwnersWriter owner;
+        for (std::size_t number = 0; number < CellWriter::maxRows; ++number) {
+            owner.addJob(numbered("new", number), false);
+            owner.writer.addJob(numbered("new", number));
+        }
+        constexpr std::uint64_t waves = 12;
+        for (std::uint64_t number = 1; number <= waves; ++number) {
+            owner.writer.changeWave(WaveRow{number, {}, false});
+        }
+        std::set<std::uint64_t> stored;
+        while (owner.writer.hasWork()) {
+            const CellTransaction &transaction = owner.send();
+            EXPECT_LE(transaction.jobs.size() + transaction.waves.size(), CellWriter::maxRows);
+            for (const WaveRow &wave : transaction.waves) {
+                stored.insert(wave.number);
+            }
+            owner.writer.succeed();
+        }
+        EXPECT_EQ(stored.size(), waves);
+    });
+}
+
 } // namespace radishvane::tests
