Answer probes of the owner at once, and spread the return of withdrawn jobs

Cause: a probe was a question for pending jobs without a queue, which visits all jobs, and was held during a rebuild; up to 200 a second would come from 40 hosts while the owner is short of processor time. Callers whose jobs were withdrawn together were told the same delay. Change: a question without a queue is answered at once; the delay depends on the job, as for other refusals.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -567,6 +567,11 @@
 
 void CellController::on(const QueryPending &event)
 {
+    if (event.queue.empty()) {
+        // A probe names no queue. It asks only whether this process answers.
+        answer(event.exchange, CallAnswer::Unavailable);
+        return;
+    }
     if (hold(event)) {
         return;
     }
@@ -669,7 +674,9 @@
 void CellController::withdraw(const JobId &id)
 {
     Job &job = *m_runs.registry().find(id);
-    answerAll(job.submitters, CallAnswer::Overloaded);
+    for (const ExchangeId submitter : job.submitters) {
+        answer(submitter, CallAnswer::Overloaded, spreadDelay(id, retryAfter));
+    }
     if (job.withinShare) {
         m_shares.giveBack(job.row.team);
     }
