Accept jobs that are expected to end within twice their objective

Cause: the estimate knows neither hosts that come nor workers that have not answered the new owner yet, and once the objective leaves no room. Change: the limit is twice the objective.

--- a/core/cells/work_backlog.cpp
+++ b/core/cells/work_backlog.cpp
@@ -12,7 +12,7 @@
 {
 
 /// A job is accepted if it is expected to end within this multiple of its objective.
-constexpr double objectives = 1;
+constexpr double maxObjectives = 2;
 
 /// Longer waits are not told apart.
 constexpr Duration maxWait{std::chrono::hours(1)};
@@ -204,7 +204,7 @@
     const Duration wait
         = waitFor(pool, workBefore(pool, queue, Rank{queue.priority, !withinShare}), largestNeeds(spec));
     const JobTimes times = expectedTimes(spec, runTimes, queue);
-    const auto limit = std::chrono::duration_cast<Duration>(times.objective * objectives);
+    const auto limit = std::chrono::duration_cast<Duration>(times.objective * maxObjectives);
     return wait < minWait ? Duration{0} : std::max(Duration{0}, wait + times.criticalPath - limit);
 }
 
