Give the test of a silent owner ports of its own

Cause: ProcessSiteOwner and ProcessSiteSoak used the same ports, so that a host of the soak could not bind its metrics address and ended. The soak failed once in the check with the address sanitizer, beside it.

--- a/tests/servers/site_owner_test.cpp
+++ b/tests/servers/site_owner_test.cpp
@@ -35,7 +35,7 @@
 TEST(ProcessSiteOwner, IsAskedNothingWhileItIsKnownToBeSilent)
 {
     story("the owner of the cell freezes under the calls of another host", [] {
-        Site site(24'600, {"--workers", "3"});
+        Site site(25'000, {"--workers", "3"});
         const int owner = site.owner();
         const int host = (owner + 1) % site.hosts();
         site.entry(owner).signal(SIGSTOP);
