--- a/review/stand_ins/callers.cpp
+++ b/review/stand_ins/callers.cpp
@@ -471,14 +471,14 @@
 }
 
 /// One job with many small tasks that save their progress.
-JobSpec wideJob(std::int64_t count, bool saves)
+/// @param saved what the tasks' text says of that; empty if they save nothing.
+JobSpec wideJob(std::int64_t count, const std::string &saved)
 {
     json wide = step(count, 40, 64, 20'000);
-    if (saves) {
+    if (!saved.empty()) {
         wide["savesProgress"] = true;
     }
-    return makeJob(0x20000000, 1, "/plans/", "key-floor",
-                   std::string("ms=4000 to=40000 cpu=40") + (saves ? " saves" : ""), json::array({wide}));
+    return makeJob(0x20000000, 1, "/plans/", "key-floor", "ms=4000 to=40000 cpu=40" + saved, json::array({wide}));
 }
 
 /// 64 digits, as images are named by.
@@ -498,6 +498,8 @@
     for (std::int64_t index = 0; index < steps; ++index) {
         json next = step(1, 10, 32, 1'000);
         if (index + 1 == steps) {
+            // Only one worker is of this kind.
+            next["constraints"] = "b";
             for (std::int64_t earlier = 0; earlier < index; ++earlier) {
                 next["after"].push_back(earlier);
             }
@@ -533,8 +535,12 @@
     std::uint32_t number = 0;
     callers.submit(ledger(1));
     sendQuotes(callers, number, 5'000, 500);
-    if (trouble != "0") {
-        callers.submit(wideJob(trouble == "small" ? 24 : 2'400, trouble != "plain"));
+    if (trouble == "small") {
+        callers.submit(wideJob(24, " saves"));
+    } else if (trouble == "long") {
+        callers.submit(wideJob(80, " saves size=1000"));
+    } else if (trouble != "0") {
+        callers.submit(wideJob(2'400, trouble == "plain" ? "" : " saves"));
     }
     sendQuotes(callers, number, 15'000, 500);
 }
@@ -542,8 +548,8 @@
 /// Jobs of many steps that are due together. The trouble is that the store is away while they end.
 void playBatch(Site &site, Callers &callers, const std::string &trouble)
 {
-    constexpr std::uint32_t jobs = 50;
-    constexpr std::uint32_t ledgers = 4;
+    constexpr std::uint32_t jobs = 30;
+    constexpr std::uint32_t ledgers = 8;
     constexpr std::int64_t outageMs = 4'500;
     std::uint32_t number = 0;
     for (std::uint32_t each = 1; each <= ledgers; ++each) {
@@ -568,8 +574,9 @@
     sendQuotes(callers, number, 4'000, 1'000);
     for (std::uint32_t each = 1; each <= ledgers; ++each) {
         callers.cancel(ledger(each));
+        sleepMs(300);
     }
-    sendQuotes(callers, number, 6'000, 1'000);
+    sendQuotes(callers, number, 4'000, 1'000);
 }
 
 } // namespace
--- a/review/stand_ins/platform.cpp
+++ b/review/stand_ins/platform.cpp
@@ -273,8 +273,10 @@
 class Worker
 {
 public:
-    Worker(EventLoop &loop, std::uint16_t port)
+    /// @param kind its first label
+    Worker(EventLoop &loop, std::uint16_t port, std::string kind)
         : m_port(port)
+        , m_kind(std::move(kind))
         , m_born(nowMs())
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
@@ -297,6 +299,11 @@
         return "m-" + std::to_string(m_port);
     }
 
+    json labels() const
+    {
+        return {m_kind, "r1-1"};
+    }
+
     static json capacity()
     {
         return {{"cpu", workerCpu}, {"memMb", workerMemory}, {"gpus", 0}};
@@ -304,18 +311,12 @@
 
     json entry() const
     {
-        return json{{"service", "cutroom"},
-                    {"address", std::string(loopback) + ':' + std::to_string(m_port)},
-                    {"zone", "mill-a"},
-                    {"version", "v1"},
-                    {"slots", 8},
-                    {"state", "ready"},
-                    {"coldLeftMs", 0},
-                    {"capacity", capacity()},
-                    {"labels", {"a", "r1-1"}},
-                    {"born", m_born},
-                    {"machine", machine()},
-                    {"seqNo", 1}};
+        return json{{"service", "cutroom"}, {"address", std::string(loopback) + ':' + std::to_string(m_port)},
+                    {"zone", "mill-a"},     {"version", "v1"},
+                    {"slots", 8},           {"state", "ready"},
+                    {"coldLeftMs", 0},      {"capacity", capacity()},
+                    {"labels", labels()},   {"born", m_born},
+                    {"machine", machine()}, {"seqNo", 1}};
     }
 
     json describe() const
@@ -345,6 +346,7 @@
         std::int64_t resumedMs = 0;
         std::int64_t wholeMs = 0;
         bool saves = false;
+        std::size_t savedSize = 0;
         bool lasts = false;
         std::string how = "done";
     };
@@ -401,7 +403,12 @@
     static std::string savedOf(const std::string &task, const Run &run)
     {
         const std::int64_t work = run.resumedMs + (nowMs() - run.startedAt) / checkpointMs * checkpointMs;
-        return run.saves && work > 0 ? checkpointOf(task, work) : std::string();
+        if (!run.saves || work <= 0) {
+            return {};
+        }
+        std::string saved = checkpointOf(task, work);
+        saved.append(run.savedSize - saved.size(), '0');
+        return saved;
     }
 
     void start(const HttpRequest &request, const json &body)
@@ -426,6 +433,7 @@
             run.number = number;
             run.cpu = work.cpu;
             run.saves = work.saves;
+            run.savedSize = work.savedSize;
             run.lasts = work.lasts;
             run.wholeMs = work.lengthOf(task);
             run.resumedMs = checkpoint.empty() ? 0 : std::stoll(checkpoint.substr(0, 8), nullptr, 16);
@@ -519,6 +527,7 @@
     }
 
     std::uint16_t m_port;
+    std::string m_kind;
     std::int64_t m_born;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
@@ -567,7 +576,7 @@
                                     {"state", "up"},
                                     {"zone", "mill-a"},
                                     {"capacity", Worker::capacity()},
-                                    {"labels", {"a", "r1-1"}},
+                                    {"labels", worker->labels()},
                                     {"id", worker->id()}});
         }
         m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"machines", machines}, {"nextToken", ""}}));
@@ -594,7 +603,8 @@
     Store store(loop, port);
     std::vector<std::unique_ptr<Worker>> workers;
     for (int index = 0; index < workerCount; ++index) {
-        workers.push_back(std::make_unique<Worker>(loop, static_cast<std::uint16_t>(port + 2 + index)));
+        workers.push_back(
+            std::make_unique<Worker>(loop, static_cast<std::uint16_t>(port + 2 + index), index == 0 ? "b" : "a"));
         if (!workers.back()->listen()) {
             return 2;
         }
--- a/review/stand_ins/support.h
+++ b/review/stand_ins/support.h
@@ -55,7 +55,7 @@
     return fields;
 }
 
-/// What the tasks of a job do, as the job's text tells: "ms=N to=M cpu=C [last=STEP lastms=L] [saves] [fail]
+/// What the tasks of a job do, as the job's text tells: "ms=N to=M cpu=C [last=STEP lastms=L] [saves [size=S]] [fail]
 /// [lasts]", then any filling.
 /// They work for N to M milliseconds, each for a time of its own; those that last are at work after N milliseconds.
 struct Work
@@ -67,6 +67,8 @@
     std::int64_t lastStep = 0;
     std::int64_t lastMs = 0;
     bool saves = false;
+    /// Digits of a checkpoint.
+    std::size_t savedSize = 16;
     bool fails = false;
     bool lasts = false;
 
@@ -98,6 +100,7 @@
     work.lastStep = number("last=");
     work.lastMs = number("lastms=");
     work.saves = text.find(" saves") != std::string::npos;
+    work.savedSize = std::max(work.savedSize, static_cast<std::size_t>(number("size=")));
     work.fails = text.find(" fail") != std::string::npos;
     work.lasts = text.find(" lasts") != std::string::npos;
     return work;
