--- a/review/stand_ins/callers.cpp
+++ b/review/stand_ins/callers.cpp
@@ -276,6 +276,9 @@
                                  + " ms while a task's turn has come and there is room, state " + known.state);
             }
         }
+        for (const std::string &task : m_twice) {
+            broken.push_back("TWICE: two runs of " + task + " at the same time");
+        }
         if (cancels >= 3 && lateCancels * 10 > cancels) {
             broken.push_back("Acks: " + std::to_string(lateCancels) + " of " + std::to_string(cancels)
                              + " cancels have no 2xx or 410 after ackMs");
@@ -354,6 +357,7 @@
         constexpr std::int64_t workerCpu = 32'000;
         std::set<std::string> running;
         std::set<std::string> done;
+        std::set<std::string> twice;
         std::int64_t used = 0;
         std::uint64_t ends = 0;
         std::uint64_t unnoted = 0;
@@ -363,7 +367,9 @@
             ends += worker.at("ends").get<std::uint64_t>();
             unnoted += worker.at("unnoted").get<std::uint64_t>();
             for (const json &task : worker.at("running")) {
-                running.insert(task.get<std::string>());
+                if (!running.insert(task.get<std::string>()).second) {
+                    twice.insert(task.get<std::string>());
+                }
             }
             for (const json &task : worker.at("done")) {
                 done.insert(task.get<std::string>());
@@ -373,6 +379,11 @@
         const std::lock_guard<std::mutex> guard(m_mutex);
         m_ends = ends;
         m_unnoted = unnoted;
+        for (const std::string &task : twice) {
+            if (m_twice.insert(task).second) {
+                record({{"runs-twice", task}});
+            }
+        }
         for (auto &[id, known] : m_accepted) {
             bool isRunning = false;
             bool hasTaskLeft = false;
@@ -417,6 +428,8 @@
     /// Runs that have ended, and those of them that are listed for longer than ackMs.
     std::uint64_t m_ends = 0;
     std::uint64_t m_unnoted = 0;
+    /// Tasks that were seen to run on two workers at the same time.
+    std::set<std::string> m_twice;
     std::thread m_watcher;
 };
 
@@ -516,6 +529,13 @@
     return job;
 }
 
+/// A job of one task, whose first start meets the trouble that its text names.
+JobSpec unlucky(const std::string &trouble)
+{
+    return makeJob(0x50000000, 1, "/plans/", "key-floor", "ms=12000 to=12000 cpu=3800" + trouble,
+                   json::array({step(1, 3'800, 5'500, 12'000)}));
+}
+
 std::int64_t wallMs()
 {
     return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -545,6 +565,15 @@
     sendQuotes(callers, number, 15'000, 500);
 }
 
+/// A quiet hour: one job, then a quote a second on the other workers.
+void playLate(Callers &callers, const std::string &trouble)
+{
+    std::uint32_t number = 0;
+    callers.submit(unlucky(trouble == "0" ? "" : trouble == "crash" ? " crash" : " late"));
+    sleepMs(1'300);
+    sendQuotes(callers, number, 14'000, 400);
+}
+
 /// Jobs of many steps that are due together. The trouble is that the store is away while they end.
 void playBatch(Site &site, Callers &callers, const std::string &trouble)
 {
@@ -616,6 +645,8 @@
         playWide(callers, trouble);
     } else if (play == "batch") {
         playBatch(site, callers, trouble);
+    } else if (play == "late") {
+        playLate(callers, trouble);
     } else {
         return 2;
     }
--- a/review/stand_ins/platform.cpp
+++ b/review/stand_ins/platform.cpp
@@ -13,6 +13,7 @@
 #include <limits>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace
@@ -35,6 +36,12 @@
 constexpr std::int64_t stopMs = 400;
 constexpr std::int64_t checkpointMs = 500;
 constexpr std::int64_t ackMs = 4'000;
+/// A crash: how long after the order, and for how long.
+constexpr std::int64_t crashAfterMs = 3'000;
+constexpr std::int64_t crashMs = 1'000;
+/// How long after the restart the order is carried out, and the worker's entry is written.
+constexpr std::int64_t lateMs = 200;
+constexpr std::int64_t entryMs = 700;
 constexpr std::int64_t workerCpu = 32'000;
 constexpr std::int64_t workerMemory = 65'536;
 constexpr Duration tickInterval{10};
@@ -289,6 +296,9 @@
         return m_server.listen(Endpoint{loopback, m_port});
     }
 
+    /// Called when the worker has started again, to write its entry.
+    std::function<void()> hasRestarted;
+
     std::string id() const
     {
         return "i-" + std::to_string(m_port);
@@ -370,13 +380,38 @@
     void take(const HttpRequest &request)
     {
         constexpr int misdirected = 421;
+        if (m_isDark) {
+            return;
+        }
         if (headerValue(request.headers, "X-Radishvane-Target-Instance") != id()) {
             m_server.answer(request.id, jsonAnswer(misdirected, json::object()));
             return;
         }
         const json body = json::parse(request.body);
+        if (request.path == "/-/run-start" && meetsTrouble(body)) {
+            m_lateOrder = request;
+            return;
+        }
+        carryOut(request, body);
+    }
+
+    /// Whether the order is held up, as the text of its job says.
+    bool meetsTrouble(const json &body)
+    {
+        const Work work = readWork(body.at("spec"));
+        if (body.at("runId") != 1 || m_crashAt != 0 || (!work.isCarriedOutLate && !work.meetsCrash)) {
+            return false;
+        }
+        m_crashAt = nowMs() + crashAfterMs;
+        record({{"worker", id()}, {"order", work.isCarriedOutLate ? "held up" : "taken"}});
+        return work.isCarriedOutLate;
+    }
+
+    void carryOut(const HttpRequest &request, const json &body)
+    {
         const std::uint64_t fence = body.value("fencingToken", std::uint64_t{0});
         if (fence < m_fence) {
+            record({{"worker", id()}, {"refused", request.path}, {"fence", fence}});
             refuse(request, "fence");
             return;
         }
@@ -479,8 +514,51 @@
         answerWaiting();
     }
 
+    /// Ends all that runs without a word, and forgets everything.
+    void crash()
+    {
+        record({{"worker", id()}, {"state", "crashed"}});
+        for (const auto &[task, run] : m_running) {
+            record({{"run", "gone"}, {"worker", id()}, {"task", task}, {"number", run.number}});
+        }
+        m_isDark = true;
+        m_running.clear();
+        m_highest.clear();
+        m_ended.clear();
+        m_endedAt.clear();
+        m_waiting.clear();
+        m_lastEnd = 0;
+        m_fence = 0;
+        m_deadline = 0;
+        m_restartAt = nowMs() + crashMs;
+    }
+
+    void crashOrRestart()
+    {
+        if (m_crashAt != 0 && !m_isDark && m_restartAt == 0 && nowMs() >= m_crashAt) {
+            crash();
+        }
+        if (m_isDark && nowMs() >= m_restartAt) {
+            m_isDark = false;
+            m_born = nowMs();
+            m_entryAt = m_born + entryMs;
+            record({{"worker", id()}, {"state", "started again"}});
+        }
+        if (m_entryAt != 0 && nowMs() >= m_entryAt) {
+            m_entryAt = 0;
+            record({{"worker", id()}, {"state", "entered"}});
+            hasRestarted();
+        }
+        if (m_lateOrder && m_restartAt != 0 && nowMs() >= m_restartAt + lateMs) {
+            const HttpRequest order = *std::exchange(m_lateOrder, std::nullopt);
+            record({{"worker", id()}, {"order", "carried out late"}});
+            carryOut(order, json::parse(order.body));
+        }
+    }
+
     void tick()
     {
+        crashOrRestart();
         const bool hasLapsed = clock() > m_deadline;
         for (auto running = m_running.begin(); running != m_running.end();) {
             const std::string &task = running->first;
@@ -528,6 +606,11 @@
 
     std::uint16_t m_port;
     std::string m_kind;
+    std::int64_t m_crashAt = 0;
+    std::int64_t m_restartAt = 0;
+    std::int64_t m_entryAt = 0;
+    bool m_isDark = false;
+    std::optional<HttpRequest> m_lateOrder;
     std::int64_t m_born;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
@@ -608,7 +691,11 @@
         if (!workers.back()->listen()) {
             return 2;
         }
-        store.put("servers", workers.back()->id(), workers.back()->entry());
+        const auto enter = [&store, worker = workers.back().get()] {
+            store.put("servers", worker->id(), worker->entry());
+        };
+        workers.back()->hasRestarted = enter;
+        enter();
     }
     HostService hosts(loop, static_cast<std::uint16_t>(port + 1), workers);
     if (!store.listen() || !hosts.listen()) {
--- a/review/stand_ins/support.h
+++ b/review/stand_ins/support.h
@@ -56,7 +56,8 @@
 }
 
 /// What the tasks of a job do, as the job's text tells: "ms=N to=M cpu=C [last=STEP lastms=L] [saves [size=S]] [fail]
-/// [lasts]", then any filling.
+/// [lasts]
+/// [late] [crash]", then any filling.
 /// They work for N to M milliseconds, each for a time of its own; those that last are at work after N milliseconds.
 struct Work
 {
@@ -71,6 +72,9 @@
     std::size_t savedSize = 16;
     bool fails = false;
     bool lasts = false;
+    /// The runner crashes after the first order to start a task, and carries that order out late; or it only crashes.
+    bool isCarriedOutLate = false;
+    bool meetsCrash = false;
 
     std::int64_t lengthOf(const std::string &task) const
     {
@@ -103,6 +107,8 @@
     work.savedSize = std::max(work.savedSize, static_cast<std::size_t>(number("size=")));
     work.fails = text.find(" fail") != std::string::npos;
     work.lasts = text.find(" lasts") != std::string::npos;
+    work.isCarriedOutLate = text.find(" late") != std::string::npos;
+    work.meetsCrash = text.find(" crash") != std::string::npos;
     return work;
 }
 
