--- a/review/stand_ins/callers.cpp
+++ b/review/stand_ins/callers.cpp
@@ -587,15 +587,16 @@
     const std::int64_t dueAt = wallMs() + 7'000;
     for (std::uint32_t job = 0; job < jobs; ++job) {
         callers.submit(pipeline(job, trouble == "short" ? 8 : 250, dueAt));
-        sleepMs(100);
+        sleepMs(trouble == "together" ? 0 : 100);
     }
     sendQuotes(callers, number, dueAt + 8'000 - wallMs(), 1'000);
-    if (trouble != "0") {
+    const bool hasOutage = trouble != "0" && trouble != "together";
+    if (hasOutage) {
         site.setStore("down");
         record({{"store", "down"}});
     }
     sendQuotes(callers, number, outageMs, 1'000);
-    if (trouble != "0") {
+    if (hasOutage) {
         site.setStore("serve");
         record({{"store", "serves"}});
     }
