Keep each call within the limits of the store, and never repeat a rejected one

Cause, traced with the status and bytes that the log now has: the ends of the 30 jobs made one call of 1,858,565 bytes, which the store answered with 400. The writer counted payloads and progress, not the steps of job rows, base64 or keys. It then repeated the same call each 80 ms, 354 times, with the renewal of the lease in it. A 400, a 503 and a connection that was not opened were one outcome, "refused". Ruled out: a slow store and lost answers (the stand-in records each refusal with its reason). Change: what encodes passes exact sizes to the writer, which fills each call within entries and bytes. "Rejected" is an outcome of its own: the next call only renews the lease, the changes follow in halves, and the one at fault is given up. It costs its own job only: a new one is refused with 413, one whose progress it is fails, a release goes without its rows. store-write-failed has status, bytes, entries and problem.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/cell_controller.h"
 
 #include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
 
 #include <algorithm>
 
@@ -30,12 +31,13 @@
 } // namespace
 
 CellController::CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
-                               HostCapacity capacity, HostServiceLimits hostService)
+                               HostCapacity capacity, StoreLimits store, HostServiceLimits hostService)
     : m_cell(std::move(cell))
     , m_host(host)
     , m_times(times)
     , m_lease(std::move(host), incarnation, std::move(link), capacity)
     , m_handover(m_host, capacity)
+    , m_writer(std::move(store))
     , m_runs(m_outbox, m_writer, times, capacity)
     , m_hosts(m_outbox, m_writer, m_host, hostService)
     , m_config(std::make_shared<SiteConfig>())
@@ -190,6 +192,11 @@
             job->sentToStore = true;
         }
     }
+    for (const ProgressRow &row : transaction.progress) {
+        if (Job *job = m_runs.registry().find(row.id)) {
+            job->progressRows = std::max(job->progressRows, row.storedRows);
+        }
+    }
     const CallId call = m_outbox.send(WriteCell{{}, transaction});
     m_writer.sent(call, std::move(transaction), m_runs.roster(), m_outbox.now.steady);
 }
@@ -198,18 +205,59 @@
 {
     const TimePoint now = m_outbox.now.steady;
     auto transaction = m_writer.next(m_cell, m_runs.registry(), m_runs.roster(), m_lease, now);
+    dropUnstorable();
     if (!transaction) {
         return;
     }
     if ((m_isStopping || m_release == Release::Requested) && !m_writer.hasWork()) {
         // The last changes go into the same transaction as the row that releases the cell.
         transaction->owner = m_lease.releasedRow();
-        transaction->release = m_runs.released();
+        m_writer.addRelease(*transaction, m_runs.released());
         m_release = Release::Pending;
     }
     write(std::move(*transaction));
 }
 
+void CellController::dropUnstorable()
+{
+    for (const StoreChange &change : m_writer.takeUnstorable()) {
+        m_outbox.log(CellDecision::StoreChangeDropped, changeName(change), m_host.name(), m_lease.version(),
+                     "rejected-by-the-store");
+        std::visit(Overloaded{
+                       [this](const NewJobChange &job) { drop(job); },
+                       [this](const ProgressChange &job) { drop(job); },
+                       // Nothing else depends on these. They are stored again when they change.
+                       [](const WaveChange &) {},
+                       [](const RosterChange &) {},
+                       [](const HostOrdersChange &) {},
+                       [](const DeletionChange &) {},
+                   },
+                   change);
+    }
+}
+
+void CellController::drop(const NewJobChange &change)
+{
+    const Job *job = m_runs.registry().find(change.id);
+    if (job == nullptr || job->stored) {
+        return;
+    }
+    withdraw(change.id, CallAnswer::TooLarge, "too-large");
+}
+
+void CellController::drop(const ProgressChange &change)
+{
+    Job *job = m_runs.registry().find(change.id);
+    if (job == nullptr || isFinal(job->state)) {
+        return;
+    }
+    m_runs.registry().finish(*job, GraphState::Failed, m_outbox.now.steady);
+    // The row of an ended job has no progress of tasks.
+    m_writer.changeJob(change.id);
+    m_runs.jobEnded(change.id, "progress-too-large");
+    m_outbox.log(CellDecision::JobEnded, change.id.name(), {}, 0, "progress-too-large");
+}
+
 void CellController::on(const CellWritten &event)
 {
     if (!m_writer.pending() || m_writer.pending()->call != event.call) {
@@ -225,14 +273,25 @@
         return;
     case CellWriteOutcome::Refused:
     case CellWriteOutcome::Unknown:
-        m_outbox.log(CellDecision::StoreWriteFailed, m_cell.name(), {}, m_lease.version(),
-                     std::string(enumName(cellWriteOutcomeNames, event.outcome)));
+    case CellWriteOutcome::Rejected:
+        m_outbox.add(DecisionLogEntry{CellDecision::StoreWriteFailed,
+                                      m_cell.name(),
+                                      {},
+                                      m_outbox.epoch,
+                                      m_lease.version(),
+                                      std::string(enumName(cellWriteOutcomeNames, event.outcome)),
+                                      event.record});
         if (m_release != Release::InDoubt) {
             const bool isInDoubt = m_release == Release::Pending && event.outcome == CellWriteOutcome::Unknown;
             m_release = isInDoubt ? Release::InDoubt : Release::None;
         }
         m_retryNotBefore = m_outbox.now.steady + storeRetryPause;
-        m_writer.fail(m_outbox.now.steady);
+        if (event.outcome == CellWriteOutcome::Rejected) {
+            m_writer.reject(m_outbox.now.steady);
+            dropUnstorable();
+        } else {
+            m_writer.fail(m_outbox.now.steady);
+        }
         return;
     }
 }
@@ -667,20 +726,21 @@
         }
     }
     for (const JobId &id : withdrawn) {
-        withdraw(id);
+        withdraw(id, CallAnswer::Overloaded, "writes-limited");
     }
 }
 
-void CellController::withdraw(const JobId &id)
+void CellController::withdraw(const JobId &id, CallAnswer reply, const std::string &reason)
 {
     Job &job = *m_runs.registry().find(id);
     for (const ExchangeId submitter : job.submitters) {
-        answer(submitter, CallAnswer::Overloaded, spreadDelay(id, retryAfter));
+        answer(submitter, reply, spreadDelay(id, retryAfter));
     }
+    answerAll(job.cancellers, CallAnswer::NoSuchJob);
     if (job.withinShare) {
         m_shares.giveBack(job.row.team);
     }
-    m_outbox.log(CellDecision::JobRefused, id.name(), {}, m_runs.registry().live().size(), "writes-limited");
+    m_outbox.log(CellDecision::JobRefused, id.name(), {}, m_runs.registry().live().size(), reason);
     m_runs.registry().erase(id);
 }
 
@@ -691,15 +751,15 @@
         return;
     }
     m_nextDropCheck = now + dropCheckInterval;
-    std::vector<JobId> expired;
+    std::vector<DeletedJob> expired;
     for (const auto &[id, job] : m_runs.registry().jobs()) {
         if (job.endStored && m_runs.registry().live().count(id) == 0 && now - job.endedAt > m_times.endedJobRetention) {
-            expired.push_back(id);
+            expired.push_back(DeletedJob{id, job.progressRows});
         }
     }
-    for (const JobId &id : expired) {
-        m_writer.dropJob(id);
-        m_runs.registry().erase(id);
+    for (const DeletedJob &job : expired) {
+        m_writer.dropJob(job);
+        m_runs.registry().erase(job.id);
     }
 }
 
--- a/core/cells/cell_controller.h
+++ b/core/cells/cell_controller.h
@@ -38,7 +38,7 @@
     static constexpr Duration storeRetryPause{150};
 
     CellController(CellId cell, HostId host, std::uint64_t incarnation, Endpoint link, CellTimes times,
-                   HostCapacity capacity, HostServiceLimits hostService = {});
+                   HostCapacity capacity, StoreLimits store, HostServiceLimits hostService = {});
 
     CellEffects handle(const CellEvent &event, Instant now);
 
@@ -92,8 +92,8 @@
     void advanceWrites();
     void dropExpiredJobs();
     void answerTimedOutCallers();
-    /// Refuses a job whose row was never sent to the store.
-    void withdraw(const JobId &id);
+    /// Refuses a job that the store does not hold.
+    void withdraw(const JobId &id, CallAnswer reply, const std::string &reason);
     /// Keeps @p call until the state of the cell is rebuilt, if that is likely to be soon.
     bool hold(const HeldCalls::Call &call);
     void answerHeldCalls();
@@ -103,6 +103,10 @@
     void activate();
     void deactivate(CellDecision decision, const std::string &reason);
     void write(CellTransaction transaction);
+    /// Ends what depends on changes that the store never accepts.
+    void dropUnstorable();
+    void drop(const NewJobChange &change);
+    void drop(const ProgressChange &change);
     void onWritten(std::uint64_t version);
     void onConflict(const CellWritten &event);
     bool isGivingUp() const;
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -165,14 +165,28 @@
     Written,
     /// The owner's row has another version.
     Conflict,
-    /// The store has written nothing.
+    /// The store has written nothing, and may accept the same call later.
     Refused,
     /// No answer; the store may have written the rows, or may still do so while the version matches.
     Unknown,
+    /// The store has written nothing, and will never accept the call as it is.
+    Rejected,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 4> cellWriteOutcomeNames{"written", "conflict", "refused", "unknown"};
+inline constexpr std::array<std::string_view, 5> cellWriteOutcomeNames{"written", "conflict", "refused", "unknown",
+                                                                       "rejected"};
+
+/// A call to the store and its answer, for the log.
+struct StoreCallRecord
+{
+    /// Status of the answer; 0 if there was none.
+    int status = 0;
+    std::size_t bytes = 0;
+    std::size_t entries = 0;
+    /// Reason that the store gave.
+    std::string problem;
+};
 
 struct CellWritten
 {
@@ -182,6 +196,7 @@
     std::uint64_t version = 0;
     /// The owner's row after a conflict.
     std::optional<OwnerRow> owner;
+    StoreCallRecord record = {};
 };
 
 /// Reads all rows of a cell except the owner's row.
@@ -358,11 +373,14 @@
     InDoubt,
     /// The owner keeps the cell.
     Declined,
+    /// The store does not accept a row of the job, now or later. The job was not accepted.
+    TooLarge,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 9> callAnswerNames{
-    "accepted", "state", "pending", "cancelled", "no-such-job", "overloaded", "unavailable", "in-doubt", "declined",
+inline constexpr std::array<std::string_view, 10> callAnswerNames{
+    "accepted",   "state",       "pending",  "cancelled", "no-such-job",
+    "overloaded", "unavailable", "in-doubt", "declined",  "too-large",
 };
 
 struct AnswerCall
@@ -438,14 +456,17 @@
     HostFenced,
     WaveCompleted,
     StoreWriteFailed,
+    /// A change that the store never accepts was given up.
+    StoreChangeDropped,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 20> cellDecisionNames{
-    "ownership-taken", "ownership-lost",  "ownership-released", "cell-rebuilt",   "job-accepted",
-    "job-refused",     "job-ended",       "task-started",       "task-ended",     "task-stopped",
-    "order-in-doubt",  "worker-admitted", "worker-reborn",      "worker-lost",    "worker-avoided",
-    "host-maintained", "host-moved",      "host-fenced",        "wave-completed", "store-write-failed",
+inline constexpr std::array<std::string_view, 21> cellDecisionNames{
+    "ownership-taken",      "ownership-lost",  "ownership-released", "cell-rebuilt",   "job-accepted",
+    "job-refused",          "job-ended",       "task-started",       "task-ended",     "task-stopped",
+    "order-in-doubt",       "worker-admitted", "worker-reborn",      "worker-lost",    "worker-avoided",
+    "host-maintained",      "host-moved",      "host-fenced",        "wave-completed", "store-write-failed",
+    "store-change-dropped",
 };
 
 /// Log entry for one decision, with its subject and reason.
@@ -458,6 +479,8 @@
     Epoch epoch = 0;
     std::uint64_t number = 0;
     std::string reason;
+    /// The call to the store that the decision is about.
+    std::optional<StoreCallRecord> storeCall = {};
 };
 
 using CellEvent = std::variant<OrderAnswered, LeaseRenewalAnswered, AdmissionAnswered, CellWritten, CellReadDone,
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -61,6 +61,16 @@
     /// Occurrences below this one are done.
     std::uint32_t firstOpen = 0;
     std::map<std::uint32_t, OccurrenceProgress> open;
+    /// Number of rows that the progress takes in the store; not part of its value.
+    std::size_t storedRows = 1;
+};
+
+/// A job whose rows are deleted.
+struct DeletedJob
+{
+    JobId id;
+    /// Number of rows that its progress may have in the store.
+    std::size_t progressRows = 1;
 };
 
 /// A worker that may run tasks of the cell, even if discovery no longer lists the worker.
@@ -150,8 +160,7 @@
     std::vector<WaveRow> waves;
     std::optional<HostOrdersRow> hostOrders;
     std::vector<ReleaseRow> release;
-    /// Jobs whose rows are deleted.
-    std::vector<JobId> deletedJobs;
+    std::vector<DeletedJob> deletedJobs;
 };
 
 /// All rows of a cell except the owner's row.
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "core/cells/call_budget.h"
 #include "core/cells/cell_lease.h"
 #include "core/cells/job_queue.h"
 #include "core/cells/job_registry.h"
+#include "core/cells/store_change.h"
 
 #include <deque>
 #include <map>
@@ -18,16 +20,17 @@
 /// Every transaction writes whole rows and is conditional on the version of the owner's row. A transaction without an
 /// answer can therefore be repeated: the repetition writes the owner's row as well, so a late execution of the first
 /// one fails on its condition.
+///
+/// A transaction that the store rejects is never repeated as it is. The next one only renews the lease. Those after it
+/// contain ever smaller parts of the rejected changes, until the change that the store does not accept is alone in one
+/// and is given up.
 class CellWriter
 {
 public:
-    /// Row limit of one transaction; the store accepts 100 entries including the condition.
+    /// Row limit of one transaction.
     static constexpr std::size_t maxRows = 90;
     /// Rows of new jobs that a transaction takes whatever else has changed, and of changed ones.
     static constexpr std::size_t maxRowsOfAKind = maxRows / 3;
-    /// Limit of the payloads and of the progress in one transaction; the store accepts 1 MB per call, encoded in
-    /// base64.
-    static constexpr std::size_t maxPayloadBytes = 400'000;
     /// Limit of the rows of waves in one transaction.
     static constexpr std::size_t maxWaves = 10;
     /// Limit of the parts of the list of workers in one transaction.
@@ -36,6 +39,8 @@
     static constexpr std::size_t minRemovedPayload = 256;
     /// Pause after a write that the store refused or left unanswered.
     static constexpr Duration retryPause{80};
+    /// Rejections of a change that is alone in its transaction after which it is given up.
+    static constexpr int maxRejections = 2;
 
     /// When a change has to be stored.
     enum class Urgency {
@@ -53,14 +58,18 @@
         CallId call;
         CellTransaction transaction;
         TimePoint sent;
+        /// Changes that the transaction stores, without the renewal of the lease and a release.
+        std::vector<StoreChange> changes = {};
         /// Ends that are stored with this transaction; set when it has succeeded.
         Ends ends = {};
     };
 
+    explicit CellWriter(StoreLimits limits);
+
     void clear();
     void addJob(const JobId &job);
     void changeJob(const JobId &job);
-    void dropJob(const JobId &job);
+    void dropJob(DeletedJob job);
     void changeRoster();
     void changeWave(const WaveRow &wave);
     void changeHostOrders(HostOrdersRow row, Urgency urgency);
@@ -80,8 +89,14 @@
     void recordAnswer(TimePoint now);
     /// Completes the pending transaction and returns it.
     Pending succeed();
+    /// Adds as many rows of a release to the transaction that next() has just built as the store accepts with it.
+    void addRelease(CellTransaction &transaction, std::vector<ReleaseRow> rows);
     /// Queues all changes of the pending transaction again, since it may have failed.
     void fail(TimePoint now);
+    /// Queues the changes of the pending transaction, which the store never accepts as it is, again in smaller ones.
+    void reject(TimePoint now);
+    /// Returns the changes that were given up since the last call, because the store never accepts them.
+    std::vector<StoreChange> takeUnstorable();
 
 private:
     /// The ends that were processed when a transaction was sent. They are stored when the jobs that had changed by then
@@ -93,13 +108,53 @@
         Ends ends;
     };
 
-    void takeJobs(CellTransaction &transaction, const JobRegistry &registry);
-    void takeProgress(CellTransaction &transaction, const JobRegistry &registry);
-    void takeRoster(CellTransaction &transaction, const WorkerRoster &roster, TimePoint now);
+    /// A transaction that is being built, and the state that its rows are made of.
+    struct Draft
+    {
+        const JobRegistry &registry;
+        std::map<std::uint32_t, RosterRow> roster;
+        CellTransaction transaction = {};
+        std::vector<StoreChange> changes = {};
+        /// What a single change may take.
+        CallBudget full = {};
+        CallBudget left = {};
+    };
+
+    enum class Taken {
+        Yes,
+        /// There is nothing to store, or the change was given up.
+        NotNeeded,
+        /// The transaction has no capacity for the change, which waits.
+        NoRoom,
+    };
+
+    /// Moves a waiting change into a transaction.
+    Taken take(const StoreChange &change, Draft &draft);
+    Taken takeRow(const NewJobChange &change, Draft &draft);
+    Taken takeRow(const ProgressChange &change, Draft &draft);
+    Taken takeRow(const WaveChange &change, Draft &draft);
+    Taken takeRow(const RosterChange &change, Draft &draft);
+    Taken takeRow(const HostOrdersChange &change, Draft &draft);
+    Taken takeRow(const DeletionChange &change, Draft &draft);
+    /// Uses up @p size in the transaction. A change that fits into no transaction is given up.
+    Taken reserve(const StoreChange &change, const EntrySize &size, Draft &draft);
+    void takeWaves(Draft &draft);
+    void takeJobs(Draft &draft);
+    /// Takes changed jobs until the transaction contains @p maxJobs.
+    void takeProgress(Draft &draft, std::size_t maxJobs);
+    void takeRoster(Draft &draft);
+    void takeDeletions(Draft &draft);
+    /// Takes the first half of the suspects.
+    void takeSuspects(Draft &draft);
+    void takeAll(Draft &draft);
+    void findChangedParts(const WorkerRoster &roster, const std::map<std::uint32_t, RosterRow> &rows);
+    /// Removes a change that the store never accepts from those that wait.
+    void giveUp(const StoreChange &change);
 
+    StoreLimits m_limits;
     JobQueue m_newJobs;
     JobQueue m_changedJobs;
-    JobQueue m_droppedJobs;
+    std::map<JobId, DeletedJob> m_droppedJobs;
     std::map<std::uint64_t, WaveRow> m_waves;
     std::optional<HostOrdersRow> m_hostOrders;
     bool m_areHostOrdersUrgent = false;
@@ -109,7 +164,23 @@
     std::set<std::uint32_t> m_rosterParts;
     /// Workers in each part when it was last written.
     std::map<std::uint32_t, std::vector<KnownWorker>> m_writtenRoster;
+    /// Parts of the list of workers that the store never accepts.
+    std::map<std::uint32_t, std::vector<KnownWorker>> m_unstorableRoster;
     bool m_isOwnerRequired = false;
+    /// The next transaction contains nothing but the renewal of the lease.
+    bool m_isOnlyOwnerDue = false;
+    /// Changes of a rejected transaction, of which the store does not accept at least one. They are written before all
+    /// others.
+    std::vector<StoreChange> m_suspects;
+    int m_rejections = 0;
+    /// The store has rejected a transaction with rows of a release, so that the next one goes without.
+    bool m_omitsRelease = false;
+    std::vector<StoreChange> m_unstorable;
+    /// Of the transaction that was built last and is not sent yet.
+    std::vector<StoreChange> m_builtChanges;
+    CallBudget m_budgetLeft;
+    /// New jobs that the last transaction with more waiting ones took.
+    std::size_t m_jobsPerTransaction = maxRowsOfAKind;
     TimePoint m_notBefore;
     std::optional<Pending> m_pending;
     /// Smoothed time of a transaction.
--- a/core/cells/job_queue.cpp
+++ b/core/cells/job_queue.cpp
@@ -22,6 +22,11 @@
     m_jobs.emplace(m_lowestPlace, job);
 }
 
+const JobId &JobQueue::front() const
+{
+    return m_jobs.begin()->second;
+}
+
 JobId JobQueue::pop()
 {
     JobId job = std::move(m_jobs.begin()->second);
@@ -30,6 +35,15 @@
     return job;
 }
 
+void JobQueue::remove(const JobId &job)
+{
+    const auto place = m_places.find(job);
+    if (place != m_places.end()) {
+        m_jobs.erase(place->second);
+        m_places.erase(place);
+    }
+}
+
 bool JobQueue::empty() const
 {
     return m_jobs.empty();
--- a/core/cells/job_queue.h
+++ b/core/cells/job_queue.h
@@ -18,8 +18,11 @@
     void push(const JobId &job);
     /// Adds a job at the front, or moves it there.
     void pushFront(const JobId &job);
+    /// The first job. The queue must not be empty.
+    const JobId &front() const;
     /// Removes the first job and returns it. The queue must not be empty.
     JobId pop();
+    void remove(const JobId &job);
 
     bool empty() const;
     std::size_t size() const;
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -91,6 +91,7 @@
     job->state = row.state;
     job->begun = row.begun;
     job->firstOpen = row.firstOpen;
+    job->progressRows = row.storedRows;
     if (isFinal(row.state)) {
         job->endStored = true;
         job->endedAt = now.steady;
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -122,6 +122,8 @@
     std::uint32_t maxFailures = 0;
     TimePoint addedAt;
     TimePoint endedAt;
+    /// Rows that the progress may have in the store.
+    std::size_t progressRows = 1;
     std::uint32_t firstOpen = 0;
     /// Occurrences that are due and not done.
     std::map<std::uint32_t, Occurrence> open;
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -6,7 +6,9 @@
 #include <cereal/types/map.hpp>
 #include <cereal/types/variant.hpp>
 
+#include <ostream>
 #include <sstream>
+#include <streambuf>
 
 namespace radishvane::cells
 {
@@ -234,6 +236,42 @@
 namespace
 {
 
+/// Stream that only counts what is written to it.
+class CountingBuffer : public std::streambuf
+{
+public:
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
+
+protected:
+    std::streamsize xsputn(const char *, std::streamsize count) override
+    {
+        m_bytes += static_cast<std::size_t>(count);
+        return count;
+    }
+
+    int_type overflow(int_type letter) override
+    {
+        ++m_bytes;
+        return traits_type::not_eof(letter);
+    }
+
+private:
+    std::size_t m_bytes = 0;
+};
+
+template<typename Value>
+std::size_t countBytes(Value value)
+{
+    CountingBuffer buffer;
+    std::ostream stream(&buffer);
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(value);
+    return buffer.bytes();
+}
+
 template<typename Value>
 std::string encode(Value value)
 {
@@ -297,6 +335,41 @@
     return encode(row);
 }
 
+std::size_t encodedSize(const cells::OwnerRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::JobRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::ProgressRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::RosterRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::WaveRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::HostOrdersRow &row)
+{
+    return countBytes(row);
+}
+
+std::size_t encodedSize(const cells::ReleaseRow &row)
+{
+    return countBytes(row);
+}
+
 std::string encodeQuestion(const LinkQuestion &question)
 {
     return encode(question);
--- a/drivers/cell_codec.h
+++ b/drivers/cell_codec.h
@@ -37,6 +37,16 @@
 std::string encodeRow(const cells::WaveRow &row);
 std::string encodeRow(const cells::HostOrdersRow &row);
 std::string encodeRow(const cells::ReleaseRow &row);
+
+/// Size of the result of encodeRow(), without encoding.
+std::size_t encodedSize(const cells::OwnerRow &row);
+std::size_t encodedSize(const cells::JobRow &row);
+std::size_t encodedSize(const cells::ProgressRow &row);
+std::size_t encodedSize(const cells::RosterRow &row);
+std::size_t encodedSize(const cells::WaveRow &row);
+std::size_t encodedSize(const cells::HostOrdersRow &row);
+std::size_t encodedSize(const cells::ReleaseRow &row);
+
 std::string encodeQuestion(const LinkQuestion &question);
 std::string encodeAnswer(const cells::AnswerCall &answer);
 
--- a/drivers/site_settings.cpp
+++ b/drivers/site_settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr Range millisecondsRange{1, 3'600'000};
 constexpr Range secondsRange{1, 86'400};
+constexpr Range rowBytesRange{1'024, 1 << 20};
 constexpr double minCores = 0.001;
 constexpr double maxCores = 1'024;
 constexpr double minLinkMbps = 0.001;
@@ -46,6 +47,8 @@
     settings.linkListen = fields.endpoint("link_listen");
     settings.metricsListen = fields.endpoint("metrics_listen");
     settings.store = fields.endpoint("store");
+    settings.storeRowBytes
+        = fields.number("store_row_bytes", rowBytesRange, static_cast<std::uint32_t>(settings.storeRowBytes));
     settings.hostService = fields.endpoint("host_service");
     settings.admission = fields.optionalEndpoint("admission").value_or(Endpoint{});
     settings.mostHold = milliseconds(fields, "most_hold_ms");
--- a/drivers/site_settings.h
+++ b/drivers/site_settings.h
@@ -28,6 +28,8 @@
     Endpoint metricsListen;
     /// The platform's store.
     Endpoint store;
+    /// Bytes of a row's value that the store accepts.
+    std::size_t storeRowBytes = 65'536;
     /// The platform's service for hosts.
     Endpoint hostService;
     /// The service that says which workers may run a step; queues that ask for it need it.
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -1,5 +1,7 @@
 #include "main/site_host.h"
 
+#include "platform/store_limits.h"
+
 #include <event2/event.h>
 
 #include <algorithm>
@@ -40,7 +42,8 @@
     , m_log(m_loop, m_clock, settings.host.name(), settings.logLevel)
     , m_store(m_loop, m_clock, m_log, onlyCell, settings.store, settings.hostService)
     , m_cell(m_loop, m_clock, m_log, onlyCell, settings.host, incarnationOf(m_clock), settings.linkListen,
-             settings.admission, timesOf(settings), settings.capacity, settings.hostServiceLimits)
+             settings.admission, timesOf(settings), settings.capacity,
+             platform::storeLimits(onlyCell, settings.storeRowBytes), settings.hostServiceLimits)
     , m_front(m_loop, m_clock, m_log,
               servers::SiteFrontTask::Ports{settings.listen, settings.readyListen, settings.linkListen},
               settings.keysWithin)
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -8,13 +8,14 @@
 
 CellTask::CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
                    const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
-                   cells::CellTimes times, cells::HostCapacity capacity, cells::HostServiceLimits hostService)
+                   cells::CellTimes times, cells::HostCapacity capacity, cells::StoreLimits storeLimits,
+                   cells::HostServiceLimits hostService)
     : m_clock(clock)
     , m_log(log)
     , m_incarnation(incarnation)
     , m_host(host)
     , m_admission(admission)
-    , m_controller(cell, host, incarnation, link, times, capacity, hostService)
+    , m_controller(cell, host, incarnation, link, times, capacity, std::move(storeLimits), hostService)
     , m_statistics(clock, tickInterval)
     , m_http(loop, &m_statistics, mostCallsPerWorker)
     , m_mailbox(loop,
@@ -162,7 +163,20 @@
 void CellTask::apply(const cells::DecisionLogEntry &entry)
 {
     decided.emit(entry);
-    m_log.line(drivers::LogLevel::Info, enumName(cells::cellDecisionNames, entry.decision),
+    const std::string_view event = enumName(cells::cellDecisionNames, entry.decision);
+    if (entry.storeCall) {
+        m_log.line(drivers::LogLevel::Warning, event,
+                   {{"subject", entry.subject},
+                    {"epoch", std::to_string(entry.epoch)},
+                    {"number", std::to_string(entry.number)},
+                    {"reason", entry.reason},
+                    {"status", std::to_string(entry.storeCall->status)},
+                    {"bytes", std::to_string(entry.storeCall->bytes)},
+                    {"entries", std::to_string(entry.storeCall->entries)},
+                    {"problem", entry.storeCall->problem}});
+        return;
+    }
+    m_log.line(drivers::LogLevel::Info, event,
                {{"subject", entry.subject},
                 {"worker", entry.worker},
                 {"epoch", std::to_string(entry.epoch)},
--- a/servers/cell_task.h
+++ b/servers/cell_task.h
@@ -27,7 +27,8 @@
 
     CellTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
              const HostId &host, std::uint64_t incarnation, const Endpoint &link, const Endpoint &admission,
-             cells::CellTimes times, cells::HostCapacity capacity, cells::HostServiceLimits hostService);
+             cells::CellTimes times, cells::HostCapacity capacity, cells::StoreLimits storeLimits,
+             cells::HostServiceLimits hostService);
 
     void post(Message message);
 
--- a/tests/core/cells/cell_controller_test.cpp
+++ b/tests/core/cells/cell_controller_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/cell_stories.h"
 #include "tests/support/effects.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -63,7 +64,8 @@
         return advanceTo<WriteCell>();
     }
 
-    CellController controller{CellId("c0"), HostId("a"), 1, Endpoint{"127.0.0.1", 1}, CellTimes{}, HostCapacity{}};
+    CellController controller{CellId("c0"),   HostId("a"),      1, Endpoint{"127.0.0.1", 1}, CellTimes{},
+                              HostCapacity{}, testStoreLimits()};
 
 private:
     TimePoint m_now = TimePoint(std::chrono::hours(1));
--- a/tests/core/cells/cell_measurements_test.cpp
+++ b/tests/core/cells/cell_measurements_test.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/cell_controller.h"
 #include "tests/support/effects.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +14,7 @@
 {
     story("an entry host on a site whose cell has no owner", [] {
         const CellId cell("c");
-        CellController controller(cell, HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{});
+        CellController controller(cell, HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{}, testStoreLimits());
         Instant now{TimePoint(std::chrono::hours(1'000)), WallTime{}};
         const auto handle = [&](const CellEvent &event, Duration later) {
             now.steady += later;
--- a/tests/core/cells/cell_store_backlog_test.cpp
+++ b/tests/core/cells/cell_store_backlog_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/cell_stories.h"
 #include "tests/support/effects.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +21,8 @@
 class WritingOwner
 {
 public:
-    WritingOwner() : m_controller(CellId("c"), HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{})
+    WritingOwner()
+        : m_controller(CellId("c"), HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{}, testStoreLimits())
     {
         handle(OwnerObserved{}, Duration{0});
         constexpr int mostTicks = 100;
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/cell_writer.h"
 #include "drivers/cell_codec.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -72,7 +73,7 @@
         return *roster.find(id);
     }
 
-    CellWriter writer;
+    CellWriter writer{testStoreLimits()};
     JobRegistry registry;
     WorkerRoster roster;
     CellLease lease{HostId("a"), 1, Endpoint{"a", 1}, HostCapacity{}};
@@ -263,7 +264,7 @@
             owner.registry.finish(owner.addJob(numbered("e", number), true, std::string(4'000, 'p')),
                                   GraphState::Completed, owner.now);
             owner.writer.changeJob(numbered("e", number));
-            owner.writer.dropJob(numbered("d", number));
+            owner.writer.dropJob(DeletedJob{numbered("d", number)});
         }
         std::size_t deleted = 0;
         while (owner.writer.hasWork()) {
--- a/tests/core/cells/held_calls_test.cpp
+++ b/tests/core/cells/held_calls_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/support/cell_stories.h"
 #include "tests/support/effects.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -22,7 +23,8 @@
 class RebuildingOwner
 {
 public:
-    RebuildingOwner() : m_controller(CellId("c"), HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{})
+    RebuildingOwner()
+        : m_controller(CellId("c"), HostId("a"), 1, Endpoint{}, CellTimes{}, HostCapacity{}, testStoreLimits())
     {
         handle(OwnerObserved{}, Duration{0});
         std::optional<WriteCell> takeover;
--- a/tests/core/cells/host_order_ledger_test.cpp
+++ b/tests/core/cells/host_order_ledger_test.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/host_order_ledger.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -37,7 +38,7 @@
 TEST(HostOrderLedger, ForgetsAHostThatIsGoneForGood)
 {
     story("an earlier owner has sent an order for a host that no list shows any more", [] {
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         HostOrderLedger orders(writer);
         orders.restore(HostOrdersRow{{HostId("h")}});
         orders.observe(listOf({}, start));
@@ -60,7 +61,7 @@
 TEST(HostOrderLedger, AsksForNoFrequentListsBecauseOfHostsThatAreDown)
 {
     story("an earlier owner has sent an order for a host", [] {
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         HostOrderLedger orders(writer);
         orders.restore(HostOrdersRow{{HostId("h")}});
         section("lists are awaited until the first one", [&] { EXPECT_TRUE(orders.awaitsList(HostList{})); });
--- a/tests/core/cells/row_sizes_test.cpp
+++ b/tests/core/cells/row_sizes_test.cpp
@@ -2,6 +2,7 @@
 #include "core/cells/released_runs.h"
 #include "drivers/cell_codec.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -102,7 +103,7 @@
 TEST(HostOrdersRow, IsNotWrittenBeyondTheSizeOfARow)
 {
     story("an owner plans orders for 3,000 hosts with the longest names", [] {
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         HostOrderLedger orders(writer);
         JobRegistry registry;
         WorkerRoster roster;
--- a/tests/core/cells/run_ledger_test.cpp
+++ b/tests/core/cells/run_ledger_test.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/run_ledger.h"
 #include "tests/support/cell_stories.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -13,7 +14,7 @@
 {
     story("a job is cancelled while its start is in doubt, and the worker restarts", [] {
         CellOutbox outbox;
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         RunLedger runs(outbox, writer);
         outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
         WorkerEntry entry;
--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/worker_lease_controller.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -42,7 +43,7 @@
 {
     story("an end is stored while a renewal that does not acknowledge it is pending", [] {
         CellOutbox outbox;
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         RunLedger runs(outbox, writer);
         WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
         outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
@@ -83,7 +84,7 @@
 {
     story("a worker restarts while the answer of its former incarnation is held up", [] {
         CellOutbox outbox;
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         RunLedger runs(outbox, writer);
         WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
         outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
@@ -125,7 +126,7 @@
 {
     story("the wall clock of the earlier owner was ahead, and it started an occurrence", [] {
         CellOutbox outbox;
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         RunLedger runs(outbox, writer, CellTimes{});
         WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
         outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
--- a/tests/core/cells/worker_roster_test.cpp
+++ b/tests/core/cells/worker_roster_test.cpp
@@ -1,5 +1,6 @@
 #include "core/cells/run_controller.h"
 #include "tests/support/story.h"
+#include "tests/support/test_store_limits.h"
 
 #include <gtest/gtest.h>
 
@@ -37,7 +38,7 @@
 {
     story("the lease of an unreachable worker expires, and the worker answers before the next tick", [] {
         CellOutbox outbox;
-        CellWriter writer;
+        CellWriter writer{testStoreLimits()};
         RunController runs(outbox, writer, CellTimes{}, HostCapacity{});
         outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
         WorkerEntry entry;
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -1,5 +1,7 @@
 #include "tests/support/cell_site.h"
 
+#include "tests/support/test_store_limits.h"
+
 #include "core/base/overloaded.h"
 
 #include <algorithm>
@@ -174,7 +176,7 @@
     times.leaseTime = Duration(6'000);
     times.stopGrace = Duration(stopTime);
     entry.controller = std::make_unique<CellController>(cell, entry.host, ++m_incarnations, Endpoint{name, 1}, times,
-                                                        entry.capacity, hostService);
+                                                        entry.capacity, testStoreLimits(), hostService);
     entry.alive = true;
     ++entry.life;
     entry.frozen = false;
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -87,9 +87,6 @@
 public:
     /// Milliseconds that a worker takes to stop a task.
     static constexpr std::int64_t stopTime = 900;
-    /// Bytes of a row and entries of a call that the store accepts.
-    static constexpr std::size_t maxRowBytes = 65'536;
-    static constexpr std::size_t maxStoreEntries = 100;
 
     explicit CellSite(std::uint64_t seed = 1);
 
@@ -102,6 +99,9 @@
     /// Chance that a run fails by its own fault.
     double failingRuns = 0;
     bool storeDown = false;
+    /// Whether the store rejects each call that writes a row with this key.
+    std::function<bool(const std::string &)> isRejected;
+    std::uint64_t rejectedWrites = 0;
     /// The next write of rows gets no answer, and is carried out three seconds later.
     bool loseNextWrite = false;
     /// The next write that releases the cell gets no answer, and is carried out after so many milliseconds.
@@ -261,7 +261,7 @@
     /// time limit of the call, the call is answered with @p unknown before.
     std::int64_t linkDelay(const Caller &caller, std::size_t payloadBytes, const std::function<void()> &unknown);
     void write(const Caller &caller, const cells::WriteCell &call);
-    bool fitsIntoStore(const cells::CellTransaction &transaction) const;
+    bool isAccepted(const cells::CellTransaction &transaction) const;
     cells::CellWritten carryOut(const cells::WriteCell &call);
     void read(const Caller &caller, const cells::ReadCell &call);
     /// Carries a request for a handover to the owner that its sender knows.
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -1,6 +1,7 @@
 #include "core/base/overloaded.h"
-#include "drivers/cell_codec.h"
+#include "platform/cell_store.h"
 #include "tests/support/cell_site.h"
+#include "tests/support/store_calls.h"
 
 #include <algorithm>
 
@@ -97,29 +98,13 @@
     });
 }
 
-bool CellSite::fitsIntoStore(const CellTransaction &transaction) const
+bool CellSite::isAccepted(const CellTransaction &transaction) const
 {
-    std::size_t rows = 0;
-    bool fits = true;
-    const auto check = [&](const auto &row) {
-        ++rows;
-        fits = fits && drivers::encodeRow(row).size() <= maxRowBytes;
-    };
-    const auto checkAll = [&check](const auto &list) {
-        std::for_each(list.begin(), list.end(), check);
-    };
-    checkAll(transaction.jobs);
-    checkAll(transaction.progress);
-    checkAll(transaction.waves);
-    checkAll(transaction.roster);
-    checkAll(transaction.release);
-    if (transaction.owner) {
-        check(*transaction.owner);
-    }
-    if (transaction.hostOrders) {
-        check(*transaction.hostOrders);
-    }
-    return fits && 1 + rows + 2 * transaction.deletedJobs.size() <= maxStoreEntries;
+    const platform::RowTransaction call = platform::rowsOf(transaction);
+    const bool holdsRejected = isRejected
+        && std::any_of(call.writes.begin(), call.writes.end(),
+                       [this](const platform::RowWrite &row) { return isRejected(row.row.key); });
+    return !holdsRejected && isWithinLimits(call);
 }
 
 CellWritten CellSite::carryOut(const WriteCell &call)
@@ -128,8 +113,9 @@
     if (transaction.expectedOwnerVersion != m_ownerVersion) {
         return CellWritten{call.call, CellWriteOutcome::Conflict, m_ownerVersion, m_owner};
     }
-    if (!fitsIntoStore(transaction)) {
-        return CellWritten{call.call, CellWriteOutcome::Refused, 0, std::nullopt};
+    if (!isAccepted(transaction)) {
+        ++rejectedWrites;
+        return CellWritten{call.call, CellWriteOutcome::Rejected, 0, std::nullopt};
     }
     ++storeWrites;
     ++m_version;
@@ -160,6 +146,10 @@
     for (const ReleaseRow &row : transaction.release) {
         m_release[row.part] = row;
     }
+    for (const DeletedJob &job : transaction.deletedJobs) {
+        m_jobs.erase(job.id);
+        m_progress.erase(job.id);
+    }
     return CellWritten{call.call, CellWriteOutcome::Written, m_version, std::nullopt};
 }
 
--- /dev/null
+++ b/tests/support/test_store_limits.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "platform/store_limits.h"
+
+namespace radishvane::tests
+{
+
+/// Limits of the platform's store for the cell of a test.
+inline cells::StoreLimits testStoreLimits()
+{
+    return platform::storeLimits(cells::CellId("c0"), platform::defaultMaxRowBytes);
+}
+
+} // namespace radishvane::tests
