Write rows that outgrow the store's limit in parts

Cause: the progress of a job was admitted by its size without checkpoints and failed runs; its row had 79,231 bytes (the writer before, with checkpoints of 16 digits) where the store takes 65,536. Change: a value that is larger than a row is written as several rows in the same transaction, and joined when it is read. The first part tells how many there are, so that parts of an earlier write are ignored. The checkpoints of a job's open tasks share 400,000 bytes, so that its progress fits into one call; a task that is done keeps none, unless in a gang. The size of a row comes from the settings of the site.

--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -458,15 +458,17 @@
     StoreWriteFailed,
     /// A change that the store never accepts was given up.
     StoreChangeDropped,
+    /// A worker reported a checkpoint that is too large for the progress of its job; the one before is kept.
+    CheckpointIgnored,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 21> cellDecisionNames{
-    "ownership-taken",      "ownership-lost",  "ownership-released", "cell-rebuilt",   "job-accepted",
-    "job-refused",          "job-ended",       "task-started",       "task-ended",     "task-stopped",
-    "order-in-doubt",       "worker-admitted", "worker-reborn",      "worker-lost",    "worker-avoided",
-    "host-maintained",      "host-moved",      "host-fenced",        "wave-completed", "store-write-failed",
-    "store-change-dropped",
+inline constexpr std::array<std::string_view, 22> cellDecisionNames{
+    "ownership-taken",      "ownership-lost",     "ownership-released", "cell-rebuilt",   "job-accepted",
+    "job-refused",          "job-ended",          "task-started",       "task-ended",     "task-stopped",
+    "order-in-doubt",       "worker-admitted",    "worker-reborn",      "worker-lost",    "worker-avoided",
+    "host-maintained",      "host-moved",         "host-fenced",        "wave-completed", "store-write-failed",
+    "store-change-dropped", "checkpoint-ignored",
 };
 
 /// Log entry for one decision, with its subject and reason.
--- a/core/cells/job_graph.cpp
+++ b/core/cells/job_graph.cpp
@@ -91,6 +91,16 @@
     return std::max<std::size_t>(maxProgressBytes / progressBytes(), 1);
 }
 
+std::size_t GraphSpec::maxCheckpointBytesPerTask() const
+{
+    std::size_t tasks = 0;
+    for (const StepSpec &step : steps) {
+        tasks += step.count;
+    }
+    const std::size_t openTasks = tasks * std::min<std::size_t>(occurrences(), maxOpenOccurrences());
+    return maxCheckpointBytes / std::max<std::size_t>(openTasks, 1);
+}
+
 WallTime GraphSpec::dueAt(std::uint32_t occurrence) const
 {
     return firstDue + occurrence * period;
--- a/core/cells/job_graph.h
+++ b/core/cells/job_graph.h
@@ -89,14 +89,18 @@
     WallTime firstDue{};
     Duration period{0};
 
-    /// Bound on progressBytes() of all open occurrences, so that the row of a job's progress fits into the store.
+    /// Bound on progressBytes() of all open occurrences.
     static constexpr std::size_t maxProgressBytes = 56'000;
+    /// Bound on the checkpoints of all open occurrences, so that the progress of a job fits into one call to the store.
+    static constexpr std::size_t maxCheckpointBytes = 400'000;
 
     std::uint32_t occurrences() const;
     /// Bytes of the stored progress of one occurrence, without checkpoints and failed runs.
     std::size_t progressBytes() const;
-    /// Occurrences whose progress fits into one row.
+    /// Occurrences that may be open at the same time.
     std::size_t maxOpenOccurrences() const;
+    /// Bytes of a checkpoint that each task may keep.
+    std::size_t maxCheckpointBytesPerTask() const;
     WallTime dueAt(std::uint32_t occurrence) const;
     /// Processor time of one occurrence, in thousandths of a core times milliseconds.
     /// @param runTimes run time of one task of each step.
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -341,6 +341,17 @@
     return EndEffect::JobEnded;
 }
 
+bool JobRegistry::recordCheckpoint(const TaskId &id, const std::string &checkpoint)
+{
+    if (checkpoint.size() > find(id.job)->row.spec.maxCheckpointBytesPerTask()) {
+        return false;
+    }
+    if (!checkpoint.empty()) {
+        task(id)->progress.checkpoint = checkpoint;
+    }
+    return true;
+}
+
 void JobRegistry::withdraw(const TaskId &id, RunNumber run)
 {
     Step *taskStep = step(id);
@@ -400,11 +411,14 @@
     }
     for (const auto &[number, occurrence] : job.open) {
         OccurrenceProgress &progress = row.open[number];
-        for (const Step &step : occurrence.steps) {
+        for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             std::vector<TaskProgress> &tasks = progress.emplace_back();
-            for (const Task &task : step.tasks) {
+            for (const Task &task : occurrence.steps[index].tasks) {
                 TaskProgress &stored = tasks.emplace_back(task.progress);
                 stored.done = stored.done || task.isDoneEarlier;
+                if (stored.done && !job.row.spec.steps[index].gang) {
+                    stored.checkpoint.clear();
+                }
             }
         }
     }
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -177,6 +177,9 @@
     EndEffect closeOccurrences(Job &job, TimePoint now);
     /// Counts the failure of a run that is not the task's current run, unless it is already counted.
     EndEffect countFailure(const TaskId &id, RunNumber run, std::uint32_t maxFailures, TimePoint now);
+    /// Keeps the newest checkpoint of a task.
+    /// @return whether the progress of the job has capacity for it; the checkpoint before stays otherwise.
+    bool recordCheckpoint(const TaskId &id, const std::string &checkpoint);
     /// Removes a run that never started on its worker, and makes its task wait again.
     void withdraw(const TaskId &id, RunNumber run);
     void finish(Job &job, GraphState state, TimePoint now);
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -169,8 +169,9 @@
         applyEarlierEnd(row);
         return;
     }
-    if (!row.checkpoint.empty()) {
-        task->progress.checkpoint = row.checkpoint;
+    if (!m_registry.recordCheckpoint(row.task, row.checkpoint)) {
+        m_outbox.log(CellDecision::CheckpointIgnored, taskName(row.task), worker.id.name(), row.checkpoint.size(),
+                     "too-large");
     }
     m_runs.recordOutcome(worker, row.how);
     m_runs.endRun(row.task, row.how);
@@ -231,9 +232,8 @@
         run.percent = row.percent;
         run.load = row.load;
         protectTailLatency(worker, row);
-        if (!row.checkpoint.empty()) {
-            task->progress.checkpoint = row.checkpoint;
-        }
+        // One that is too large is logged at the end of the run.
+        (void)m_registry.recordCheckpoint(row.task, row.checkpoint);
     }
 }
 
--- a/main/site_host.cpp
+++ b/main/site_host.cpp
@@ -40,7 +40,7 @@
 SiteHost::SiteHost(const drivers::SiteSettings &settings)
     : m_settings(settings)
     , m_log(m_loop, m_clock, settings.host.name(), settings.logLevel)
-    , m_store(m_loop, m_clock, m_log, onlyCell, settings.store, settings.hostService)
+    , m_store(m_loop, m_clock, m_log, onlyCell, settings.store, settings.storeRowBytes, settings.hostService)
     , m_cell(m_loop, m_clock, m_log, onlyCell, settings.host, incarnationOf(m_clock), settings.linkListen,
              settings.admission, timesOf(settings), settings.capacity,
              platform::storeLimits(onlyCell, settings.storeRowBytes), settings.hostServiceLimits)
--- a/servers/site_store_task.cpp
+++ b/servers/site_store_task.cpp
@@ -17,13 +17,14 @@
 } // namespace
 
 SiteStoreTask::SiteStoreTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log,
-                             const cells::CellId &cell, const Endpoint &store, const Endpoint &hostService)
+                             const cells::CellId &cell, const Endpoint &store, std::size_t maxRowBytes,
+                             const Endpoint &hostService)
     : m_clock(clock)
     , m_log(log)
     , m_statistics(clock, tickInterval)
     , m_store(loop, store, &m_statistics)
     , m_cellStore(
-          m_store, [this](const cells::CellEvent &event) { cellEvent.emit(event); },
+          m_store, maxRowBytes, [this](const cells::CellEvent &event) { cellEvent.emit(event); },
           [this](const std::string &key, const std::string &problem) {
               noteBadRow(platform::cellsTable, platform::StoredRow{key, {}, 1, false}, problem);
           })
--- a/servers/site_store_task.h
+++ b/servers/site_store_task.h
@@ -28,7 +28,7 @@
     static constexpr Duration discoveryInterval{250};
 
     SiteStoreTask(drivers::EventLoop &loop, const Clock &clock, drivers::EventLog &log, const cells::CellId &cell,
-                  const Endpoint &store, const Endpoint &hostService);
+                  const Endpoint &store, std::size_t maxRowBytes, const Endpoint &hostService);
 
     void post(Message message);
 
--- a/tests/core/cells/cell_store_limits_test.cpp
+++ b/tests/core/cells/cell_store_limits_test.cpp
@@ -73,7 +73,7 @@
         writer.sent(CallId{1}, *transaction, roster, m_now);
         const bool isRenewalDue = std::exchange(m_wasRejected, false);
         EXPECT_TRUE(!isRenewalDue || transaction->owner);
-        const platform::RowTransaction rows = platform::rowsOf(*transaction);
+        const platform::RowTransaction rows = platform::rowsOf(*transaction, platform::defaultMaxRowBytes);
         if (!isWithinLimits(rows)) {
             ++brokenLimits;
         }
@@ -187,6 +187,53 @@
     });
 }
 
+// Guards against a row of progress beyond the row limit, which the store rejected for ever with the renewal of the
+// lease.
+TEST(CellStoreLimits, LetTheProgressOfAWideJobGrow)
+{
+    story("a job of 2,400 tasks saves checkpoints", [] {
+        constexpr std::uint32_t tasks = 2'400;
+        constexpr std::size_t checkpointBytes = 100;
+        StrictStore store;
+        Job &job = store.addJob(JobId("wide"), true, graphOf(1, tasks, 40, Duration(4'000)));
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            EXPECT_TRUE(
+                store.registry.recordCheckpoint(TaskId{job.row.id, 0, 0, index}, std::string(checkpointBytes, 'c')));
+        }
+        store.writer.changeJob(job.row.id);
+        const CellTransaction transaction = store.exchange();
+        section("one call within the limits stores all of it, in several rows", [&] {
+            EXPECT_EQ(store.brokenLimits, 0);
+            ASSERT_EQ(transaction.progress.size(), 1);
+            EXPECT_GT(transaction.progress.front().storedRows, 1);
+            EXPECT_FALSE(store.writer.hasWork());
+        });
+        section("the next owner reads it as it was", [&] {
+            platform::CellRowReader reader(
+                [](const std::string &key, const std::string &problem) { ADD_FAILURE() << key << ": " << problem; });
+            for (const auto &[key, value] : store.stored) {
+                if (key != platform::ownerKey) {
+                    reader.add(platform::StoredRow{key, value, 1, false});
+                }
+            }
+            const auto contents = reader.take();
+            ASSERT_TRUE(contents);
+            ASSERT_EQ(contents->progress.size(), 1);
+            EXPECT_EQ(contents->progress.front().open, store.registry.progressRow(job).open);
+            EXPECT_EQ(contents->progress.front().storedRows, transaction.progress.front().storedRows);
+        });
+        section("a checkpoint beyond the share of a task is not kept", [&] {
+            const TaskId task{job.row.id, 0, 0, 7};
+            EXPECT_FALSE(store.registry.recordCheckpoint(task, std::string(1'000, 'd')));
+            EXPECT_EQ(store.registry.task(task)->progress.checkpoint, std::string(checkpointBytes, 'c'));
+        });
+        section("a task that is done needs no checkpoint", [&] {
+            store.registry.complete(TaskId{job.row.id, 0, 0, 7}, 1, TimePoint{});
+            EXPECT_EQ(store.registry.progressRow(job).open.at(0)[0][7].checkpoint, "");
+        });
+    });
+}
+
 // Guards against a row that the store never accepts and that is repeated with all others behind it.
 TEST(CellStoreLimits, EndOnlyTheJobWhoseRowsTheStoreRejects)
 {
@@ -266,6 +313,10 @@
         spec.steps.front().count = static_cast<std::uint32_t>(draw(1, draw(0, 9) == 0 ? wide : narrow));
         const bool isStored = draw(0, 2) > 0;
         Job &job = store.addJob(JobId(name), isStored, spec);
+        const std::size_t checkpoint = draw(0, spec.maxCheckpointBytesPerTask());
+        for (std::uint32_t index = 0; index < spec.steps.front().count; ++index) {
+            store.registry.recordCheckpoint(TaskId{job.row.id, 0, 0, index}, std::string(checkpoint, 'c'));
+        }
         if (draw(0, 3) == 0) {
             store.registry.finish(job, GraphState::Completed, TimePoint{});
         }
@@ -280,7 +331,7 @@
     }
     const std::uint64_t waves = draw(0, 12);
     for (std::uint64_t wave = 0; wave < waves; ++wave) {
-        WaveRow row{wave, std::vector<HostId>(draw(0, 300), HostId(std::string(draw(1, 200), 'h'))), false};
+        WaveRow row{wave, std::vector<HostId>(draw(0, 500), HostId(std::string(draw(1, 200), 'h'))), false};
         store.writer.changeWave(row);
         expected.push_back("wave/" + std::to_string(wave));
     }
