Start a task again where its unanswered start may still be carried out

A worker leaves a start unanswered, the owner gives it up when the worker's clock has passed the deadline, and starts the task elsewhere. The worker crashes, comes back under its id, and carries the first order out: the deadline is one of the former clock, and the new incarnation has seen no fencing token. Cause: the deadline binds only the incarnation whose clock it names; the run was forgotten when that one could no longer start it. Change: such a start stays with its task for 20 s. The task goes to the same worker again if it fits there, so that a crash ends both. It waits while the next incarnation of that worker has not answered under its own fencing token, or lists a run of the task that is being stopped. Ruled out: waiting until the order can no longer be carried out (a job has to run within 3 s), and a deadline that the new clock has passed (clocks start anew with every incarnation).

--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -33,6 +33,8 @@
     RunPhase phase = RunPhase::Ordered;
     /// On the worker's clock. The worker refuses a start that it would carry out later.
     std::int64_t startDeadline = 0;
+    /// When the start order was sent; not set for the run of an earlier owner.
+    TimePoint orderedAt;
     /// When the worker confirmed that it runs the task.
     TimePoint confirmedAt;
     double percent = 0;
@@ -52,9 +54,20 @@
     TimePoint stopNotBefore;
 };
 
+/// A start order that had no answer and whose run was given up. The deadline of the order keeps the incarnation of the
+/// worker that it was sent to from carrying it out, but not the next one, whose clock starts anew.
+struct AbandonedStart
+{
+    WorkerId worker;
+    /// The order is not carried out after this time.
+    TimePoint lateUntil;
+};
+
 struct Task
 {
     TaskProgress progress;
+    /// Start orders of the task that the next incarnation of their worker may still carry out.
+    std::vector<AbandonedStart> abandonedStarts;
     /// Highest run number that this owner has ordered.
     RunNumber startedRun = 0;
     std::optional<Run> run;
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -109,6 +109,9 @@
     const RunNumber number = task->run->number;
     m_outbox.log(CellDecision::TaskEnded, taskName(id), task->run->worker.name(), number,
                  std::string(enumName(runEndNames, how)));
+    if (how == RunEnd::LeaseExpired) {
+        recordAbandoned(*task);
+    }
     release(id);
     if (how == RunEnd::Done) {
         learnRunTime(id, *task);
@@ -196,6 +199,7 @@
         return;
     }
     const RunNumber number = task.run->number;
+    recordAbandoned(*m_registry.task(id));
     release(id);
     m_registry.withdraw(id, number);
     m_planningRequested = true;
@@ -204,6 +208,42 @@
     m_registry.retireIfDone(job);
 }
 
+void RunLedger::recordAbandoned(Task &task)
+{
+    const TimePoint now = m_outbox.now.steady;
+    std::vector<AbandonedStart> &starts = task.abandonedStarts;
+    starts.erase(std::remove_if(starts.begin(), starts.end(),
+                                [now](const AbandonedStart &start) { return now >= start.lateUntil; }),
+                 starts.end());
+    const Run &run = *task.run;
+    // A restarted worker has accepted a stop of the run under its new fencing token, which is higher than the order's.
+    if (run.phase != RunPhase::InDoubt || run.hasWorkerRestarted || run.orderedAt == TimePoint{}) {
+        return;
+    }
+    starts.push_back(AbandonedStart{run.worker, run.orderedAt + maxOrderDelay});
+}
+
+bool RunLedger::mayRunAbandoned(const TaskId &id, const Task &task) const
+{
+    const TimePoint now = m_outbox.now.steady;
+    const std::vector<AbandonedStart> &starts = task.abandonedStarts;
+    return std::any_of(starts.begin(), starts.end(), [&](const AbandonedStart &start) {
+        const Worker *worker = m_roster.find(start.worker);
+        if (worker == nullptr) {
+            return false;
+        }
+        const bool isNewIncarnation = !worker->fenced && now < worker->settledAt;
+        return worker->foreignTasks.count(id) > 0 || (now < start.lateUntil && isNewIncarnation);
+    });
+}
+
+WorkerId RunLedger::abandonedOn(const Task &task) const
+{
+    const std::vector<AbandonedStart> &starts = task.abandonedStarts;
+    const bool isLate = !starts.empty() && m_outbox.now.steady < starts.back().lateUntil;
+    return isLate ? starts.back().worker : WorkerId();
+}
+
 void RunLedger::requestStop(const TaskId &id, const std::string &reason)
 {
     Task *task = m_registry.task(id);
@@ -295,7 +335,7 @@
     }
     endAllRuns(worker, CellDecision::WorkerRestarted);
     m_roster.beginIncarnation(worker, startedAtMs);
-    worker.settledAt = m_outbox.now.steady + restartSettleTime;
+    worker.settledAt = m_outbox.now.steady + maxOrderDelay;
     if (m_outbox.now.steady < worker.inheritedUntil) {
         // The deadline of an earlier owner's order refers to the former clock.
         worker.inheritedUntil = longestLeaseEnd();
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -28,9 +28,8 @@
     static constexpr Duration avoidanceTime{3'000};
     /// At most one in this many workers of a pool is avoided at the same time.
     static constexpr std::size_t workersPerAvoided = 3;
-    /// Time after a restart of a worker until orders to its former incarnation have certainly lost their effect while
-    /// it does not answer: they may be carried out seconds late, and then bring a lease.
-    static constexpr Duration restartSettleTime{20'000};
+    /// Time after which an order without an answer is no longer carried out.
+    static constexpr Duration maxOrderDelay{20'000};
 
     RunLedger(CellOutbox &outbox, CellWriter &writer, CellTimes times = {});
 
@@ -61,6 +60,11 @@
     void recordEarlierDone(const TaskId &id, RunNumber run);
     /// Removes the task's current run, which never started on its worker.
     void withdrawRun(const TaskId &id);
+    /// Whether an abandoned start of the task may be active on a worker that has restarted.
+    bool mayRunAbandoned(const TaskId &id, const Task &task) const;
+    /// The worker of the last start of the task that was abandoned and may still be carried out; empty if there is
+    /// none. A crash of this worker ends the runs that it has, so that none of them meets the abandoned one.
+    WorkerId abandonedOn(const Task &task) const;
     /// Requests the stop of the task's current run.
     void requestStop(const TaskId &id, const std::string &reason);
     /// Requests stops of all runs of a job that has ended.
@@ -85,6 +89,8 @@
     void recordOutcome(Worker &worker, RunEnd how);
 
 private:
+    /// Records that the order of the task's current run may be carried out after the run was given up.
+    void recordAbandoned(Task &task);
     std::vector<TaskId> otherGangMembers(const TaskId &id) const;
     /// Records the run time of a task whose whole run this owner has seen.
     void learnRunTime(const TaskId &id, const Task &task);
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -135,16 +135,19 @@
     }
 }
 
-bool StartController::mayStart(const Job &job, const Task &task) const
+bool StartController::mayStart(const Job &job, const ReadyStep &ready, std::uint32_t index) const
 {
-    return !m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task, m_roster, m_outbox.now.steady);
+    const TaskId id{ready.job, ready.occurrence, ready.step, index};
+    const Task &task = *m_registry.task(id);
+    return !m_runs.mayRunAbandoned(id, task)
+        && (!m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task, m_roster, m_outbox.now.steady));
 }
 
 bool StartController::mayStartAny(const Job &job, const ReadyStep &ready) const
 {
     const Step &step = job.open.at(ready.occurrence).steps[ready.step];
     return std::any_of(step.waiting.begin(), step.waiting.end(),
-                       [&](std::uint32_t index) { return mayStart(job, step.tasks[index]); });
+                       [&](std::uint32_t index) { return mayStart(job, ready, index); });
 }
 
 void StartController::recordCapacity(const SiteConfig &config, const ReadyStep &ready, bool hasCapacity)
@@ -196,7 +199,7 @@
             break;
         }
         const Task &task = step.tasks[index];
-        if (task.notBefore > m_outbox.now.steady || !mayStart(job, task)) {
+        if (task.notBefore > m_outbox.now.steady || !mayStart(job, ready, index)) {
             continue;
         }
         Worker *worker = chooseWorkerFor(config, candidates, ready, index, true);
@@ -224,7 +227,8 @@
         // Some members of the previous run have not ended.
         return 0;
     }
-    if (!std::all_of(step.tasks.begin(), step.tasks.end(), [&](const Task &task) { return mayStart(job, task); })) {
+    if (!std::all_of(step.waiting.begin(), step.waiting.end(),
+                     [&](std::uint32_t index) { return mayStart(job, ready, index); })) {
         return 0;
     }
     RunNumber run = 0;
@@ -275,6 +279,15 @@
     const auto mayRun = [&](const Worker &worker) {
         return !needsTicket || !m_admission.ticket(ready, worker).empty();
     };
+    const WorkerId abandonedOn = m_runs.abandonedOn(step.tasks[index]);
+    if (!abandonedOn.empty()) {
+        const auto mayRepeat = [&](const Worker &worker) {
+            return worker.id == abandonedOn && mayRun(worker);
+        };
+        if (Worker *same = chooseWorker(candidates, ready, spec, step, step.tasks[index], mayRepeat)) {
+            return same;
+        }
+    }
     Worker *worker = chooseWorker(candidates, ready, spec, step, step.tasks[index], mayRun);
     if (worker == nullptr && !needsTicket && mayMarkFull) {
         candidates.markFull(ready.pool, spec);
@@ -303,6 +316,7 @@
     run.number = order.run;
     run.worker = worker.id;
     run.startDeadline = order.deadline;
+    run.orderedAt = now;
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
     m_registry.task(id)->hasKnownRuns = true;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -58,8 +58,8 @@
         TimePoint sentAt;
     };
 
-    /// Whether no earlier run of the task may still be active.
-    bool mayStart(const Job &job, const Task &task) const;
+    /// Whether no earlier run of a waiting task may still be active.
+    bool mayStart(const Job &job, const ReadyStep &ready, std::uint32_t index) const;
     bool mayStartAny(const Job &job, const ReadyStep &ready) const;
     void recordCapacity(const SiteConfig &config, const ReadyStep &ready, bool hasCapacity);
     bool ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates, const ReadyStep &ready);
