Pause before a start that a worker rejects as invalid is sent again

Cause: an invalid start was withdrawn and planned again at once, on the same worker. Change: the task waits for a second, and prefers another worker as after a failure.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -407,9 +407,16 @@
     case OrderOutcome::Late:
     case OrderOutcome::NoRoom:
     case OrderOutcome::WrongInstance:
+        m_outbox.log(CellDecision::TaskEnded, taskName(id), run.worker.name(), run.number,
+                     std::string(enumName(orderOutcomeNames, event.outcome)));
+        m_runs.withdrawRun(id);
+        return;
     case OrderOutcome::Invalid:
         m_outbox.log(CellDecision::TaskEnded, taskName(id), run.worker.name(), run.number,
                      std::string(enumName(orderOutcomeNames, event.outcome)));
+        // The worker would reject the same order again, and each one takes a start from other tasks.
+        task->failedOn = run.worker;
+        task->notBefore = now + invalidStartPause;
         m_runs.withdrawRun(id);
         return;
     }
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -21,6 +21,9 @@
     static constexpr Duration startWindow{1'500};
     /// Time for which a worker that reports itself unhealthy gets no tasks.
     static constexpr Duration unhealthyPause{250};
+    /// Pause before a task whose start a worker has rejected as invalid is started again, on another worker if
+    /// possible.
+    static constexpr Duration invalidStartPause{1'000};
     /// The interval between two planning passes is 1 ms for each of this many live jobs, which bounds the share of time
     /// that planning takes.
     static constexpr std::size_t jobsPerMillisecond = 8;
--- a/tests/core/cells/cell_store_limits_test.cpp
+++ b/tests/core/cells/cell_store_limits_test.cpp
@@ -294,6 +294,38 @@
     });
 }
 
+// Guards against a start order that a worker never accepts and that takes the starts of other tasks.
+TEST(CellWorkers, AreNotFloodedWithStartsThatTheyReject)
+{
+    story("one worker rejects each start as invalid, and only it may run the task", [] {
+        CellSite site;
+        fillLooms(site);
+        site.worker("w0").entry.labels = {"only"};
+        site.worker("w0").rejectsStarts = true;
+        site.worker("w1").entry.labels = {"sound"};
+        site.run(Duration(2'500));
+        GraphSpec spec = graphOf(1, 1, 500, Duration(300));
+        spec.steps.front().label = "only";
+        site.submit(site.owner(), "rejected", "plans", spec);
+        GraphSpec other = graphOf(1, 16, 500, Duration(300));
+        other.steps.front().label = "sound";
+        site.submit(site.owner(), "other", "plans", other);
+        constexpr int seconds = 5;
+        site.run(std::chrono::seconds(seconds));
+        section("the order is repeated at intervals", [&] {
+            EXPECT_GE(site.worker("w0").rejectedStarts, 2);
+            EXPECT_LE(site.worker("w0").rejectedStarts, seconds + 1);
+        });
+        section("other jobs are completed", [&] { EXPECT_EQ(site.state("other"), GraphState::Completed); });
+        section("the task runs when the worker accepts it", [&] {
+            site.worker("w0").rejectsStarts = false;
+            site.run(Duration(3'000));
+            EXPECT_EQ(site.state("rejected"), GraphState::Completed);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 RC_GTEST_PROP(CellStoreLimits, HoldForAnyMixOfChanges, (std::uint32_t seed))
 {
     std::mt19937 random(seed);
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -44,6 +44,9 @@
     bool stalls = false;
     /// Tasks that start here fail.
     bool fails = false;
+    /// Every start is invalid.
+    bool rejectsStarts = false;
+    std::uint64_t rejectedStarts = 0;
     /// Reported for each task that runs here.
     double load = 0;
     cells::Epoch fence = 0;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -273,6 +273,10 @@
         return OrderOutcome::Fenced;
     }
     worker.fence = order.fence;
+    if (worker.rejectsStarts) {
+        ++worker.rejectedStarts;
+        return OrderOutcome::Invalid;
+    }
     const std::int64_t clock = clockOf(worker);
     if (order.deadline < clock) {
         return OrderOutcome::Late;
