--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -298,7 +298,7 @@
     if (found == m_pendingReports.end()) {
         return;
     }
-    m_waves.handleReportOutcome(found->second, event.written);
+    m_waves.handleReportOutcome(found->second, event.written, m_outbox.now.steady);
     m_pendingReports.erase(found);
 }
 
--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -98,7 +98,7 @@
     return entry.worker;
 }
 
-void WaveController::handleReportOutcome(std::uint64_t wave, bool written)
+void WaveController::handleReportOutcome(std::uint64_t wave, bool written, TimePoint now)
 {
     const auto found = m_waves.find(wave);
     if (found == m_waves.end() || written) {
@@ -106,6 +106,7 @@
     }
     found->second.reportedRunning = false;
     found->second.reportedCompleted = false;
+    found->second.reportNotBefore = now + retryInterval;
 }
 
 bool WaveController::isOpen() const
@@ -153,7 +154,7 @@
             planWave(state, view, plan);
         }
         const bool isReportDue = state.completed ? !state.reportedCompleted : state.begun && !state.reportedRunning;
-        if (isReportDue) {
+        if (isReportDue && now >= state.reportNotBefore) {
             state.reportedRunning = true;
             state.reportedCompleted = state.completed;
             plan.reports.emplace_back(number, state.completed);
--- a/core/cells/wave_controller.h
+++ b/core/cells/wave_controller.h
@@ -41,7 +41,7 @@
     /// Updates the state of a host from the answer to its maintenance order.
     /// @return the worker that ran on the host at the time of the order; empty if none was known.
     WorkerId handleOutcome(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now);
-    void handleReportOutcome(std::uint64_t wave, bool written);
+    void handleReportOutcome(std::uint64_t wave, bool written, TimePoint now);
 
     /// @param moving hosts that are moving to another pool.
     /// @param inDoubt hosts that count as down, since an earlier order may still be carried out.
@@ -82,6 +82,8 @@
         bool completed = false;
         bool reportedRunning = false;
         bool reportedCompleted = false;
+        /// The last report was not written; the next one is not sent before this time.
+        TimePoint reportNotBefore;
     };
 
     /// Input for the plan of a wave.
--- a/tests/core/cells/cell_store_limits_test.cpp
+++ b/tests/core/cells/cell_store_limits_test.cpp
@@ -326,6 +326,29 @@
     });
 }
 
+// Guards against a report that the store does not accept and that is repeated without a pause.
+TEST(CellWaves, AreReportedAtIntervalsWhileTheStoreRejectsTheReport)
+{
+    story("the store rejects the reports of a wave", [] {
+        CellSite site;
+        fillLooms(site);
+        site.run(Duration(2'500));
+        site.rejectsReports = true;
+        site.addWave(1, {"w0"}, 1);
+        site.run(Duration(8'000));
+        section("they are repeated at intervals", [&] {
+            EXPECT_GE(site.rejectedReports, 2);
+            EXPECT_LE(site.rejectedReports, 8'000 / 300);
+        });
+        section("the wave is reported when the store accepts it", [&] {
+            site.rejectsReports = false;
+            site.run(Duration(1'000));
+            EXPECT_EQ(site.completedWaves.count(1), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 RC_GTEST_PROP(CellStoreLimits, HoldForAnyMixOfChanges, (std::uint32_t seed))
 {
     std::mt19937 random(seed);
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -499,10 +499,13 @@
                          });
             },
             [&](const ReportWave &report) {
-                if (report.completed) {
+                rejectedReports += rejectsReports ? 1 : 0;
+                if (report.completed && !rejectsReports) {
                     completedWaves.insert(report.wave);
                 }
-                later(4, [this, caller, report] { give(caller, WaveReported{report.call, true}); });
+                later(4, [this, caller, report, isWritten = !rejectsReports] {
+                    give(caller, WaveReported{report.call, isWritten});
+                });
             },
             [&](const AnswerCall &answer) {
                 const auto cancel = m_cancels.find(answer.exchange);
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -185,6 +185,9 @@
 
     std::vector<std::string> broken;
     std::set<std::uint64_t> completedWaves;
+    /// Whether the store rejects reports of waves, and how many it has rejected.
+    bool rejectsReports = false;
+    std::uint64_t rejectedReports = 0;
     std::uint64_t storeWrites = 0;
     std::uint64_t holds = 0;
     std::uint64_t moves = 0;
