--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -45,7 +45,7 @@
     m_changedJobs.push(job);
 }
 
-void CellWriter::dropJob(DeletedJob job)
+void CellWriter::dropJob(const DeletedJob &job)
 {
     m_droppedJobs[job.id] = job;
 }
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -69,7 +69,7 @@
     void clear();
     void addJob(const JobId &job);
     void changeJob(const JobId &job);
-    void dropJob(DeletedJob job);
+    void dropJob(const DeletedJob &job);
     void changeRoster();
     void changeWave(const WaveRow &wave);
     void changeHostOrders(HostOrdersRow row, Urgency urgency);
