--- a/core/cells/job_queue.cpp
+++ b/core/cells/job_queue.cpp
@@ -27,14 +27,6 @@
     return m_jobs.begin()->second;
 }
 
-JobId JobQueue::pop()
-{
-    JobId job = std::move(m_jobs.begin()->second);
-    m_jobs.erase(m_jobs.begin());
-    m_places.erase(job);
-    return job;
-}
-
 void JobQueue::remove(const JobId &job)
 {
     const auto place = m_places.find(job);
--- a/core/cells/job_queue.h
+++ b/core/cells/job_queue.h
@@ -20,8 +20,6 @@
     void pushFront(const JobId &job);
     /// The first job. The queue must not be empty.
     const JobId &front() const;
-    /// Removes the first job and returns it. The queue must not be empty.
-    JobId pop();
     void remove(const JobId &job);
 
     bool empty() const;
--- a/tests/core/cells/cell_store_limits_test.cpp
+++ b/tests/core/cells/cell_store_limits_test.cpp
@@ -73,7 +73,7 @@
         writer.sent(CallId{1}, *transaction, roster, m_now);
         const bool isRenewalDue = std::exchange(m_wasRejected, false);
         EXPECT_TRUE(!isRenewalDue || transaction->owner);
-        const platform::RowTransaction rows = platform::rowsOf(*transaction, platform::defaultMaxRowBytes);
+        const platform::RowTransaction rows = platform::rowsOf(*transaction, maxStoreRowBytes);
         const bool isTooLarge = !isWithinLimits(rows);
         brokenLimits += isTooLarge ? 1 : 0;
         m_wasRejected = isTooLarge
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -1,6 +1,5 @@
 #include "core/base/overloaded.h"
 #include "platform/cell_store.h"
-#include "platform/store_limits.h"
 #include "tests/support/cell_site.h"
 #include "tests/support/store_calls.h"
 
@@ -101,7 +100,7 @@
 
 bool CellSite::isAccepted(const CellTransaction &transaction) const
 {
-    const platform::RowTransaction call = platform::rowsOf(transaction, platform::defaultMaxRowBytes);
+    const platform::RowTransaction call = platform::rowsOf(transaction, maxStoreRowBytes);
     const bool holdsRejected = isRejected
         && std::any_of(call.writes.begin(), call.writes.end(),
                        [this](const platform::RowWrite &row) { return isRejected(row.row.key); });
