--- a/review/stand_ins_2/worker_2.cpp
+++ b/review/stand_ins_2/worker_2.cpp
@@ -1,9 +1,10 @@
 // One runner, by PROTOCOL.md ("Running tasks"): leases on its own steady clock, fencing tokens, ends and stops, gangs.
-// The text of a job, "ms=N", says how long its tasks work. Tasks that fail do not occur.
+// The text of a job, "ms=N" or "ms=N g=M", says how long its tasks work, and how many tasks its gangs have. Tasks that
+// fail do not occur.
 //
 // id=ID port=N store=N (port of the store) [address=N: the port that its entry names] service=NAME zone=NAME
-// labels=A,B cpu=N rate=0.98 (pace of its clock) record=FILE gangs=FOLDER gang=N (tasks of a gang; 0: no gangs)
-// machine=NAME stop=MS (time that a stop takes) heartbeat=MS most=MS (longest lease)
+// labels=A,B cpu=N rate=0.98 (pace of its clock) record=FILE gangs=FOLDER machine=NAME
+// stop=MS (time that a stop takes) heartbeat=MS most=MS (longest lease)
 
 #include "common_2.h"
 #include "drivers/event_loop.h"
@@ -43,7 +44,6 @@
         , m_rate(std::stod(arguments.text("rate", "1")))
         , m_born(review::wallMilliseconds())
         , m_bornSteady(review::steadyMilliseconds())
-        , m_gang(static_cast<std::size_t>(arguments.number("gang", 0)))
         , m_client(loop)
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
@@ -67,6 +67,8 @@
     {
         std::uint64_t number = 0;
         std::int64_t work = 0;
+        /// Tasks of its gang; 0 if it has none.
+        std::size_t gang = 0;
         std::int64_t startedAt = 0;
         /// When its stop is done; empty if it is not being stopped.
         std::optional<std::int64_t> stopsAt;
@@ -184,9 +186,13 @@
         }
         const std::string spec = body.at("spec");
         const std::int64_t work = std::stoll("0" + spec.substr(spec.find('=') + 1));
-        m_running[task] = Run{number, work, review::steadyMilliseconds(), std::nullopt, false};
+        const auto members = spec.find("g=");
+        const std::size_t gang = members == std::string::npos ? 0 : std::stoull("0" + spec.substr(members + 2));
+        m_running[task] = Run{number, work, gang, review::steadyMilliseconds(), std::nullopt, false};
         review::record(m_record, "start " + m_id + ' ' + task + ' ' + std::to_string(number));
-        joinGang(task, number);
+        if (gang > 0) {
+            joinGang(task, number);
+        }
         m_server.answer(request.id, answerOf(httpStatus::ok, withClock(json::object())));
     }
 
@@ -228,24 +234,22 @@
 
     void joinGang(const std::string &task, std::uint64_t number)
     {
-        if (m_gang > 0) {
-            std::filesystem::create_directories(gangFolder(task, number));
-            std::ofstream(gangFolder(task, number) / task.substr(task.rfind('.') + 1))
-                << getpid() << ' ' << review::steadyMilliseconds() << std::flush;
-        }
+        std::filesystem::create_directories(gangFolder(task, number));
+        std::ofstream(gangFolder(task, number) / task.substr(task.rfind('.') + 1))
+            << getpid() << ' ' << review::steadyMilliseconds() << std::flush;
     }
 
-    void leaveGang(const std::string &task, std::uint64_t number, const std::string &how)
+    void leaveGang(const std::string &task, const Run &run, const std::string &how) const
     {
-        if (m_gang > 0 && how != "done") {
-            std::filesystem::remove(gangFolder(task, number) / task.substr(task.rfind('.') + 1));
+        if (run.gang > 0 && how != "done") {
+            std::filesystem::remove(gangFolder(task, run.number) / task.substr(task.rfind('.') + 1));
         }
     }
 
     /// Start of the work of a run; empty while members are missing.
     std::optional<std::int64_t> workBegan(const std::string &task, const Run &run) const
     {
-        if (m_gang == 0) {
+        if (run.gang == 0) {
             return run.startedAt;
         }
         std::size_t members = 0;
@@ -260,7 +264,7 @@
                 last = std::max(last, began);
             }
         }
-        return members >= m_gang ? std::optional(last) : std::nullopt;
+        return members >= run.gang ? std::optional(last) : std::nullopt;
     }
 
     /// How a run ends now; empty while it goes on.
@@ -295,7 +299,7 @@
             const std::string task = running->first;
             const std::uint64_t number = running->second.number;
             review::record(m_record, "end " + m_id + ' ' + task + ' ' + std::to_string(number) + ' ' + *how);
-            leaveGang(task, number, *how);
+            leaveGang(task, running->second, *how);
             m_highest[task] = std::max(m_highest[task], number);
             m_ended.push_back(json{++m_lastEnd, task, number, *how, ""});
             running = m_running.erase(running);
@@ -331,7 +335,6 @@
     double m_rate;
     std::int64_t m_born;
     std::int64_t m_bornSteady;
-    std::size_t m_gang;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
     std::uint64_t m_lastEnd = 0;
