--- a/review/stand_ins_2/platform_2.cpp
+++ b/review/stand_ins_2/platform_2.cpp
@@ -354,13 +354,16 @@
         if (request.path == "/-/machines") {
             json rows = json::array();
             for (const auto &[machine, entry] : m_store.machines) {
-                const bool isInUpkeep = m_upkeepUntil.count(machine) > 0
-                    && review::steadyMilliseconds() < m_upkeepUntil.at(machine);
+                const bool isInUpkeep
+                    = m_upkeepUntil.count(machine) > 0 && review::steadyMilliseconds() < m_upkeepUntil.at(machine);
                 const std::string id = entry.value("id", std::string());
                 const bool isUp = m_store.isRegistered(id);
                 rows.push_back(json{{"machine", machine},
                                     {"pool", entry.at("service")},
-                                    {"state", isInUpkeep ? "upkeep" : isUp ? "up" : "down"},
+                                    {"state",
+                                     isInUpkeep ? "upkeep"
+                                         : isUp ? "up"
+                                                : "down"},
                                     {"zone", entry.at("zone")},
                                     {"labels", entry.at("labels")},
                                     {"capacity", entry.at("capacity")},
