Review case 9: a start that the owner before gave up runs beside its successor

Seen: a runner leaves a start order unanswered, the owner is stopped in a planned restart, and the next one starts the task on another runner.

At fault: abandoned starts are known to the owner that gave them up only, and are in no row of the store.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,36 +1,21 @@
 #!/usr/bin/env bash
-# The service for machines is down for some seconds. Meanwhile a machine joins, and the operator asks for a wave with it.
-# The wave must not be said to be completed before each of its machines has had its upkeep.
+# A runner leaves a start order unanswered. The owner is stopped in a planned restart, the next owner starts the task on
+# another runner, and the first one crashes, is back under its id and carries the order out.
 set -uo pipefail
 case_folder=$(cd "$(dirname "$0")" && pwd)
 . "$case_folder/../site_2.sh"
 
-# The runner of a machine ends with the beginning of its upkeep, and another one joins 2 s later.
-keep_up() {
-    local number=$1
-    wait_for 25 has_lines 1 " upkeep m-$number wave 1" || return 0
-    kill -KILL "${started[worker-$number]}"
-    sleep 2
-    start "worker-kept-$number" "$tools/worker_2" id="i-kept-$number" port="$(port_of worker $((number + 10)))" \
-        store="$store_port" service=looms zone=mill-a labels="kind-a,r1-0" machine="m-$number" record="$record"
-    echo "${started[worker-kept-$number]}" > "$work/kept-$number"
-}
-
-# The state of the wave that the system has written for the operator.
-wave_state() {
-    "$tools/ask_2" port="$store_port" path="/-/rows-get?table=status&part=" |
-        sed -n 's/.*"key":"wave\/1"[^}]*"value":"\([^"]*\)".*/\1/p' | base64 -d 2> /dev/null |
-        sed -n 's/.*"state":"\([a-z]*\)".*/\1/p'
-}
-
-is_completed() {
-    [ "$(wave_state)" = completed ]
-}
-
+job=00000000000000e1
+other=00000000000000e2
 start_platform
 write_config
 zones=(mill-a mill-b mill-c)
-for number in 1 2 3 4 5 6 7 8; do
+late=0
+[ "$trouble" = 0 ] || late=4300
+start path "$tools/link_2" way="$(port_of way 1):$(port_of worker 1)" late="$late"
+start_worker 1 mill-b "kind-a,r1-0" address="$(port_of way 1)"
+start_worker 2 mill-c "kind-b,r1-0"
+for number in 3 4 5 6 7 8; do
     start_worker "$number" "${zones[$((number % 3))]}" "kind-a,r1-$((number / 4))"
 done
 for number in 0 1 2; do
@@ -42,39 +27,42 @@
 wait_for 10 has_owner || give_up "no owner"
 sleep 3
 
+first=$(owner)
+submit "$job" '{"spec":"ms=15000","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":15000}]}' 0 1 2
+submitted_at=$(now)
+# Work that only the second runner can do. Tasks fill runners one after the other, so that the next ones go there.
+submit "$other" '{"spec":"ms=30000","steps":[{"count":1,"cpu":2000,"memMb":1024,"estimateMs":30000,"constraints":"kind-b"}]}' 0 1 2
 if [ "$trouble" != 0 ]; then
-    control '{"machines":"busy"}'
-    down_at=$(now)
-fi
-sleep 1
-start_worker 9 mill-a "kind-a,r1-0"
-sleep 2
-control '{"wave":{"wave":1,"machines":["m-1","m-9"],"durationS":20,"cap":1}}'
-keep_up 1 &
-keepers=($!)
-keep_up 9 &
-keepers+=($!)
-if [ "$trouble" != 0 ]; then
-    wait_for 6 is_past $((down_at + 4900))
-    control '{"machines":"serve"}'
+    signal_to TERM "entry-$first"
+    wait_for 3 is_past $((submitted_at + 2900))
+    kill_hard worker-1
+    wait_for 3 is_past $((submitted_at + 3900))
+    start_worker 1 mill-b "kind-a,r1-0" address="$(port_of way 1)" registers=700
 fi
-wait_for 25 is_completed || note "the wave is not completed"
-state=$(wave_state)
-note "status/wave/1: $state"
-missing=""
-for number in 1 9; do
-    grep -q " upkeep m-$number wave 1" "$record" || missing="$missing m-$number"
-done
-sleep 5
-for number in 1 9; do
-    grep -q " upkeep m-$number wave 1" "$record" || note "5 s later the upkeep of m-$number has not begun"
-done
-kill "${keepers[@]}" 2> /dev/null || true
-for file in "$work"/kept-*; do
-    [ ! -f "$file" ] || kill -KILL "$(cat "$file")" 2> /dev/null || true
-done
-if [ "$state" = completed ] && [ -n "$missing" ]; then
-    verdict 1 "MIXED: the wave is said to be completed, and the upkeep of$missing has not begun"
+sleep 6
+
+# Two runs of the task at the same time, on runners that are up.
+declare -A running
+broken=""
+while read -r at event runner task number _; do
+    case $event in
+    born) unset "running[$runner]" ;;
+    start)
+        [ "$task" = "$job.0.0.0" ] || continue
+        for at_once in "${!running[@]}"; do
+            broken="run $number on $runner while run ${running[$at_once]} was on $at_once"
+            broken_at=$at
+        done
+        running[$runner]=$number
+        ;;
+    end)
+        [ "$task" = "$job.0.0.0" ] || continue
+        unset "running[$runner]"
+        ended_at=$at
+        ;;
+    esac
+done < "$record"
+if [ -n "$broken" ]; then
+    verdict 1 "TWICE: $broken, for $((${ended_at:-$(now)} - broken_at)) ms"
 fi
-[ "$state" = completed ] || verdict 2 "the wave is not completed"
-verdict 0 "the wave is completed, and all its machines have had their upkeep"
+verdict 0 "no two runs at the same time"
--- a/review/stand_ins_2/link_2.cpp
+++ b/review/stand_ins_2/link_2.cpp
@@ -1,7 +1,8 @@
 // A network path: forwards TCP connections from one loopback port to another. SIGUSR1 cuts it without a reset, SIGUSR2
 // heals it. Connections that were open during the cut stay silent for good; new ones work.
 //
-// way=FROM:TO, once or more often.
+// way=FROM:TO, once or more often. late=MS: the first start order that comes is not answered, and is carried out so
+// much later, at whatever listens there then.
 
 #include "common_2.h"
 
@@ -36,12 +37,13 @@
     Links *links = nullptr;
     bufferevent *near = nullptr;
     bufferevent *far = nullptr;
+    std::uint16_t to = 0;
 };
 
 class Links
 {
 public:
-    explicit Links(event_base *base) : m_base(base)
+    Links(event_base *base, std::int64_t late) : m_base(base), m_late(late)
     {
         for (const int number : {SIGUSR1, SIGUSR2}) {
             event_add(evsignal_new(base, number, &Links::signalled, this), nullptr);
@@ -65,6 +67,13 @@
         std::uint16_t to = 0;
     };
 
+    struct Kept
+    {
+        Links *links = nullptr;
+        std::uint16_t to = 0;
+        std::string bytes;
+    };
+
     static void signalled(evutil_socket_t number, short, void *self)
     {
         auto *links = static_cast<Links *>(self);
@@ -90,7 +99,7 @@
             // The opening packet is lost; the socket stays open and silent.
             return;
         }
-        auto *pair = new Pair{links, nullptr, nullptr};
+        auto *pair = new Pair{links, nullptr, nullptr, way->to};
         pair->near = bufferevent_socket_new(links->m_base, socket, BEV_OPT_CLOSE_ON_FREE);
         pair->far = bufferevent_socket_new(links->m_base, -1, BEV_OPT_CLOSE_ON_FREE);
         for (bufferevent *side : {pair->near, pair->far}) {
@@ -107,11 +116,45 @@
 
     static void read(bufferevent *side, void *target)
     {
-        const auto *pair = static_cast<Pair *>(target);
+        auto *pair = static_cast<Pair *>(target);
         bufferevent *other = side == pair->near ? pair->far : pair->near;
+        if (side == pair->near && pair->links->keepsBack(pair)) {
+            return;
+        }
         evbuffer_add_buffer(bufferevent_get_output(other), bufferevent_get_input(side));
     }
 
+    /// Whether this is the start order that is carried out late. Its connection stays open and silent.
+    bool keepsBack(Pair *pair)
+    {
+        evbuffer *input = bufferevent_get_input(pair->near);
+        const std::string order = "POST /-/run-start";
+        if (m_late == 0 || evbuffer_search(input, order.c_str(), order.size(), nullptr).pos < 0) {
+            return false;
+        }
+        auto *kept = new Kept{this, pair->to, std::string(evbuffer_get_length(input), ' ')};
+        evbuffer_remove(input, kept->bytes.data(), kept->bytes.size());
+        const timeval wait{static_cast<time_t>(m_late / 1'000), static_cast<suseconds_t>(m_late % 1'000 * 1'000)};
+        event_base_once(m_base, -1, EV_TIMEOUT, &Links::carryOut, kept, &wait);
+        m_late = 0;
+        m_open.erase(pair);
+        for (bufferevent *side : {pair->near, pair->far}) {
+            bufferevent_setcb(side, nullptr, nullptr, nullptr, nullptr);
+            bufferevent_disable(side, EV_READ | EV_WRITE);
+        }
+        return true;
+    }
+
+    static void carryOut(evutil_socket_t, short, void *target)
+    {
+        const std::unique_ptr<Kept> kept(static_cast<Kept *>(target));
+        bufferevent *far = bufferevent_socket_new(kept->links->m_base, -1, BEV_OPT_CLOSE_ON_FREE);
+        const sockaddr_in address = loopbackAddress(kept->to);
+        bufferevent_enable(far, EV_READ | EV_WRITE);
+        bufferevent_write(far, kept->bytes.data(), kept->bytes.size());
+        bufferevent_socket_connect(far, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    }
+
     static void ended(bufferevent *, short what, void *target)
     {
         if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
@@ -128,6 +171,8 @@
     }
 
     event_base *m_base;
+    /// Delay of the start order that is carried out late; 0 when none is to come.
+    std::int64_t m_late;
     bool m_isCut = false;
     std::set<Pair *> m_open;
     std::vector<std::unique_ptr<Way>> m_ways;
@@ -140,7 +185,7 @@
     const review::Arguments arguments(count, values);
     std::signal(SIGPIPE, SIG_IGN);
     event_base *base = event_base_new();
-    Links links(base);
+    Links links(base, arguments.number("late", 0));
     for (const std::string &way : arguments.all("way")) {
         const auto ports = review::split(way, ':');
         if (ports.size() != 2
--- a/review/stand_ins_2/worker_2.cpp
+++ b/review/stand_ins_2/worker_2.cpp
@@ -4,12 +4,14 @@
 //
 // id=ID port=N store=N (port of the store) [address=N: the port that its entry names] service=NAME zone=NAME
 // labels=A,B cpu=N rate=0.98 (pace of its clock) record=FILE gangs=FOLDER machine=NAME
-// tickets=1 (each start needs a valid ticket) stop=MS (time that a stop takes) heartbeat=MS most=MS (longest lease)
+// tickets=1 (each start needs a valid ticket) stop=MS (time that a stop takes) heartbeat=MS registers=MS (time from its
+// start to its first entry) most=MS (longest lease)
 
 #include "common_2.h"
 #include "drivers/event_loop.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "drivers/one_shot.h"
 #include "drivers/timer.h"
 
 #include <csignal>
@@ -38,7 +40,8 @@
 {
 public:
     Worker(EventLoop &loop, const review::Arguments &arguments)
-        : m_arguments(arguments)
+        : m_loop(loop)
+        , m_arguments(arguments)
         , m_id(arguments.text("id"))
         , m_record(arguments.text("record"))
         , m_rate(std::stod(arguments.text("rate", "1")))
@@ -58,7 +61,11 @@
             return false;
         }
         review::record(m_record, "born " + m_id + " labels " + m_arguments.text("labels"));
-        registerHere();
+        if (m_arguments.number("registers", 0) == 0) {
+            registerHere();
+        } else {
+            runOnce(m_loop, Duration(m_arguments.number("registers", 0)), [this] { registerHere(); });
+        }
         return true;
     }
 
@@ -345,6 +352,7 @@
         }
     }
 
+    EventLoop &m_loop;
     const review::Arguments &m_arguments;
     std::string m_id;
     std::string m_record;
