--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,8 +8,11 @@
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-maybe-uninitialized -I. -Ireview/stand_ins_2)
 libraries=(target/drivers/libradishvane_drivers.a target/core/libradishvane_core.a
     target/drivers/libradishvane_easylogging.a -levent -levent_pthreads -lyaml-cpp -lpthread)
+builds=()
 for name in platform worker link ask; do
-    # The kind of machine is part of the check, since folders are carried from one kind to another.
     g++ "${flags[@]}" "review/stand_ins_2/${name}_2.cpp" -o "$out/${name}_2" "${libraries[@]}" &
+    builds+=($!)
+done
+for build in "${builds[@]}"; do
+    wait "$build"
 done
-wait -n && wait -n && wait -n && wait -n
