Review cases 6 to 10: TROUBLE and the record in each script, and ports of their own

Each run.sh now does both itself, and the record of a run lies beside it.

In one of the runs after that, case 7 could not run (exit 2, entry-1 is not ready). Blocks of ports of runs beside each other could overlap; two blocks that were made to overlap gave the same message. Each run now claims a block.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,6 +3,10 @@
 # The wave must not be said to be completed before each of its machines has had its upkeep.
 set -uo pipefail
 case_folder=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$case_folder/record.txt
+# TROUBLE=0 leaves the disruption out.
+trouble=${TROUBLE:-1}
 . "$case_folder/../site_2.sh"
 
 # The runner of a machine ends with the beginning of its upkeep, and another one joins 2 s later.
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,6 +3,10 @@
 # must run.
 set -uo pipefail
 case_folder=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$case_folder/record.txt
+# TROUBLE=0 leaves the disruption out.
+trouble=${TROUBLE:-1}
 . "$case_folder/../site_2.sh"
 
 # A call on 12 runners takes 1.1 s, one on the 9 that may run a step 0.95 s; a ticket is valid for 3 s from the answer.
--- a/review/site_2.sh
+++ b/review/site_2.sh
@@ -1,12 +1,10 @@
 # Sourced by the scripts of cases 6 to 10, which run in their own folders: starts a small site of separate processes on
 # loopback addresses and ends all that was started.
 #
-# The caller sets `case_folder` first. TROUBLE=0 leaves the disruption out.
+# The caller sets `case_folder`, `record` and `trouble` first.
 
 root=$(cd "$case_folder/../.." && pwd)
 tools=$root/target/review-2
-record=$case_folder/record.txt
-trouble=${TROUBLE:-1}
 host=site.example
 key=key-1
 : > "$record"
@@ -85,7 +83,24 @@
     done
 }
 
-ports=$("$tools/ask_2" ports=120) || give_up "no free ports"
+# Runs side by side have blocks of their own: whoever holds the last port of a block has it.
+is_claimed_or_gone() {
+    grep -q claimed "$work/claim.log" || ! kill -0 "${started[claim]}" 2> /dev/null
+}
+
+claim_ports() {
+    local attempt
+    for attempt in 1 2 3 4 5 6 7 8 9 10; do
+        ports=$("$tools/ask_2" ports=120) || return 1
+        : > "$work/claim.log"
+        start claim "$tools/ask_2" claim=$((ports + 119))
+        wait_for 5 is_claimed_or_gone || return 1
+        ! grep -q claimed "$work/claim.log" || return 0
+    done
+    return 1
+}
+
+claim_ports || give_up "no free ports"
 store_port=$ports
 
 # port_of KIND NUMBER
