Grant no lease that outlasts the next owner's wait because a worker was idle

Cause: the estimate of a worker's clock assumes the rate of our own, so that it is ahead by 2 % of the time since the clock was read. Orders granted that much more than leaseTime, for which a later owner waits. Ruled out: a lease from before a restart (the worker does not restart here); the wait of the next owner is as documented (6.48 s after the takeover; the first run would have lasted 8 s). Change: renewals count the lease from the lowest possible clock, and a start's deadline is bounded likewise. Answers to starts correct the estimate. The log of a start names the deadline, the estimated clock and its age; that of a rebuild the wait.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -378,7 +378,13 @@
     cordonHosts();
     m_isRebuilt = true;
     m_outbox.add(CellRebuilt{m_outbox.now.steady - m_activatedAt, event.contents->jobs.size(), event.bytes});
-    m_outbox.log(CellDecision::CellRebuilt, m_cell.name(), m_host.name(), event.contents->jobs.size());
+    m_outbox.add(DecisionLogEntry{CellDecision::CellRebuilt,
+                                  m_cell.name(),
+                                  m_host.name(),
+                                  m_outbox.epoch,
+                                  event.contents->jobs.size(),
+                                  {},
+                                  InheritedWaitRecord{m_runs.inheritedLease()}});
     answerHeldCalls();
 }
 
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -471,6 +471,24 @@
     "store-change-dropped", "checkpoint-ignored",
 };
 
+/// The estimate of a worker's clock on which the deadline of a start order rests, for the log.
+struct OrderClockRecord
+{
+    /// Milliseconds on the worker's clock.
+    std::int64_t deadline = 0;
+    std::int64_t clock = 0;
+    /// Time since the clock was read.
+    Duration clockAge{0};
+};
+
+/// How long the tasks of silent workers wait after a change of ownership, for the log.
+struct InheritedWaitRecord
+{
+    Duration wait{0};
+};
+
+using DecisionDetail = std::variant<std::monostate, StoreCallRecord, OrderClockRecord, InheritedWaitRecord>;
+
 /// Log entry for one decision, with its subject and reason.
 struct DecisionLogEntry
 {
@@ -481,8 +499,7 @@
     Epoch epoch = 0;
     std::uint64_t number = 0;
     std::string reason;
-    /// The call to the store that the decision is about.
-    std::optional<StoreCallRecord> storeCall = {};
+    DecisionDetail detail = {};
 };
 
 using CellEvent = std::variant<OrderAnswered, LeaseRenewalAnswered, AdmissionAnswered, CellWritten, CellReadDone,
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -15,7 +15,7 @@
     , m_registry(m_runs.registry())
     , m_roster(m_runs.roster())
     , m_leases(outbox, writer, m_runs, times)
-    , m_starts(outbox, m_runs, capacity)
+    , m_starts(outbox, m_runs, times, capacity)
     , m_stops(outbox, m_runs)
 {
 }
@@ -32,13 +32,11 @@
 {
     clear();
     const Instant now = m_outbox.now;
-    // No earlier owner granted a longer lease. The factor covers worker clocks that run up to 2 % slow.
-    const auto longestLease = std::chrono::duration_cast<Duration>(m_times.leaseTime * 1.03) + CellLease::clockMargin;
-    m_roster.reset(contents.roster, now.steady + longestLease);
+    m_roster.reset(contents.roster, now.steady + inheritedLease());
     // A worker that is not known may have been restarted, so that its runs last for the longest lease of the platform.
     const auto longestUnknownLease = std::chrono::duration_cast<Duration>(m_times.longestLease * 1.03);
     m_roster.loseParts(contents.lostRosterParts,
-                       now.steady + std::max(longestLease, longestUnknownLease + CellLease::clockMargin));
+                       now.steady + std::max(inheritedLease(), longestUnknownLease + CellLease::clockMargin));
     for (const JobRow &row : contents.jobs) {
         Job &job = m_registry.add(row, now.steady);
         job.stored = true;
@@ -71,6 +69,12 @@
     return releaseRows(m_outbox.epoch, m_registry, m_roster, m_times.longestLease, m_outbox.now.steady);
 }
 
+Duration RunController::inheritedLease() const
+{
+    // No earlier owner granted a longer lease. The factor covers worker clocks that run up to 2 % slow.
+    return std::chrono::duration_cast<Duration>(m_times.leaseTime * 1.03) + CellLease::clockMargin;
+}
+
 JobRegistry &RunController::registry()
 {
     return m_registry;
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -57,6 +57,8 @@
     /// Assigns no new tasks to workers on @p hosts.
     void withholdTasks(const std::set<HostId> &hosts);
 
+    /// Time after a change of ownership by which all leases that earlier owners granted have expired.
+    Duration inheritedLease() const;
     JobRegistry &registry();
     const JobRegistry &registry() const;
     const WorkerRoster &roster() const;
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-StartController::StartController(CellOutbox &outbox, RunLedger &runs, const HostCapacity &capacity)
+StartController::StartController(CellOutbox &outbox, RunLedger &runs, CellTimes times, const HostCapacity &capacity)
     : m_outbox(outbox)
     , m_runs(runs)
+    , m_times(times)
     , m_registry(runs.registry())
     , m_roster(runs.roster())
     , m_admission(outbox)
@@ -307,7 +308,9 @@
     order.task = id;
     order.run = number;
     order.payload = m_registry.find(ready.job)->row.spec.payload;
-    order.deadline = worker.estimatedClock(now) + startWindow.count();
+    // The estimated clock may be ahead of the worker's, and a later owner relies on the length of the lease.
+    order.deadline = std::min(worker.estimatedClock(now) + startWindow.count(),
+                              worker.leaseDeadlineAfter(m_times.leaseTime, now));
     order.fence = m_outbox.workerFence(worker.incarnationNumber);
     order.checkpoint = checkpoint;
     order.ticket = m_admission.ticket(ready, worker);
@@ -322,9 +325,16 @@
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
     m_registry.task(id)->hasKnownRuns = true;
-    m_outbox.log(CellDecision::TaskStarted, taskName(id), worker.id.name(), order.run);
+    m_outbox.add(DecisionLogEntry{CellDecision::TaskStarted,
+                                  taskName(id),
+                                  worker.id.name(),
+                                  m_outbox.epoch,
+                                  order.run,
+                                  {},
+                                  OrderClockRecord{order.deadline, worker.estimatedClock(now),
+                                                   std::chrono::duration_cast<Duration>(now - worker.clockAt)}});
     m_pacer.take(order.payload.size());
-    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now};
+    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now, worker.incarnationNumber};
     if (worker.renewal.value == 0) {
         // The lease must cover the start deadline even when the next periodic renewal is late.
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -348,20 +358,25 @@
     const PendingStart pending = std::move(found->second);
     m_pendingStarts.erase(found);
     m_pacer.recordAnswer(pending.sentAt, event.outcome, m_outbox.now.steady);
-    checkIncarnation(pending, event);
+    applyClock(pending, event);
     startAnswered(pending.task, pending.run, event);
     return true;
 }
 
-void StartController::checkIncarnation(const PendingStart &start, const OrderAnswered &event)
+void StartController::applyClock(const PendingStart &start, const OrderAnswered &event)
 {
     const Task *task = m_registry.task(start.task);
     if (!event.clock || task == nullptr || !task->run || task->run->number != start.run) {
         return;
     }
     Worker *worker = m_roster.find(task->run->worker);
-    if (worker != nullptr && worker->fenced && *event.clock + clockToleranceMs < worker->minClock(start.sentAt)) {
+    if (worker == nullptr || !worker->fenced) {
+        return;
+    }
+    if (*event.clock + clockToleranceMs < worker->minClock(start.sentAt)) {
         m_runs.expectUnknownIncarnation(*worker);
+    } else if (worker->incarnationNumber == start.incarnationNumber) {
+        worker->recordClock(*event.clock, m_outbox.now.steady);
     }
 }
 
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -32,7 +32,7 @@
     /// Shortest interval between two planning passes while the pacer limits the starts.
     static constexpr Duration pacedPlanningInterval{10};
 
-    StartController(CellOutbox &outbox, RunLedger &runs, const HostCapacity &capacity);
+    StartController(CellOutbox &outbox, RunLedger &runs, CellTimes times, const HostCapacity &capacity);
 
     void clear();
     /// Runs a planning pass if one was requested and the interval since the last one has passed.
@@ -59,6 +59,8 @@
         TaskId task;
         RunNumber run = 0;
         TimePoint sentAt;
+        /// Incarnation of the worker to which the order was sent.
+        std::uint64_t incarnationNumber = 0;
     };
 
     /// Whether no earlier run of a waiting task may still be active.
@@ -77,11 +79,13 @@
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
     void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
-    /// Detects from the clock in an answer that the worker has restarted.
-    void checkIncarnation(const PendingStart &start, const OrderAnswered &event);
+    /// Corrects the estimate of the worker's clock, or detects from the clock in an answer that the worker has
+    /// restarted.
+    void applyClock(const PendingStart &start, const OrderAnswered &event);
 
     CellOutbox &m_outbox;
     RunLedger &m_runs;
+    CellTimes m_times;
     JobRegistry &m_registry;
     WorkerRoster &m_roster;
     AdmissionController m_admission;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -68,7 +68,7 @@
     // An unreachable worker is only queried. A renewal without an answer may or may not extend the lease, so that the
     // owner could never know when it has expired.
     if (worker.fenced && !worker.unreachable && !worker.tasks.empty()) {
-        order.deadline = worker.estimatedClock(now) + m_times.leaseTime.count();
+        order.deadline = worker.leaseDeadlineAfter(m_times.leaseTime, now);
         order.wait = renewalWait;
         worker.leaseDeadline = std::max(worker.leaseDeadline, *order.deadline);
     }
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -78,6 +78,20 @@
     return clock + static_cast<std::int64_t>(toMilliseconds(now - clockAt) * slowestClock);
 }
 
+void Worker::recordClock(std::int64_t reading, TimePoint now)
+{
+    // Answers may overtake each other.
+    if (reading >= minClock(now)) {
+        clock = reading;
+        clockAt = now;
+    }
+}
+
+std::int64_t Worker::leaseDeadlineAfter(Duration leaseTime, TimePoint now) const
+{
+    return minClock(now) + leaseTime.count();
+}
+
 bool Worker::hasLeaseExpired(TimePoint now) const
 {
     return now >= inheritedUntil && now >= settledAt && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -103,6 +103,10 @@
     std::int64_t estimatedClock(TimePoint now) const;
     /// Returns a lower bound of the worker's clock at @p now, assuming the slowest clock.
     std::int64_t minClock(TimePoint now) const;
+    /// Corrects the estimate by a reading from an answer of the present incarnation.
+    void recordClock(std::int64_t reading, TimePoint now);
+    /// Returns the deadline of an order that grants a lease of at most @p leaseTime, however fast the worker's clock is.
+    std::int64_t leaseDeadlineAfter(Duration leaseTime, TimePoint now) const;
     /// Whether the leases of all runs on the worker have certainly expired.
     bool hasLeaseExpired(TimePoint now) const;
     /// Time after which the leases of all runs on the worker have expired, if this owner grants no more of them; empty
--- a/drivers/event_log.cpp
+++ b/drivers/event_log.cpp
@@ -36,6 +36,11 @@
 }
 
 void EventLog::line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    line(level, event, std::span(fields.begin(), fields.size()));
+}
+
+void EventLog::line(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
     if (level < m_least) {
         return;
--- a/drivers/event_log.h
+++ b/drivers/event_log.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -67,6 +68,7 @@
 
     void line(LogLevel level, HostEvent event, std::initializer_list<LogField> fields);
     void line(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+    void line(LogLevel level, std::string_view event, std::span<const LogField> fields);
     /// Lines that found no room.
     std::uint64_t dropped() const;
     /// Writes what can be written at once.
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -1,6 +1,7 @@
 #include "servers/cell_task.h"
 
 #include "core/base/enum_names.h"
+#include "core/base/overloaded.h"
 #include "platform/worker_wire.h"
 
 namespace radishvane::servers
@@ -164,24 +165,32 @@
 {
     decided.emit(entry);
     const std::string_view event = enumName(cells::cellDecisionNames, entry.decision);
-    if (entry.storeCall) {
-        m_log.line(drivers::LogLevel::Warning, event,
-                   {{"subject", entry.subject},
-                    {"epoch", std::to_string(entry.epoch)},
-                    {"number", std::to_string(entry.number)},
-                    {"reason", entry.reason},
-                    {"status", std::to_string(entry.storeCall->status)},
-                    {"bytes", std::to_string(entry.storeCall->bytes)},
-                    {"entries", std::to_string(entry.storeCall->entries)},
-                    {"problem", entry.storeCall->problem}});
-        return;
-    }
-    m_log.line(drivers::LogLevel::Info, event,
-               {{"subject", entry.subject},
-                {"worker", entry.worker},
-                {"epoch", std::to_string(entry.epoch)},
-                {"number", std::to_string(entry.number)},
-                {"reason", entry.reason}});
+    std::vector<drivers::LogField> fields{{"subject", entry.subject},
+                              {"worker", entry.worker},
+                              {"epoch", std::to_string(entry.epoch)},
+                              {"number", std::to_string(entry.number)},
+                              {"reason", entry.reason}};
+    drivers::LogLevel level = drivers::LogLevel::Info;
+    std::visit(Overloaded{
+                   [](const std::monostate &) {},
+                   [&](const cells::StoreCallRecord &call) {
+                       level = drivers::LogLevel::Warning;
+                       fields.emplace_back("status", std::to_string(call.status));
+                       fields.emplace_back("bytes", std::to_string(call.bytes));
+                       fields.emplace_back("entries", std::to_string(call.entries));
+                       fields.emplace_back("problem", call.problem);
+                   },
+                   [&](const cells::OrderClockRecord &order) {
+                       fields.emplace_back("deadline", std::to_string(order.deadline));
+                       fields.emplace_back("clock", std::to_string(order.clock));
+                       fields.emplace_back("clock_age_ms", std::to_string(order.clockAge.count()));
+                   },
+                   [&](const cells::InheritedWaitRecord &inherited) {
+                       fields.emplace_back("wait_ms", std::to_string(inherited.wait.count()));
+                   },
+               },
+               entry.detail);
+    m_log.line(level, event, fields);
 }
 
 } // namespace radishvane::servers
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -342,6 +342,45 @@
     });
 }
 
+// Guards against a lease that outlasts the wait of the next owner, since the clock of an idle worker was overestimated.
+TEST(CellOwner, GrantsNoLongerLeaseToAWorkerWhoseClockItHasNotReadForLong)
+{
+    for (const int idle : {92'000, 400'000}) {
+        story("a task starts on a worker that was idle for " + std::to_string(idle) + " ms, and the owner crashes", [=] {
+            CellSite site;
+            fillLooms(site, 1);
+            site.run(Duration(idle));
+            submitLongJob(site, "j1", 1);
+            site.addWorker("w1", "looms", 8'000);
+            site.run(Duration(100));
+            const std::string owner = site.owner();
+            site.kill(owner);
+            site.restart(owner);
+            site.worker("w0").cut = true;
+            section("the next owner starts the task elsewhere only after the lease has expired", [&] {
+                site.run(Duration(14'000));
+                EXPECT_EQ(site.runningOn("w1"), 1);
+            });
+            expectNothingBroken(site);
+        });
+    }
+}
+
+TEST(CellWorkers, WithFastClocksStartTasksAfterALongIdleTime)
+{
+    story("the lowest estimate of an idle worker's clock is further behind than a lease lasts", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.worker("w0").clockRate = 1;
+        site.run(Duration(600'000));
+        section("the worker refuses the first start as late, and its answer corrects the estimate", [&] {
+            submitLongJob(site, "j1", 1);
+            EXPECT_EQ(site.runningOn("w0"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellMoves, SkipAHostWhoseFormerWorkerIsStillInDiscovery)
 {
     story("a host has started another worker while discovery still lists the former one, which was idle", [] {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -54,6 +54,8 @@
     /// Last time at which the lease of the worker's runs had expired.
     std::int64_t lapsedAt = 0;
     std::int64_t bornAt = 0;
+    /// Rate of the worker's clock; the platform allows 2 % less than that of the hosts.
+    double clockRate = 0.98;
     std::map<cells::TaskId, ModelRun> running;
     std::vector<cells::EndedRow> ended;
     std::uint64_t lastEnd = 0;
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -232,8 +232,7 @@
 
 std::int64_t CellSite::clockOf(const ModelWorker &worker) const
 {
-    // 2 % slow, as the platform allows.
-    return (m_now - worker.bornAt) * 98 / 100;
+    return static_cast<std::int64_t>(static_cast<double>(m_now - worker.bornAt) * worker.clockRate);
 }
 
 void CellSite::start(const Caller &caller, const StartOrder &order)
