Store starts without an answer, so that later owners know of them

Cause: an owner kept its unanswered starts in memory only. The next owner neither preferred that worker nor called it before discovery showed its restart. Ruled out: a lease that was taken for ended (the second start comes 0.3 s after the order); the fencing token (the new life has seen none). Change: the progress of a job names its starts without an answer, when they are 100 ms old or in doubt, and all before a release. The next owner restores them as abandoned starts. A worker with such a start is called until it can no longer be carried out.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -204,6 +204,9 @@
 void CellController::advanceWrites()
 {
     const TimePoint now = m_outbox.now.steady;
+    if (m_isRebuilt && isGivingUp()) {
+        m_runs.storeUnansweredStarts();
+    }
     auto transaction = m_writer.next(m_cell, m_runs.registry(), m_runs.roster(), m_lease, now);
     dropUnstorable();
     if (!transaction) {
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -52,6 +52,18 @@
 /// Progress of one occurrence, as a list of tasks for each step.
 using OccurrenceProgress = std::vector<std::vector<TaskProgress>>;
 
+/// A start order that had no answer when the row was written, so that it may still be carried out.
+struct LateStart
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    RunNumber run = 0;
+    WorkerId worker;
+    /// Time for which the order may still be carried out, from the writing of the row.
+    Duration left{0};
+};
+
 /// Stored progress of a job. A job without this row has not started.
 struct ProgressRow
 {
@@ -61,6 +73,7 @@
     /// Occurrences below this one are done.
     std::uint32_t firstOpen = 0;
     std::map<std::uint32_t, OccurrenceProgress> open;
+    std::vector<LateStart> lateStarts;
     /// Number of rows that the progress takes in the store; not part of its value.
     std::size_t storedRows = 1;
 };
--- a/core/cells/cell_writer.cpp
+++ b/core/cells/cell_writer.cpp
@@ -102,7 +102,7 @@
         return std::nullopt;
     }
     const OwnerRow renewal = lease.nextRow();
-    Draft draft{registry, {}};
+    Draft draft{registry, now, {}};
     draft.transaction.cell = cell;
     draft.transaction.expectedOwnerVersion = lease.version();
     draft.left = CallBudget(m_limits);
@@ -188,7 +188,7 @@
         m_changedJobs.remove(change.id);
         return Taken::NotNeeded;
     }
-    ProgressRow row = draft.registry.progressRow(*job);
+    ProgressRow row = draft.registry.progressRow(*job, draft.now);
     EntrySize size = m_limits.sizeOf(&row);
     row.storedRows = size.entries;
     // An ended job needs no payload. Both rows change in one transaction, so that no live job loses its payload.
--- a/core/cells/cell_writer.h
+++ b/core/cells/cell_writer.h
@@ -112,6 +112,7 @@
     struct Draft
     {
         const JobRegistry &registry;
+        TimePoint now;
         std::map<std::uint32_t, RosterRow> roster;
         CellTransaction transaction = {};
         std::vector<StoreChange> changes = {};
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -11,6 +11,8 @@
 /// Pause before a service task starts again after a run. Without it a task that cannot run would fill the workers'
 /// lists of ended runs.
 constexpr Duration serviceRestartPause{100};
+/// Limit on the late starts in the row of a job.
+constexpr std::size_t maxLateStarts = 300;
 
 Occurrence newOccurrence(const GraphSpec &spec)
 {
@@ -54,6 +56,25 @@
     return true;
 }
 
+/// Adds the start orders of @p task that may still be carried out to @p row, unless it names too many already.
+void addLateStarts(ProgressRow &row, const Task &task, LateStart place, TimePoint now)
+{
+    const auto add = [&](const WorkerId &worker, RunNumber run, TimePoint lateUntil) {
+        if (now < lateUntil && row.lateStarts.size() < maxLateStarts) {
+            place.worker = worker;
+            place.run = run;
+            place.left = std::chrono::ceil<Duration>(lateUntil - now);
+            row.lateStarts.push_back(place);
+        }
+    };
+    for (const AbandonedStart &start : task.abandonedStarts) {
+        add(start.worker, start.run, start.lateUntil);
+    }
+    if (task.run && task.run->phase != RunPhase::Running && task.run->orderedAt != TimePoint{}) {
+        add(task.run->worker, task.run->number, task.run->orderedAt + AbandonedStart::maxDelay);
+    }
+}
+
 } // namespace
 
 void JobRegistry::clear()
@@ -118,6 +139,11 @@
         }
         job->open[number] = std::move(occurrence);
     }
+    for (const LateStart &late : row.lateStarts) {
+        if (Task *lateTask = task(TaskId{row.id, late.occurrence, late.step, late.index})) {
+            lateTask->abandonedStarts.push_back(AbandonedStart{late.worker, late.run, now.steady + late.left});
+        }
+    }
 }
 
 void JobRegistry::openDueOccurrences(Job &job, Instant now)
@@ -400,7 +426,7 @@
     m_live.erase(job.row.id);
 }
 
-ProgressRow JobRegistry::progressRow(const Job &job) const
+ProgressRow JobRegistry::progressRow(const Job &job, TimePoint now) const
 {
     ProgressRow row;
     row.id = job.row.id;
@@ -415,6 +441,8 @@
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
             std::vector<TaskProgress> &tasks = progress.emplace_back();
             for (const Task &task : occurrence.steps[index].tasks) {
+                const auto taskIndex = static_cast<std::uint32_t>(tasks.size());
+                addLateStarts(row, task, LateStart{number, static_cast<std::uint32_t>(index), taskIndex, 0, {}, {}}, now);
                 TaskProgress &stored = tasks.emplace_back(task.progress);
                 stored.done = stored.done || task.isDoneEarlier;
                 if (stored.done && !job.row.spec.steps[index].gang) {
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -54,11 +54,16 @@
     TimePoint stopNotBefore;
 };
 
-/// A start order that had no answer and whose run was given up. The deadline of the order keeps the incarnation of the
-/// worker that it was sent to from carrying it out, but not the next one, whose clock starts anew.
+/// A start order that had no answer and whose run was given up, by this owner or an earlier one. The deadline of the
+/// order keeps the incarnation of the worker that it was sent to from carrying it out, but not the next one, whose
+/// clock starts anew.
 struct AbandonedStart
 {
+    /// Time after which an order without an answer is no longer carried out.
+    static constexpr Duration maxDelay{20'000};
+
     WorkerId worker;
+    RunNumber run = 0;
     /// The order is not carried out after this time.
     TimePoint lateUntil;
 };
@@ -201,7 +206,7 @@
     /// Frees the payload of a job and removes it from live() once its end is stored and it has no runs.
     void retireIfDone(Job &job);
 
-    ProgressRow progressRow(const Job &job) const;
+    ProgressRow progressRow(const Job &job, TimePoint now) const;
     RunTimeModel &runTimes();
     const RunTimeModel &runTimes() const;
     /// Expected mean work of the jobs that were added to @p queue, in thousandths of a core times milliseconds.
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -60,10 +60,20 @@
         }
     }
     observe(entries);
+    for (const ProgressRow &row : contents.progress) {
+        for (const LateStart &late : row.lateStarts) {
+            m_runs.expectLateOrders(late.worker, now.steady + late.left);
+        }
+    }
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
     m_runs.requestPlanning();
 }
 
+void RunController::storeUnansweredStarts()
+{
+    m_starts.storeUnanswered(Duration{0});
+}
+
 std::vector<ReleaseRow> RunController::released() const
 {
     return releaseRows(m_outbox.epoch, m_registry, m_roster, m_times.longestLease, m_outbox.now.steady);
@@ -214,6 +224,7 @@
         m_runs.requestPlanning();
     }
     m_leases.expireLeases();
+    m_starts.storeUnanswered(StartController::unansweredAge);
     if (mayOrder) {
         m_leases.renewLeases();
         m_stops.drainWorkers();
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -28,6 +28,8 @@
     /// Restores the state from the store under a new epoch.
     void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries);
     void clear();
+    /// Stores all starts without an answer, before this owner releases the cell.
+    void storeUnansweredStarts();
     /// What the next owner may rely on if this owner releases the cell now.
     std::vector<ReleaseRow> released() const;
 
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -220,7 +220,33 @@
     if (run.phase != RunPhase::InDoubt || run.hasWorkerRestarted || run.orderedAt == TimePoint{}) {
         return;
     }
-    starts.push_back(AbandonedStart{run.worker, run.orderedAt + maxOrderDelay});
+    const TimePoint lateUntil = run.orderedAt + AbandonedStart::maxDelay;
+    starts.push_back(AbandonedStart{run.worker, run.number, lateUntil});
+    expectLateOrders(run.worker, lateUntil);
+}
+
+void RunLedger::recordCarriedOut(const TaskId &id, RunNumber run, const WorkerId &worker)
+{
+    if (Task *task = m_registry.task(id)) {
+        std::erase_if(task->abandonedStarts, [&](const AbandonedStart &start) {
+            return start.run == run && start.worker == worker;
+        });
+    }
+}
+
+void RunLedger::expectLateOrders(const WorkerId &worker, TimePoint until)
+{
+    if (Worker *known = m_roster.find(worker)) {
+        known->lateOrdersUntil = std::max(known->lateOrdersUntil, until);
+    }
+}
+
+void RunLedger::storeUnanswered(const JobId &job)
+{
+    const Job *known = m_registry.find(job);
+    if (known != nullptr && !isFinal(known->state)) {
+        m_writer.changeJob(job);
+    }
 }
 
 bool RunLedger::mayRunAbandoned(const TaskId &id, const Task &task) const
@@ -335,7 +361,7 @@
     }
     endAllRuns(worker, CellDecision::WorkerRestarted);
     m_roster.beginIncarnation(worker, startedAtMs);
-    worker.settledAt = m_outbox.now.steady + maxOrderDelay;
+    worker.settledAt = m_outbox.now.steady + AbandonedStart::maxDelay;
     if (m_outbox.now.steady < worker.inheritedUntil) {
         // The deadline of an earlier owner's order refers to the former clock.
         worker.inheritedUntil = longestLeaseEnd();
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -28,9 +28,6 @@
     static constexpr Duration avoidanceTime{3'000};
     /// At most one in this many workers of a pool is avoided at the same time.
     static constexpr std::size_t workersPerAvoided = 3;
-    /// Time after which an order without an answer is no longer carried out.
-    static constexpr Duration maxOrderDelay{20'000};
-
     RunLedger(CellOutbox &outbox, CellWriter &writer, CellTimes times = {});
 
     void clear();
@@ -60,6 +57,12 @@
     void recordEarlierDone(const TaskId &id, RunNumber run);
     /// Removes the task's current run, which never started on its worker.
     void withdrawRun(const TaskId &id);
+    /// Records that a worker has carried out the start of a run, so that it does not carry it out later.
+    void recordCarriedOut(const TaskId &id, RunNumber run, const WorkerId &worker);
+    /// Records that a worker, or its next incarnation, may carry out orders of former owners or those given up.
+    void expectLateOrders(const WorkerId &worker, TimePoint until);
+    /// Stores the start orders of a job that have no answer, so that a later owner knows of them.
+    void storeUnanswered(const JobId &job);
     /// Whether an abandoned start of the task may be active on a worker that has restarted.
     bool mayRunAbandoned(const TaskId &id, const Task &task) const;
     /// The worker of the last start of the task that was abandoned and may still be carried out; empty if there is
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -363,6 +363,21 @@
     return true;
 }
 
+void StartController::storeUnanswered(Duration minAge)
+{
+    const TimePoint now = m_outbox.now.steady;
+    for (auto &[call, start] : m_pendingStarts) {
+        if (now - start.sentAt < minAge) {
+            // The calls are in the order of their sending.
+            return;
+        }
+        if (!start.isStored) {
+            start.isStored = true;
+            m_runs.storeUnanswered(start.task.job);
+        }
+    }
+}
+
 void StartController::applyClock(const PendingStart &start, const OrderAnswered &event)
 {
     const Task *task = m_registry.task(start.task);
@@ -401,6 +416,8 @@
         if (Worker *worker = m_roster.find(run.worker)) {
             worker->unreachable = true;
         }
+        m_runs.expectLateOrders(run.worker, run.orderedAt + AbandonedStart::maxDelay);
+        m_runs.storeUnanswered(id.job);
         m_outbox.log(CellDecision::OrderInDoubt, taskName(id), run.worker.name(), run.number, "start");
         return;
     case OrderOutcome::Unhealthy:
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -29,6 +29,8 @@
     static constexpr std::size_t jobsPerMillisecond = 8;
     /// Limit on the starts of one planning pass. The remaining starts follow in the next pass.
     static constexpr std::size_t maxStartsPerPass = 64;
+    /// Age at which a start without an answer is stored for later owners.
+    static constexpr Duration unansweredAge{100};
     /// Shortest interval between two planning passes while the pacer limits the starts.
     static constexpr Duration pacedPlanningInterval{10};
 
@@ -40,6 +42,8 @@
     /// @return whether the answer belongs to a start order.
     bool answered(const OrderAnswered &event);
     void answered(const AdmissionAnswered &event);
+    /// Stores the starts that have had no answer for @p minAge, so that a later owner knows of them.
+    void storeUnanswered(Duration minAge);
     /// Returns how long after its objective a job would end because the pacer limits the starts; zero if it would end
     /// in time or if the workers limit the starts.
     Duration lateness(const SiteConfig &config, const SubmitJob &job, bool withinShare);
@@ -61,6 +65,8 @@
         TimePoint sentAt;
         /// Incarnation of the worker to which the order was sent.
         std::uint64_t incarnationNumber = 0;
+        /// The writer was told to store the order.
+        bool isStored = false;
     };
 
     /// Whether no earlier run of a waiting task may still be active.
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -42,7 +42,8 @@
         const bool needsContact = (!worker.fenced || worker.unreachable) && (worker.entry || !worker.isReconciled(now));
         const bool hasEnds = worker.processed > worker.acknowledged;
         const bool mayAcknowledge = worker.stored == worker.processed;
-        if (needsContact || (hasEnds && mayAcknowledge)
+        const bool mayGetLateOrders = now < worker.lateOrdersUntil && worker.entry;
+        if (needsContact || mayGetLateOrders || (hasEnds && mayAcknowledge)
             || (!hasEnds && !(worker.tasks.empty() && worker.foreignTasks.empty() && !worker.hasUnknownTasks))) {
             sendRenewal(worker);
             continue;
@@ -69,9 +70,11 @@
     // owner could never know when it has expired.
     if (worker.fenced && !worker.unreachable && !worker.tasks.empty()) {
         order.deadline = worker.leaseDeadlineAfter(m_times.leaseTime, now);
-        order.wait = renewalWait;
         worker.leaseDeadline = std::max(worker.leaseDeadline, *order.deadline);
     }
+    if (worker.fenced && !worker.unreachable && (order.deadline || now < worker.lateOrdersUntil)) {
+        order.wait = renewalWait;
+    }
     worker.renewal = m_outbox.send(order);
     worker.renewalSentAt = now;
     m_renewals[worker.renewal] = worker.id;
@@ -150,6 +153,7 @@
 void WorkerLeaseController::applyEnd(Worker &worker, const EndedRow &row)
 {
     m_registry.openInheritedOccurrence(row.task);
+    m_runs.recordCarriedOut(row.task, row.run, worker.id);
     Task *task = m_registry.task(row.task);
     if (task == nullptr) {
         return;
@@ -255,6 +259,7 @@
     run.listedAt = m_outbox.now.steady;
     run.percent = row.percent;
     m_registry.begin(row.task, std::move(run));
+    m_runs.recordCarriedOut(row.task, row.run, worker.id);
     // An owner starts a task again only after its run has ended, so this is the only active run.
     task->hasKnownRuns = true;
     // No owner grants a longer lease.
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -56,6 +56,9 @@
     TimePoint inheritedUntil;
     /// Orders that were sent to the former incarnation have lost their effect by this time.
     TimePoint settledAt;
+    /// Starts without an answer may be carried out until this time by the next incarnation, which refuses them once it
+    /// has been called.
+    TimePoint lateOrdersUntil;
 
     /// The pending lease renewal; 0 if none.
     CallId renewal;
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -134,6 +134,13 @@
     }
 }
 
+template<typename Archive>
+void serialize(Archive &archive, LateStart &start)
+{
+    archive(start.occurrence, start.step, start.index, start.run, start.worker);
+    durationField(archive, start.left);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, KnownWorker &worker)
 {
@@ -262,13 +269,46 @@
     std::size_t m_bytes = 0;
 };
 
+/// Writes the fields that a later version has added to a row. They are left out when they are empty, and an earlier
+/// version does not read them.
+template<typename Archive, typename Value>
+void saveAddedFields(Archive &, Value &)
+{
+}
+
+template<typename Archive>
+void saveAddedFields(Archive &archive, cells::ProgressRow &row)
+{
+    if (!row.lateStarts.empty()) {
+        listField(archive, row.lateStarts);
+    }
+}
+
+template<typename Archive, typename Value>
+void loadAddedFields(Archive &, Value &)
+{
+}
+
+template<typename Archive>
+void loadAddedFields(Archive &archive, cells::ProgressRow &row)
+{
+    listField(archive, row.lateStarts);
+}
+
 template<typename Value>
-std::size_t countBytes(Value value)
+void write(std::ostream &stream, Value value)
 {
-    CountingBuffer buffer;
-    std::ostream stream(&buffer);
     cereal::PortableBinaryOutputArchive archive(stream);
     archive(value);
+    saveAddedFields(archive, value);
+}
+
+template<typename Value>
+std::size_t countBytes(const Value &value)
+{
+    CountingBuffer buffer;
+    std::ostream stream(&buffer);
+    write(stream, value);
     return buffer.bytes();
 }
 
@@ -276,8 +316,7 @@
 std::string encode(Value value)
 {
     std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(value);
+    write(stream, std::move(value));
     return stream.str();
 }
 
@@ -292,6 +331,9 @@
         cereal::PortableBinaryInputArchive archive(stream);
         Value value;
         archive(value);
+        if (stream.peek() != std::istringstream::traits_type::eof()) {
+            loadAddedFields(archive, value);
+        }
         return value;
     } catch (const std::exception &error) {
         return LayerError<CellCodecError>{CellCodecError::Malformed, error.what()};
--- a/tests/core/cells/cell_store_limits_test.cpp
+++ b/tests/core/cells/cell_store_limits_test.cpp
@@ -218,7 +218,7 @@
             const auto contents = reader.take();
             ASSERT_TRUE(contents);
             ASSERT_EQ(contents->progress.size(), 1);
-            EXPECT_EQ(contents->progress.front().open, store.registry.progressRow(job).open);
+            EXPECT_EQ(contents->progress.front().open, store.registry.progressRow(job, TimePoint{}).open);
             EXPECT_EQ(contents->progress.front().storedRows, transaction.progress.front().storedRows);
         });
         section("a checkpoint beyond the share of a task is not kept", [&] {
@@ -228,7 +228,7 @@
         });
         section("a task that is done needs no checkpoint", [&] {
             store.registry.complete(TaskId{job.row.id, 0, 0, 7}, 1, TimePoint{});
-            EXPECT_EQ(store.registry.progressRow(job).open.at(0)[0][7].checkpoint, "");
+            EXPECT_EQ(store.registry.progressRow(job, TimePoint{}).open.at(0)[0][7].checkpoint, "");
         });
     });
 }
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -47,6 +47,36 @@
     return {};
 }
 
+/// Submits a job of one task whose start on "w0" is carried out after @p delay, and one that makes "w1" the worker on
+/// which tasks are packed.
+void submitWithLateStart(CellSite &site, int delay)
+{
+    fillLooms(site, 3);
+    site.worker("w1").entry.labels = {"other"};
+    site.run(Duration(4'000));
+    site.durations[JobId("j1")] = 8'000;
+    site.loseNextStart = delay;
+    site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(8'000)));
+    while (site.loseNextStart) {
+        site.run(Duration(1));
+    }
+    GraphSpec other = graphOf(1, 1, 1'000, Duration(30'000));
+    other.steps.front().label = "other";
+    site.durations[JobId("j2")] = 30'000;
+    site.submit(site.owner(), "j2", "plans", other);
+}
+
+/// Crashes "w0", and starts it again under the same id. Discovery lists the new incarnation a while later.
+void restartUnlisted(CellSite &site)
+{
+    site.crash("w0");
+    site.run(Duration(1'000));
+    site.revive("w0");
+    site.worker("w0").listed = false;
+    site.run(Duration(700));
+    site.worker("w0").listed = true;
+}
+
 /// Ends the owner with @p end, and waits until the other entry host owns the cell.
 void changeOwner(CellSite &site, void (CellSite::*end)(const std::string &))
 {
@@ -244,6 +274,45 @@
     }
 }
 
+// Guards against a start of an earlier owner that the next incarnation of its worker runs beside the present run.
+TEST(CellWorkers, ThatHaveRestartedDoNotRunALateStartOfAnEarlierOwner)
+{
+    struct Takeover
+    {
+        std::string name;
+        int age = 0;
+        int changes = 1;
+        void (CellSite::*end)(const std::string &) = nullptr;
+    };
+    const std::vector<Takeover> takeovers{
+        {"the owner stops when the start is 70 ms old", 70, 1, &CellSite::stop},
+        {"the owner is killed when the start is 150 ms old", 150, 1, &CellSite::kill},
+        {"two owners stop one after the other", 70, 2, &CellSite::stop},
+    };
+    for (const Takeover &takeover : takeovers) {
+        for (int delay = 4'050; delay <= 6'000; delay += 50) {
+            story(takeover.name + ", and the start is carried out " + std::to_string(delay) + " ms late", [&] {
+                CellSite site;
+                submitWithLateStart(site, delay);
+                const std::int64_t sentAt = site.time();
+                site.run(Duration(takeover.age));
+                for (int change = 0; change < takeover.changes; ++change) {
+                    const std::string owner = site.owner();
+                    changeOwner(site, takeover.end);
+                    site.run(Duration(200));
+                    site.kill(owner);
+                    site.restart(owner);
+                }
+                site.run(Duration(sentAt + 3'000 - site.time()));
+                restartUnlisted(site);
+                site.run(Duration(40'000));
+                section("the job is completed", [&] { EXPECT_EQ(site.state("j1"), GraphState::Completed); });
+                expectNothingBroken(site);
+            });
+        }
+    }
+}
+
 TEST(CellWorkers, ThatHaveRestartedMayHoldALongerLeaseThanTheirOwnerHasGranted)
 {
     story("a worker restarts while a lease renewal for its former incarnation is held up, and is then cut off", [] {
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -45,6 +45,41 @@
     });
 }
 
+TEST(CellCodec, CarriesTheStartsWithoutAnAnswer)
+{
+    story("an owner stores the progress of a job with starts that have no answer", [] {
+        ProgressRow row;
+        row.id = JobId("j");
+        row.open[0] = {{TaskProgress{}}};
+        const std::string without = encodeRow(row);
+        row.lateStarts.push_back(LateStart{0, 1, 2, 10'001, WorkerId("w"), Duration(7'000)});
+        const std::string with = encodeRow(row);
+        section("they arrive unchanged", [&] {
+            const auto decoded = decodeProgressRow(with);
+            ASSERT_TRUE(decoded);
+            ASSERT_EQ(decoded.value().lateStarts.size(), 1);
+            const LateStart &start = decoded.value().lateStarts.front();
+            EXPECT_EQ(start.step, 1);
+            EXPECT_EQ(start.index, 2);
+            EXPECT_EQ(start.run, 10'001);
+            EXPECT_EQ(start.worker, WorkerId("w"));
+            EXPECT_EQ(start.left, Duration(7'000));
+        });
+        section("they follow the fields that earlier versions read", [&] {
+            EXPECT_EQ(with.substr(0, without.size()), without);
+            EXPECT_EQ(encodedSize(row), with.size());
+        });
+        section("a row of an earlier version names none", [&] {
+            const auto decoded = decodeProgressRow(without);
+            ASSERT_TRUE(decoded);
+            EXPECT_TRUE(decoded.value().lateStarts.empty());
+        });
+        section("a row that ends within them is refused", [&] {
+            EXPECT_FALSE(decodeProgressRow(std::string_view(with).substr(0, with.size() - 1)));
+        });
+    });
+}
+
 TEST(CellCodec, CarriesTheHostsWithOrders)
 {
     story("an owner stores the hosts for which it sends orders", [] {
--- a/tests/platform/odd_caller_test.cpp
+++ b/tests/platform/odd_caller_test.cpp
@@ -101,7 +101,7 @@
         registry.openDueOccurrences(job, now);
         section("the open ones fit into the row of its progress", [&] {
             EXPECT_GT(job.open.size(), 100);
-            EXPECT_LE(drivers::encodeRow(registry.progressRow(job)).size(), 65'536);
+            EXPECT_LE(drivers::encodeRow(registry.progressRow(job, TimePoint{})).size(), 65'536);
         });
         section("the next one opens when the first has ended", [&] {
             const std::size_t open = job.open.size();
