Maintain hosts of a wave that joined after the newest list

Cause: a host that is not in the newest list counted as removed, and for good. During an outage of the host service the list is older than the host and than the wave. Ruled out: the answer to an order (none was sent for the host). Change: a host has left when lists that were requested after its last sign do not show it for 3 s; the wave, a list and a worker in discovery are signs. It is maintained if it is back before the wave is completed. A host with an order in doubt counts as down even if no list shows it, and a move is forgotten only by a list from after it. The other uses of the list were read and need no change.

--- a/core/cells/host_controller.cpp
+++ b/core/cells/host_controller.cpp
@@ -54,7 +54,7 @@
 
 void HostController::observe(const std::vector<Wave> &waves)
 {
-    m_waves.observe(waves);
+    m_waves.observe(waves, m_outbox.now.steady);
 }
 
 void HostController::restoreForecast(const JobRegistry &registry, const SiteConfig &config)
--- a/core/cells/host_mover.cpp
+++ b/core/cells/host_mover.cpp
@@ -87,7 +87,8 @@
     std::erase_if(m_moves, [&](const auto &pair) {
         const Move &move = pair.second;
         if (list.hosts.count(pair.first) == 0) {
-            return true;
+            // An older list may have been requested before the host joined.
+            return *list.requestedAt > move.since;
         }
         return move.stage == MoveStage::Moving
             && (hasArrived(move, config, list, roster) || now - move.since > maxMoveTime);
--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -37,7 +37,7 @@
     }
 }
 
-void WaveController::observe(const std::vector<Wave> &waves)
+void WaveController::observe(const std::vector<Wave> &waves, TimePoint now)
 {
     for (const Wave &wave : waves) {
         const auto [place, isNew] = m_waves.try_emplace(wave.number);
@@ -47,7 +47,7 @@
             continue;
         }
         for (const HostId &host : wave.hosts) {
-            state.hosts.try_emplace(host);
+            state.hosts[host].seenAt = now;
         }
         const auto restored = m_restored.find(wave.number);
         if (restored == m_restored.end()) {
@@ -171,16 +171,50 @@
     });
 }
 
+bool WaveController::updatePresence(const HostId &host, WaveHost &entry, const View &view)
+{
+    const TimePoint requestedAt = *view.list.requestedAt;
+    if (view.find(host) != nullptr) {
+        entry.seenAt = std::max(entry.seenAt, requestedAt);
+        entry.missingSince.reset();
+        return false;
+    }
+    const std::vector<const Worker *> workers = workersOn(view.roster, host);
+    const bool isInDiscovery = std::any_of(workers.begin(), workers.end(), [](const Worker *worker) {
+        return worker->entry && !worker->incarnationEnded;
+    });
+    if (isInDiscovery) {
+        entry.seenAt = view.now;
+        entry.missingSince.reset();
+    }
+    if (requestedAt <= entry.seenAt) {
+        // The list may be older than the host.
+        return false;
+    }
+    if (!entry.missingSince) {
+        entry.missingSince = requestedAt;
+    }
+    return requestedAt - *entry.missingSince >= absenceTime;
+}
+
+bool WaveController::needsNoMaintenance(const WaveHost &host)
+{
+    return host.stage == HostStage::Done || host.stage == HostStage::Absent;
+}
+
 void WaveController::updateHosts(WaveState &state, const View &view, WavePlan &plan)
 {
     bool changed = false;
     for (auto &[host, entry] : state.hosts) {
-        if (view.find(host) == nullptr) {
-            // A host that was removed from the site needs no maintenance.
-            changed = changed || entry.stage != HostStage::Done;
-            entry.stage = HostStage::Done;
+        if (updatePresence(host, entry, view)) {
+            if (entry.stage != HostStage::Done) {
+                entry.stage = HostStage::Absent;
+            }
             continue;
         }
+        if (entry.stage == HostStage::Absent) {
+            entry.stage = HostStage::Waiting;
+        }
         const bool isRecent = *view.list.requestedAt > entry.since + restartTime;
         if (entry.stage != HostStage::Down || !isRecent || !view.isUp(host)) {
             continue;
@@ -198,7 +232,7 @@
         changed = true;
     }
     const bool isComplete = std::all_of(state.hosts.begin(), state.hosts.end(),
-                                        [](const auto &pair) { return pair.second.stage == HostStage::Done; });
+                                        [](const auto &pair) { return needsNoMaintenance(pair.second); });
     if (isComplete) {
         state.completed = true;
         changed = true;
@@ -243,7 +277,7 @@
         const SiteHost *listed = view.find(host);
         const bool isListedDown = listed != nullptr && listed->state == SiteHostState::Maintained;
         const bool isOrdered = entry.stage == HostStage::Down || entry.stage == HostStage::Ordered;
-        const bool mayGoDown = listed != nullptr && view.inDoubt.count(host) > 0;
+        const bool mayGoDown = entry.stage != HostStage::Absent && view.inDoubt.count(host) > 0;
         down += isOrdered || mayGoDown || (isListedDown && entry.stage != HostStage::Done) ? 1 : 0;
         draining += entry.stage == HostStage::Draining ? 1 : 0;
     }
@@ -257,7 +291,6 @@
         if (entry.stage != HostStage::Draining) {
             continue;
         }
-        const SiteHost &listed = *view.find(host);
         const std::vector<const Worker *> workers = workersOn(view.roster, host);
         for (const Worker *worker : workers) {
             plan.cordoned.insert(worker->id);
@@ -272,7 +305,7 @@
         }
         entry.stage = HostStage::Ordered;
         entry.since = view.now;
-        entry.worker = workers.empty() ? listed.worker : workers.back()->id;
+        entry.worker = workers.empty() ? view.find(host)->worker : workers.back()->id;
         ++down;
         plan.hostsToMaintain.emplace_back(host, state.wave.number);
     }
--- a/core/cells/wave_controller.h
+++ b/core/cells/wave_controller.h
@@ -34,10 +34,12 @@
     static constexpr Duration restartTime{600};
     /// Interval between two attempts of an order.
     static constexpr Duration retryInterval{300};
+    /// A host that no list has shown for this time, and whose workers are not in discovery, has left the site.
+    static constexpr Duration absenceTime{3'000};
 
     void clear();
     void restore(const std::vector<WaveRow> &rows);
-    void observe(const std::vector<Wave> &waves);
+    void observe(const std::vector<Wave> &waves, TimePoint now);
     /// Updates the state of a host from the answer to its maintenance order.
     /// @return the worker that ran on the host at the time of the order; empty if none was known.
     WorkerId handleOutcome(const HostId &host, std::uint64_t wave, HostOrderOutcome outcome, TimePoint now);
@@ -61,6 +63,8 @@
         /// The order was accepted, or may have been.
         Down,
         Done,
+        /// The host has left the site. It waits again if it is back before the wave is completed.
+        Absent,
     };
 
     struct WaveHost
@@ -72,6 +76,10 @@
         bool accepted = false;
         /// Worker that ran on the host at the time of the order.
         WorkerId worker;
+        /// The last time at which a list or discovery showed the host, or at which a wave named it first.
+        TimePoint seenAt;
+        /// Request of the first list without the host since then.
+        std::optional<TimePoint> missingSince;
     };
 
     struct WaveState
@@ -101,6 +109,10 @@
 
     void planWave(WaveState &state, const View &view, WavePlan &plan);
     void updateHosts(WaveState &state, const View &view, WavePlan &plan);
+    /// Updates whether a host is part of the site.
+    /// @return whether it has left.
+    static bool updatePresence(const HostId &host, WaveHost &entry, const View &view);
+    static bool needsNoMaintenance(const WaveHost &host);
     void selectNextHosts(WaveState &state, const View &view, std::size_t maxHosts);
     static bool isOccupied(const WaveHost &host);
     WaveRow toRow(const WaveState &state) const;
--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -75,6 +75,63 @@
     });
 }
 
+// Guards against a wave that is completed without a host that joined after the newest list of hosts.
+TEST(CellWaves, MaintainHostsThatJoinedAfterTheNewestList)
+{
+    story("a host joins while the host service gives no lists, and a wave names it", [] {
+        CellSite site;
+        fillLooms(site, 3);
+        site.refusesLists = true;
+        site.run(Duration(1'000));
+        site.addWorker("w9", "looms", 8'000);
+        site.run(Duration(2'000));
+        site.addWave(1, {"w0", "w9"}, 1);
+        site.run(Duration(1'900));
+        site.refusesLists = false;
+        site.run(Duration(20'000));
+        section("the wave is completed when both hosts have been maintained", [&] {
+            EXPECT_TRUE(site.isMaintained("w0"));
+            EXPECT_TRUE(site.isMaintained("w9"));
+            EXPECT_EQ(site.completedWaves.count(1), 1);
+        });
+        expectNothingBroken(site);
+    });
+    for (int delay = 500; delay <= 3'000; delay += 250) {
+        story("a host joins, a wave names it, and lists arrive " + std::to_string(delay) + " ms late", [delay] {
+            CellSite site;
+            fillLooms(site, 3);
+            site.hostListDelay = delay;
+            site.run(Duration(2'000));
+            site.addWorker("w9", "looms", 8'000);
+            site.run(Duration(300));
+            site.addWave(1, {"w9"}, 1);
+            section("the wave is completed when the host has been maintained", [&] {
+                while (site.completedWaves.count(1) == 0 && site.time() < 40'000) {
+                    site.run(Duration(20));
+                }
+                EXPECT_EQ(site.completedWaves.count(1), 1);
+                EXPECT_TRUE(site.isMaintained("w9"));
+            });
+            expectNothingBroken(site);
+        });
+    }
+}
+
+TEST(CellWaves, SkipHostsThatHaveLeftTheSite)
+{
+    story("a wave names a host that has never been part of the site", [] {
+        CellSite site;
+        fillLooms(site, 3);
+        site.addWave(1, {"w0", "gone"}, 1);
+        section("the wave is completed with the other host", [&] {
+            site.run(Duration(15'000));
+            EXPECT_TRUE(site.isMaintained("w0"));
+            EXPECT_EQ(site.completedWaves.count(1), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellServiceTasks, AreNotStoppedBeyondTheirAllowanceAcrossAHandover)
 {
     story("the owner has started to drain a host and is replaced before the first stop has finished", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -476,6 +476,10 @@
                          [this, caller, call] { read(caller, call); });
             },
             [&](const ListHosts &call) {
+                if (refusesLists) {
+                    later(hostListDelay, [this, caller, call] { give(caller, HostsListed{call.call, std::nullopt}); });
+                    return;
+                }
                 std::vector<SiteHost> hosts;
                 for (const auto &[id, model] : m_workers) {
                     if (!model.replaced) {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -126,6 +126,8 @@
     std::uint64_t excessHostOrders = 0;
     /// Milliseconds after which a list of hosts arrives; it shows the hosts at the time of the request.
     std::int64_t hostListDelay = 4;
+    /// Whether the host service gives no lists.
+    bool refusesLists = false;
     /// Run time of tasks in milliseconds, by job; 300 when not set.
     std::map<JobId, std::int64_t> durations;
 
