Serve one step after the other with tickets that are valid when they come

Cause: three calls at a time to a service that serves one at a time, and a validity that is counted from the call. With decisions of about a second and a validity of 3 s each ticket had expired when it came, and the steps kept each other late for good. Steps that cannot use a ticket do not ask. The log says where the configured times leave no certain use (ticket-may-expire). The model's service and workers keep the published protocol.

--- a/core/cells/admission_controller.cpp
+++ b/core/cells/admission_controller.cpp
@@ -1,8 +1,22 @@
 #include "core/cells/admission_controller.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace radishvane::cells
 {
 
+namespace
+{
+
+bool holds(const std::map<WorkerId, std::int64_t> &incarnations, const Worker &worker)
+{
+    const auto found = incarnations.find(worker.id);
+    return found != incarnations.end() && found->second == worker.startedAtMs;
+}
+
+} // namespace
+
 AdmissionController::AdmissionController(CellOutbox &outbox) : m_outbox(outbox)
 {
 }
@@ -10,12 +24,42 @@
 void AdmissionController::clear()
 {
     m_steps.clear();
-    m_calls.clear();
+    m_call.reset();
+    m_next.reset();
+}
+
+AdmissionController::StepKey AdmissionController::keyOf(const ReadyStep &step)
+{
+    return StepKey{step.job, step.occurrence, step.step};
+}
+
+Duration AdmissionController::marginOf(Duration validity)
+{
+    return std::min(expiryMargin, validity / 2);
+}
+
+Duration AdmissionController::answerTime(const AdmissionTimes &times, std::size_t workers)
+{
+    return times.decision + times.perWorker * static_cast<Duration::rep>(workers);
+}
+
+std::size_t AdmissionController::maxWorkers(const Request &request)
+{
+    const AdmissionTimes &times = request.times;
+    const std::size_t limit = request.isGang ? maxWorkersPerGangCall : maxWorkersPerCall;
+    if (times.perWorker <= Duration{0}) {
+        return limit;
+    }
+    const Duration usable = times.validity - marginOf(times.validity);
+    // The tickets of other tasks are used until they expire, so that half of their time is left for that.
+    const Duration answered = request.isGang ? usable - gangStartTime : usable / 2;
+    const auto workers = std::max<Duration::rep>((answered - times.decision) / times.perWorker, 1);
+    return std::min(limit, static_cast<std::size_t>(workers));
 }
 
 std::string AdmissionController::ticket(const ReadyStep &step, const Worker &worker) const
 {
-    const auto entry = m_steps.find(StepKey{step.job, step.occurrence, step.step});
+    const auto entry = m_steps.find(keyOf(step));
     if (entry == m_steps.end()) {
         return {};
     }
@@ -25,36 +69,71 @@
     return isValid ? ticket->second.text : std::string();
 }
 
-void AdmissionController::requestTickets(const ReadyStep &step, const AdmissionTimes &times,
-                                         const std::vector<Worker *> &workers)
+std::vector<const Worker *> AdmissionController::selectWorkers(const Request &request, const StepTickets &entry)
 {
-    const TimePoint now = m_outbox.now.steady;
-    const StepKey key{step.job, step.occurrence, step.step};
-    StepTickets &entry = m_steps[key];
-    if (entry.isQueried || workers.empty() || now < entry.queryNotBefore || m_calls.size() >= maxCalls) {
+    std::vector<const Worker *> selected;
+    for (const Worker *worker : request.withCapacity) {
+        if (selected.size() < std::min(request.tasks, maxWorkersPerGangCall) && holds(entry.admitted, *worker)) {
+            selected.push_back(worker);
+        }
+    }
+    const bool isEnough = request.isGang ? selected.size() >= request.tasks : !selected.empty();
+    if (isEnough) {
+        return selected;
+    }
+    const std::size_t limit = maxWorkers(request);
+    const auto addUnknown = [&](const std::vector<const Worker *> &workers) {
+        for (const Worker *worker : workers) {
+            if (selected.size() < limit && !holds(entry.admitted, *worker) && !holds(entry.rejected, *worker)) {
+                selected.push_back(worker);
+            }
+        }
+    };
+    addUnknown(request.withCapacity);
+    addUnknown(request.full);
+    return selected;
+}
+
+void AdmissionController::request(const Request &request)
+{
+    const StepKey key = keyOf(request.step);
+    const StepTickets &entry = m_steps[key];
+    const bool isBehind = m_next && m_next->calls <= entry.calls;
+    if (m_call || isBehind || m_outbox.now.steady < entry.queryNotBefore) {
         return;
     }
+    std::vector<const Worker *> workers = selectWorkers(request, entry);
+    if (!workers.empty()) {
+        m_next = Candidate{key, request.times, std::move(workers), entry.calls};
+    }
+}
+
+void AdmissionController::sendRequest()
+{
+    if (!m_next) {
+        return;
+    }
+    const Candidate next = *std::exchange(m_next, std::nullopt);
+    const auto &[job, occurrence, step] = next.step;
     QueryAdmission query;
-    query.job = step.job;
-    query.occurrence = step.occurrence;
-    query.step = step.step;
-    Call call{key, now, times.validity, {}};
-    for (const Worker *worker : workers) {
-        if (query.workers.size() >= maxWorkersPerCall) {
-            break;
-        }
-        const auto rejected = entry.rejected.find(worker->id);
-        if (rejected != entry.rejected.end() && rejected->second == worker->startedAtMs) {
-            continue;
-        }
+    query.job = job;
+    query.occurrence = occurrence;
+    query.step = step;
+    query.answerTime = answerTime(next.times, next.workers.size());
+    Call call{{}, next.step, m_outbox.now.steady, next.times.validity, {}};
+    for (const Worker *worker : next.workers) {
         query.workers.push_back(worker->id);
         call.incarnations[worker->id] = worker->startedAtMs;
     }
-    if (query.workers.empty()) {
-        return;
+    if (query.answerTime >= next.times.validity - marginOf(next.times.validity)) {
+        m_outbox.log(CellDecision::TicketMayExpire, taskName(TaskId{job, occurrence, step, 0}), {},
+                     next.workers.size(),
+                     "answered-after " + std::to_string(query.answerTime.count()) + " valid-for "
+                         + std::to_string(next.times.validity.count()));
     }
-    entry.isQueried = true;
-    m_calls[m_outbox.send(std::move(query))] = std::move(call);
+    ++m_steps[next.step].calls;
+    call.id = m_outbox.send(std::move(query));
+    m_call = std::move(call);
 }
 
 void AdmissionController::refused(const TaskId &task, const WorkerId &worker)
@@ -68,24 +147,25 @@
 
 bool AdmissionController::answered(const AdmissionAnswered &event)
 {
-    const auto found = m_calls.find(event.call);
-    if (found == m_calls.end()) {
+    if (!m_call || m_call->id != event.call) {
         return false;
     }
-    const Call call = std::move(found->second);
-    m_calls.erase(found);
+    const TimePoint now = m_outbox.now.steady;
+    const Call call = *std::exchange(m_call, std::nullopt);
     StepTickets &entry = m_steps[call.step];
-    entry.isQueried = false;
-    entry.queryNotBefore = m_outbox.now.steady + retryPause;
+    entry.queryNotBefore = now + retryPause;
     if (!event.decided) {
         return true;
     }
-    // The validity begins with the decision. The time of the call is a lower bound for it.
-    const TimePoint validUntil = call.sent + call.validity - expiryMargin;
+    // The validity begins with the decision, for which the time of the call is a lower bound. A ticket that comes late
+    // is tried at least once.
+    const Duration used = call.validity - marginOf(call.validity);
+    const TimePoint validUntil = std::max(call.sent + used, now + std::min(used, minUse));
     for (const auto &[worker, startedAtMs] : call.incarnations) {
         const auto admitted = event.tickets.find(worker);
         if (admitted != event.tickets.end()) {
             entry.tickets[worker] = Ticket{admitted->second, startedAtMs, validUntil};
+            entry.admitted[worker] = startedAtMs;
         } else {
             entry.rejected[worker] = startedAtMs;
         }
--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -142,6 +142,8 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::vector<WorkerId> workers;
+    /// Time that the service takes for its answer, if it serves no other call before.
+    Duration answerTime{0};
 };
 
 struct AdmissionAnswered
@@ -460,15 +462,17 @@
     StoreChangeDropped,
     /// A worker reported a checkpoint that is too large for the progress of its job; the one before is kept.
     CheckpointIgnored,
+    /// The admission service takes longer for its answer than its tickets are certainly valid.
+    TicketMayExpire,
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 22> cellDecisionNames{
+inline constexpr std::array<std::string_view, 23> cellDecisionNames{
     "ownership-taken",      "ownership-lost",     "ownership-released", "cell-rebuilt",   "job-accepted",
     "job-refused",          "job-ended",          "task-started",       "task-ended",     "task-stopped",
     "order-in-doubt",       "worker-admitted",    "worker-reborn",      "worker-lost",    "worker-avoided",
     "host-maintained",      "host-moved",         "host-fenced",        "wave-completed", "store-write-failed",
-    "store-change-dropped", "checkpoint-ignored",
+    "store-change-dropped", "checkpoint-ignored", "ticket-may-expire",
 };
 
 /// The estimate of a worker's clock on which the deadline of a start order rests, for the log.
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -102,6 +102,17 @@
     m_planningRequested = false;
     m_isPaced = false;
     m_nextPlan = now + Duration(m_registry.live().size() / jobsPerMillisecond);
+    const bool isComplete = startReady(config);
+    m_admission.sendRequest();
+    if (isComplete && m_isPaced) {
+        m_planningRequested = true;
+        m_nextPlan = std::max(m_nextPlan, now + std::max(pacedPlanningInterval, m_pacer.pause()));
+    }
+}
+
+bool StartController::startReady(const SiteConfig &config)
+{
+    const TimePoint now = m_outbox.now.steady;
     CandidateWorkers candidates(m_roster, now);
     m_hasUnreconciledWorker = m_roster.hasUnreconciledWorker(now);
     m_runs.reserveInheritedUsage(config);
@@ -119,21 +130,16 @@
             recordCapacity(config, ready, false);
             continue;
         }
-        if (!ensureAdmitted(config, candidates, ready)) {
-            continue;
-        }
-        starts += spec.gang ? startGang(config, candidates, ready)
-                            : startTasks(config, candidates, ready, maxStartsPerPass - starts);
+        const std::size_t maxStarts = maxStartsPerPass - starts;
+        starts += config.queues.at(job.row.queue).admission ? startAdmitted(config, candidates, ready, maxStarts)
+                                                            : startStep(config, candidates, ready, maxStarts);
         if (starts >= maxStartsPerPass) {
             m_planningRequested = true;
             m_nextPlan = now;
-            return;
+            return false;
         }
     }
-    if (m_isPaced) {
-        m_planningRequested = true;
-        m_nextPlan = std::max(m_nextPlan, now + std::max(pacedPlanningInterval, m_pacer.pause()));
-    }
+    return true;
 }
 
 bool StartController::mayStart(const Job &job, const ReadyStep &ready, std::uint32_t index) const
@@ -161,33 +167,46 @@
         = !hasCapacity && m_runs.teams().mayAllocate(config, job.row.team, job.row.spec.steps[ready.step].needs);
 }
 
-bool StartController::ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates,
-                                     const ReadyStep &ready)
+std::size_t StartController::startStep(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
+                                       std::size_t maxStarts)
+{
+    const Job &job = *m_registry.find(ready.job);
+    return job.row.spec.steps[ready.step].gang ? startGang(config, candidates, ready)
+                                               : startTasks(config, candidates, ready, maxStarts);
+}
+
+std::size_t StartController::startAdmitted(const SiteConfig &config, CandidateWorkers &candidates,
+                                           const ReadyStep &ready, std::size_t maxStarts)
 {
-    const Queue &queue = config.queues.at(m_registry.find(ready.job)->row.queue);
-    if (!queue.admission) {
-        return true;
-    }
     const Job &job = *m_registry.find(ready.job);
     const StepSpec &spec = job.row.spec.steps[ready.step];
     const Step &step = job.open.at(ready.occurrence).steps[ready.step];
+    AdmissionController::Request request;
+    request.step = ready;
+    request.times = *config.queues.at(job.row.queue).admission;
+    request.tasks = step.waiting.size();
+    request.isGang = spec.gang;
     bool hasTicket = false;
-    std::vector<Worker *> withCapacity;
-    std::vector<Worker *> full;
-    for (Worker *worker : candidates.workers(ready.pool)) {
-        const bool isFull = !worker->hasLabel(spec.label) || !hasCapacity(*worker, spec, step);
-        if (m_admission.ticket(ready, *worker).empty()) {
-            (isFull ? full : withCapacity).push_back(worker);
-        } else {
-            hasTicket = hasTicket || !isFull;
+    for (const Worker *worker : candidates.workers(ready.pool)) {
+        if (!worker->hasLabel(spec.label)) {
+            continue;
+        }
+        const bool isFull = !hasCapacity(*worker, spec, step);
+        const bool isAdmitted = !m_admission.ticket(ready, *worker).empty();
+        hasTicket = hasTicket || (isAdmitted && !isFull);
+        // The tickets of a gang have to be valid together, so that those that it has are renewed with the others.
+        if (spec.gang || !isAdmitted) {
+            (isFull ? request.full : request.withCapacity).push_back(worker);
         }
     }
-    // The members of a gang may need more workers than those that are admitted so far.
-    if (!hasTicket || spec.gang) {
-        withCapacity.insert(withCapacity.end(), full.begin(), full.end());
-        m_admission.requestTickets(ready, *queue.admission, withCapacity);
+    const std::size_t starts = hasTicket ? startStep(config, candidates, ready, maxStarts) : 0;
+    // Tickets that cannot be used when they come would only delay those of other steps.
+    const bool isBlocked = !m_runs.teams().mayAllocate(config, job.row.team, spec.needs)
+        || (spec.gang && step.waiting.size() < step.tasks.size());
+    if (!isBlocked && (!hasTicket || (spec.gang && starts == 0))) {
+        m_admission.request(request);
     }
-    return hasTicket;
+    return starts;
 }
 
 std::size_t StartController::startTasks(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -73,7 +73,15 @@
     bool mayStart(const Job &job, const ReadyStep &ready, std::uint32_t index) const;
     bool mayStartAny(const Job &job, const ReadyStep &ready) const;
     void recordCapacity(const SiteConfig &config, const ReadyStep &ready, bool hasCapacity);
-    bool ensureAdmitted(const SiteConfig &config, const CandidateWorkers &candidates, const ReadyStep &ready);
+    /// Starts the tasks of ready steps.
+    /// @return false if the pass is full before all steps were considered.
+    bool startReady(const SiteConfig &config);
+    /// @return number of tasks that were started.
+    std::size_t startStep(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
+                          std::size_t maxStarts);
+    /// Starts tasks of a step for which the admission service admits workers, or asks it for tickets.
+    std::size_t startAdmitted(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
+                              std::size_t maxStarts);
     std::size_t startTasks(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
                            std::size_t maxStarts);
     /// Starts all tasks of a gang, or none.
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -482,6 +482,100 @@
     });
 }
 
+// Guards against tickets that have expired whenever they come, since several calls wait for each other.
+TEST(CellAdmission, ServesOneStepAfterTheOtherInABurst)
+{
+    struct Figures
+    {
+        AdmissionTimes times;
+        std::size_t workers = 0;
+        int jobs = 0;
+    };
+    const std::vector<Figures> cases{
+        {{Duration(500), Duration(50), Duration(3'000)}, 12, 12},  {{Duration(500), Duration(100), Duration(3'000)}, 30, 12},
+        {{Duration(800), Duration(20), Duration(1'500)}, 12, 12},  {{Duration(100), Duration(100), Duration(1'000)}, 40, 20},
+        {{Duration(1'000), Duration(10), Duration(900)}, 12, 8},   {{Duration(50), Duration(5), Duration(200)}, 12, 12},
+        {{Duration(2'000), Duration(0), Duration(10'000)}, 30, 6},
+    };
+    for (const Figures &figures : cases) {
+        story("a decision takes " + std::to_string(figures.times.decision.count()) + " ms and "
+                  + std::to_string(figures.times.perWorker.count()) + " ms for each worker, and tickets are valid for "
+                  + std::to_string(figures.times.validity.count()) + " ms",
+              [&] {
+                  CellSite site;
+                  site.addQueue("checked", "looms");
+                  site.setAdmission("checked", figures.times);
+                  fillLooms(site, figures.workers);
+                  for (std::size_t index = 0; index < figures.workers; ++index) {
+                      if (index % 4 != 0) {
+                          site.admitted.insert("w" + std::to_string(index));
+                      }
+                  }
+                  site.run(Duration(1'000));
+                  for (int job = 0; job < figures.jobs; ++job) {
+                      site.submit(site.owner(), "j" + std::to_string(job), "checked", graphOf(1, 2, 1'000, Duration(300)));
+                      site.run(Duration(540));
+                  }
+                  section("all accepted jobs are completed within the time of their calls", [&] {
+                      site.run(Duration(30'000));
+                      for (int job = 0; job < figures.jobs; ++job) {
+                          const std::string name = "j" + std::to_string(job);
+                          if (site.answers(name) == std::vector{CallAnswer::Accepted}) {
+                              EXPECT_EQ(site.state(name), GraphState::Completed) << name;
+                          }
+                      }
+                  });
+                  expectNothingBroken(site);
+              });
+    }
+}
+
+TEST(CellAdmission, UsesTicketsWhoseValidityBeginsBeforeTheAnswer)
+{
+    story("the validity of a ticket begins when the service starts to decide", [] {
+        CellSite site;
+        site.areTicketsValidFromCall = true;
+        site.addQueue("checked", "looms");
+        site.setAdmission("checked", {Duration(500), Duration(100), Duration(3'000)});
+        fillLooms(site, 30);
+        site.admitted = {"w1", "w11", "w21", "w28", "w29"};
+        for (int job = 0; job < 6; ++job) {
+            site.submit(site.owner(), "j" + std::to_string(job), "checked", graphOf(2, 3, 1'000, Duration(300)));
+        }
+        section("all jobs are completed, and no worker rejects a ticket", [&] {
+            site.run(Duration(40'000));
+            for (int job = 0; job < 6; ++job) {
+                EXPECT_EQ(site.state("j" + std::to_string(job)), GraphState::Completed) << job;
+            }
+            EXPECT_EQ(site.rejectedTickets, 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+TEST(CellAdmission, GetsTheTicketsOfAGangTogether)
+{
+    story("a gang needs six workers, and one call takes most of the time for which tickets are valid", [] {
+        CellSite site;
+        site.areTicketsValidFromCall = true;
+        site.addQueue("checked", "looms");
+        site.setAdmission("checked", {Duration(500), Duration(200), Duration(3'000)});
+        fillLooms(site, 16);
+        for (int index = 0; index < 16; index += 2) {
+            site.admitted.insert("w" + std::to_string(index));
+        }
+        GraphSpec gang = graphOf(1, 6, 5'000, Duration(300));
+        gang.steps[0].gang = true;
+        site.submit(site.owner(), "g", "checked", gang);
+        section("the last call names workers that are known to be admitted only", [&] {
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.state("g"), GraphState::Completed);
+            EXPECT_EQ(site.rejectedTickets, 0);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellRepeats, StartAtTheirDueTime)
 {
     story("a job of three occurrences at intervals of 1 s, the first due in 1 s", [] {
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -109,9 +109,9 @@
     m_config->queues.at(QueueId(queue)).targetDuration = time;
 }
 
-void CellSite::setAdmission(const std::string &queue)
+void CellSite::setAdmission(const std::string &queue, AdmissionTimes times)
 {
-    m_config->queues.at(QueueId(queue)).admission = AdmissionTimes{Duration(20), Duration(2), Duration(3'000)};
+    m_config->queues.at(QueueId(queue)).admission = times;
 }
 
 void CellSite::addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight)
@@ -452,15 +452,7 @@
                          OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt},
                          [this, caller, order, sentAt = m_now] { stopTask(caller, order, sentAt); });
             },
-            [&](const QueryAdmission &ask) {
-                AdmissionAnswered answer{ask.call, true, {}};
-                for (const WorkerId &worker : ask.workers) {
-                    if (admitted.count(worker.name()) > 0) {
-                        answer.tickets[worker] = "t-" + worker.name();
-                    }
-                }
-                later(30, [this, caller, answer] { give(caller, answer); });
-            },
+            [&](const QueryAdmission &query) { decideAdmission(caller, query); },
             [&](const LeaseRenewalOrder &order) {
                 sendCall(caller, order.call, callTimeout + order.wait.count(),
                          LeaseRenewalAnswered{order.call, OrderOutcome::Unknown, {}},
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -119,6 +119,11 @@
     std::uint64_t handoverRequests = 0;
     /// Workers for which the admission service gives tickets.
     std::set<std::string> admitted;
+    /// Whether the validity of a ticket begins when the service starts to decide, instead of with its answer.
+    bool areTicketsValidFromCall = false;
+    /// Starts that a worker rejected because of their tickets, and calls to the admission service.
+    std::uint64_t rejectedTickets = 0;
+    std::uint64_t admissionCalls = 0;
     std::int64_t storeDelay = 6;
     /// Limits of the host service, for nodes that start from now on. It refuses orders beyond the rate.
     cells::HostServiceLimits hostService;
@@ -138,7 +143,8 @@
     /// Time that is added to the objective of the queue's jobs.
     void setTargetDuration(const std::string &queue, Duration time);
     /// Lets the admission service decide about the steps of a queue.
-    void setAdmission(const std::string &queue);
+    void setAdmission(const std::string &queue,
+                      cells::AdmissionTimes times = {Duration(20), Duration(2), Duration(3'000)});
     void addTeam(const std::string &name, std::uint64_t cpuCeiling, double weight = 1'000);
     /// A pool whose hosts are switched off, with so many hosts; their workers are named after the pool.
     void addStandby(const std::string &pool, std::size_t hosts, std::uint64_t cpu);
@@ -233,6 +239,15 @@
         std::int64_t endedAt = 0;
     };
 
+    struct IssuedTicket
+    {
+        JobId job;
+        std::uint32_t step = 0;
+        std::string worker;
+        std::int64_t bornAt = 0;
+        std::int64_t validUntil = 0;
+    };
+
     /// What is known about a service task that is not at work.
     struct ServiceState
     {
@@ -276,6 +291,10 @@
     void read(const Caller &caller, const cells::ReadCell &call);
     /// Carries a request for a handover to the owner that its sender knows.
     void requestHandover(const Caller &caller, const cells::RequestHandover &request);
+    /// Answers the calls of each node one after the other.
+    void decideAdmission(const Caller &caller, const cells::QueryAdmission &query);
+    /// Whether the worker accepts the ticket of a start; always if its queue needs none.
+    bool acceptsTicket(const ModelWorker &worker, const cells::StartOrder &order) const;
     void start(const Caller &caller, const cells::StartOrder &order);
     /// @param sentAt time at which the owner decided.
     void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
@@ -333,6 +352,9 @@
     std::map<std::uint32_t, cells::ReleaseRow> m_release;
 
     std::map<std::string, std::array<std::int64_t, 2>> m_linkFreeAt;
+    /// When the admission service has decided the calls of each node.
+    std::map<std::string, std::int64_t> m_admissionFreeAt;
+    std::map<std::string, IssuedTicket> m_tickets;
     std::map<std::string, std::int64_t> m_toldAt;
     std::set<OpenCall> m_openCalls;
     /// Calls that were answered as unknown, since no answer came in time.
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -235,6 +235,38 @@
     return static_cast<std::int64_t>(static_cast<double>(m_now - worker.bornAt) * worker.clockRate);
 }
 
+void CellSite::decideAdmission(const Caller &caller, const QueryAdmission &query)
+{
+    ++admissionCalls;
+    const AdmissionTimes &times = *m_config->queues.at(m_jobs.at(query.job).queue).admission;
+    std::int64_t &freeAt = m_admissionFreeAt[caller.node];
+    const std::int64_t begin = std::max(freeAt, m_now + workerDelay);
+    freeAt = begin + times.decision.count() + times.perWorker.count() * static_cast<std::int64_t>(query.workers.size());
+    AdmissionAnswered answer{query.call, true, {}};
+    for (const WorkerId &id : query.workers) {
+        if (admitted.count(id.name()) == 0) {
+            continue;
+        }
+        const std::string ticket = "t-" + id.name() + "-" + std::to_string(admissionCalls);
+        answer.tickets[id] = ticket;
+        m_tickets[ticket]
+            = IssuedTicket{query.job, query.step, id.name(), worker(id.name()).bornAt,
+                           (areTicketsValidFromCall ? begin : freeAt) + times.validity.count()};
+    }
+    later(freeAt - m_now + workerDelay, [this, caller, answer] { give(caller, answer); });
+}
+
+bool CellSite::acceptsTicket(const ModelWorker &worker, const StartOrder &order) const
+{
+    if (!m_config->queues.at(m_jobs.at(order.task.job).queue).admission) {
+        return true;
+    }
+    const auto found = m_tickets.find(order.ticket);
+    return found != m_tickets.end() && found->second.job == order.task.job && found->second.step == order.task.step
+        && found->second.worker == worker.entry.id.name() && found->second.bornAt == worker.bornAt
+        && m_now <= found->second.validUntil;
+}
+
 void CellSite::start(const Caller &caller, const StartOrder &order)
 {
     const auto unknown = [this, caller, order] {
@@ -288,6 +320,10 @@
     if (closed != worker.closed.end() && order.run <= closed->second) {
         return OrderOutcome::Outdated;
     }
+    if (!acceptsTicket(worker, order)) {
+        ++rejectedTickets;
+        return OrderOutcome::NoTicket;
+    }
     checkStart(worker, order);
     ++m_runs[order.task.job];
     ModelRun run;
