Wait for the longest lease before a silent worker's tasks start elsewhere

Cause: a deadline refers to the clock of one life of a worker, and no order can name the life. A restarted worker shortens a deadline of the former clock to the longest lease of the platform, while owners waited for leaseTime. Change: a new owner waits for the longest lease before it starts a task of a silent worker. A worker with a start that has no answer keeps its runs that long within one owner, too, and so does one whose run is adopted. Service tasks and hosts of a wave wait for the usual lease, except on workers that the store marks.

--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -94,6 +94,8 @@
     PoolId pool;
     Endpoint endpoint;
     std::int64_t startedAtMs = 0;
+    /// The worker has restarted, so that orders for its former incarnation may have granted the longest lease.
+    bool mayHoldLongestLease = false;
 
     bool operator==(const KnownWorker &) const = default;
 };
--- a/core/cells/cell_times.h
+++ b/core/cells/cell_times.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "core/base/clock.h"
+#include "core/cells/cell_lease.h"
+
+#include <algorithm>
 
 namespace radishvane::cells
 {
@@ -16,6 +19,25 @@
     Duration stopGrace{1'000};
     /// Time for which an ended job can be queried.
     Duration endedJobRetention{150'000};
+
+    /// Time after which each lease that a worker grants now has expired, whatever its clock.
+    Duration longestLeaseTime() const
+    {
+        return onSlowestClock(longestLease);
+    }
+
+    /// Time after which each lease that an owner grants now has expired, unless the worker has restarted without the
+    /// owner's knowledge.
+    Duration usualLeaseTime() const
+    {
+        return std::min(onSlowestClock(leaseTime), longestLeaseTime());
+    }
+
+    static Duration onSlowestClock(Duration lease)
+    {
+        constexpr double slowestClockFactor = 1.03;
+        return std::chrono::duration_cast<Duration>(lease * slowestClockFactor) + CellLease::clockMargin;
+    }
 };
 
 } // namespace radishvane::cells
--- a/core/cells/inherited_usage.cpp
+++ b/core/cells/inherited_usage.cpp
@@ -1,6 +1,6 @@
 #include "core/cells/inherited_usage.h"
 
-#include "core/cells/released_runs.h"
+#include "core/cells/unknown_runs.h"
 
 #include <algorithm>
 #include <optional>
@@ -66,7 +66,7 @@
     usage.bestEffortCpu += spec.bestEffort ? spec.needs.cpu * tasks : 0;
 }
 
-void addUnknownRuns(Usage &usage, const Job &job, const WorkerRoster &roster, TimePoint now)
+void addUnknownRuns(Usage &usage, const Job &job, const UnknownRuns &unknownRuns)
 {
     for (const auto &[number, occurrence] : job.open) {
         for (std::size_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -74,7 +74,7 @@
             if (mayHaveStarted(occurrence, spec)) {
                 const Step &step = occurrence.steps[index];
                 const auto unknown = std::count_if(step.waiting.begin(), step.waiting.end(), [&](std::uint32_t task) {
-                    return mayHaveUnknownRuns(job, step.tasks[task], roster, now);
+                    return unknownRuns.mayExist(job, spec, step.tasks[task]);
                 });
                 addUsage(usage, spec, static_cast<std::uint64_t>(unknown));
             }
@@ -105,11 +105,12 @@
     if (!isAnyLimited || !isAnyUnknown) {
         return result;
     }
+    const UnknownRuns unknownRuns(roster, now);
     std::map<TeamId, Usage> usages;
     for (const JobId &id : registry.live()) {
         const Job &job = *registry.find(id);
         if (job.inherited && hasCeiling(config, job.row.team)) {
-            addUnknownRuns(usages[job.row.team], job, roster, now);
+            addUnknownRuns(usages[job.row.team], job, unknownRuns);
         }
     }
     for (const JobId &id : registry.aborted()) {
--- a/core/cells/released_runs.cpp
+++ b/core/cells/released_runs.cpp
@@ -1,6 +1,7 @@
 #include "core/cells/released_runs.h"
 
 #include "core/cells/cell_lease.h"
+#include "core/cells/unknown_runs.h"
 
 #include <algorithm>
 #include <optional>
@@ -101,17 +102,16 @@
 };
 
 /// Returns the place of the worker that may run the task, or @c nowhere; empty if any worker may.
-std::optional<Place> placeOf(const Job &job, const Task &task, const WorkerRoster &roster, const ReleaseRows &rows,
-                             bool isAnyUnreconciled, TimePoint now)
+std::optional<Place> placeOf(const Job &job, const StepSpec &step, const Task &task, const ReleaseRows &rows,
+                             const UnknownRuns &unknownRuns)
 {
-    const bool isReconciled = !isAnyUnreconciled || !mayHaveUnknownRuns(job, task, roster, now);
-    if (!task.run && isReconciled) {
+    if (!task.run && !unknownRuns.mayExist(job, step, task)) {
         return Place{0, ReleasedTask::nowhere};
     }
     return rows.placeOf(task.run ? task.run->worker : task.releasedOn);
 }
 
-void addTasks(ReleaseRows &rows, const Job &job, const WorkerRoster &roster, bool isAnyUnreconciled, TimePoint now)
+void addTasks(ReleaseRows &rows, const Job &job, const UnknownRuns &unknownRuns)
 {
     for (const auto &[number, occurrence] : job.open) {
         for (std::uint32_t index = 0; index < occurrence.steps.size(); ++index) {
@@ -121,7 +121,7 @@
             }
             const std::vector<Task> &tasks = occurrence.steps[index].tasks;
             for (std::uint32_t task = 0; task < tasks.size() && !rows.isFull(); ++task) {
-                if (const auto place = placeOf(job, tasks[task], roster, rows, isAnyUnreconciled, now)) {
+                if (const auto place = placeOf(job, spec, tasks[task], rows, unknownRuns)) {
                     rows.addTask(TaskId{job.row.id, number, index, task}, *place);
                 }
             }
@@ -146,14 +146,6 @@
 
 } // namespace
 
-bool mayHaveUnknownRuns(const Job &job, const Task &task, const WorkerRoster &roster, TimePoint now)
-{
-    if (!job.inherited || task.hasKnownRuns) {
-        return false;
-    }
-    return task.releasedOn.empty() || !roster.isReconciled(task.releasedOn, now);
-}
-
 std::vector<ReleaseRow> releaseRows(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster,
                                     Duration longestLease, TimePoint now)
 {
@@ -161,11 +153,11 @@
     for (const auto &[id, worker] : roster.all()) {
         rows.addWorker(id, worker.leaseLeft(now).value_or(longestLease));
     }
-    const bool isAnyUnreconciled = roster.hasUnreconciledWorker(now);
+    const UnknownRuns unknownRuns(roster, now);
     for (const JobId &id : registry.live()) {
         const Job &job = *registry.find(id);
         if (!isFinal(job.state)) {
-            addTasks(rows, job, roster, isAnyUnreconciled, now);
+            addTasks(rows, job, unknownRuns);
         }
     }
     return rows.take();
@@ -180,6 +172,7 @@
         }
         const Duration margin = released.leaseLeft > Duration{0} ? CellLease::clockMargin : Duration{0};
         worker->inheritedUntil = std::min(worker->inheritedUntil, now + released.leaseLeft + margin);
+        worker->inheritedUsuallyUntil = std::min(worker->inheritedUsuallyUntil, worker->inheritedUntil);
     }
     for (const ReleasedStep &step : row.steps) {
         restoreStep(row, step, registry, roster);
--- a/core/cells/released_runs.h
+++ b/core/cells/released_runs.h
@@ -6,10 +6,6 @@
 namespace radishvane::cells
 {
 
-/// Whether a task may have active runs of earlier owners that this owner does not know, given that some worker is not
-/// reconciled.
-bool mayHaveUnknownRuns(const Job &job, const Task &task, const WorkerRoster &roster, TimePoint now);
-
 /// Describes what is known about the runs of service tasks when the owner of @p epoch releases the cell.
 /// @param longestLease longest lease that a worker grants.
 std::vector<ReleaseRow> releaseRows(Epoch epoch, const JobRegistry &registry, const WorkerRoster &roster,
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -32,11 +32,8 @@
 {
     clear();
     const Instant now = m_outbox.now;
-    m_roster.reset(contents.roster, now.steady + inheritedLease());
-    // A worker that is not known may have been restarted, so that its runs last for the longest lease of the platform.
-    const auto longestUnknownLease = std::chrono::duration_cast<Duration>(m_times.longestLease * 1.03);
-    m_roster.loseParts(contents.lostRosterParts,
-                       now.steady + std::max(inheritedLease(), longestUnknownLease + CellLease::clockMargin));
+    m_roster.reset(contents.roster, now.steady + inheritedLease(), now.steady + m_times.usualLeaseTime());
+    m_roster.loseParts(contents.lostRosterParts, now.steady + inheritedLease());
     for (const JobRow &row : contents.jobs) {
         Job &job = m_registry.add(row, now.steady);
         job.stored = true;
@@ -63,6 +60,10 @@
     for (const ProgressRow &row : contents.progress) {
         for (const LateStart &late : row.lateStarts) {
             m_runs.expectLateOrders(late.worker, now.steady + late.left);
+            if (Worker *worker = m_roster.find(late.worker)) {
+                worker->mayHoldLongestLease = true;
+                worker->inheritedUsuallyUntil = worker->inheritedUntil;
+            }
         }
     }
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
@@ -81,8 +82,9 @@
 
 Duration RunController::inheritedLease() const
 {
-    // No earlier owner granted a longer lease. The factor covers worker clocks that run up to 2 % slow.
-    return std::chrono::duration_cast<Duration>(m_times.leaseTime * 1.03) + CellLease::clockMargin;
+    // A worker may have restarted without the last owner's knowledge. Its orders refer to the former clock then, so
+    // that the worker grants the longest lease.
+    return m_times.longestLeaseTime();
 }
 
 JobRegistry &RunController::registry()
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -228,9 +228,8 @@
 void RunLedger::recordCarriedOut(const TaskId &id, RunNumber run, const WorkerId &worker)
 {
     if (Task *task = m_registry.task(id)) {
-        std::erase_if(task->abandonedStarts, [&](const AbandonedStart &start) {
-            return start.run == run && start.worker == worker;
-        });
+        std::erase_if(task->abandonedStarts,
+                      [&](const AbandonedStart &start) { return start.run == run && start.worker == worker; });
     }
 }
 
@@ -365,6 +364,8 @@
     if (m_outbox.now.steady < worker.inheritedUntil) {
         // The deadline of an earlier owner's order refers to the former clock.
         worker.inheritedUntil = longestLeaseEnd();
+        worker.inheritedUsuallyUntil = worker.inheritedUntil;
+        worker.mayHoldLongestLease = true;
     }
     worker.tasks = unlisted;
     for (const TaskId &id : unlisted) {
@@ -387,16 +388,21 @@
     worker.settledAt = longestLeaseEnd();
 }
 
+void RunLedger::recordUnansweredStart(Worker &worker)
+{
+    worker.unansweredAt = m_outbox.now.steady;
+    worker.unverifiedUntil = longestLeaseEnd();
+}
+
 void RunLedger::expectUnknownIncarnation(Worker &worker)
 {
     worker.settledAt = std::max(worker.settledAt, longestLeaseEnd());
+    m_writer.changeRoster();
 }
 
 TimePoint RunLedger::longestLeaseEnd() const
 {
-    constexpr double slowestClockFactor = 1.03;
-    return m_outbox.now.steady + std::chrono::duration_cast<Duration>(m_times.longestLease * slowestClockFactor)
-        + CellLease::clockMargin;
+    return m_outbox.now.steady + m_times.longestLeaseTime();
 }
 
 std::set<TaskId> RunLedger::unlistedTasks(const Worker &worker)
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -80,6 +80,9 @@
     /// Takes the runs on a restarted worker as active until the longest lease has expired. The worker has answered
     /// under its new fencing token, so that only orders before this time may have extended the lease.
     void settleIncarnation(Worker &worker);
+    /// Takes the runs on the worker as active until the longest lease has expired, unless its present incarnation
+    /// answers before. A new incarnation may have accepted the start that had no answer.
+    void recordUnansweredStart(Worker &worker);
     /// Takes a run on the worker as active until the longest lease has expired, because an incarnation whose clock is
     /// not known has accepted an order.
     void expectUnknownIncarnation(Worker &worker);
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -1,7 +1,6 @@
 #include "core/cells/start_controller.h"
 
 #include "core/base/enum_names.h"
-#include "core/cells/released_runs.h"
 
 #include <algorithm>
 
@@ -114,7 +113,7 @@
 {
     const TimePoint now = m_outbox.now.steady;
     CandidateWorkers candidates(m_roster, now);
-    m_hasUnreconciledWorker = m_roster.hasUnreconciledWorker(now);
+    m_unknownRuns.emplace(m_roster, now);
     m_runs.reserveInheritedUsage(config);
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
@@ -148,8 +147,7 @@
     // Few tasks have abandoned starts, and planning asks for every waiting one.
     const bool mayRunAbandoned = !task.abandonedStarts.empty()
         && m_runs.mayRunAbandoned(TaskId{ready.job, ready.occurrence, ready.step, index}, task);
-    return !mayRunAbandoned
-        && (!m_hasUnreconciledWorker || !mayHaveUnknownRuns(job, task, m_roster, m_outbox.now.steady));
+    return !mayRunAbandoned && !m_unknownRuns->mayExist(job, job.row.spec.steps[ready.step], task);
 }
 
 bool StartController::mayStartAny(const Job &job, const ReadyStep &ready) const
@@ -328,8 +326,8 @@
     order.run = number;
     order.payload = m_registry.find(ready.job)->row.spec.payload;
     // The estimated clock may be ahead of the worker's, and a later owner relies on the length of the lease.
-    order.deadline = std::min(worker.estimatedClock(now) + startWindow.count(),
-                              worker.leaseDeadlineAfter(m_times.leaseTime, now));
+    order.deadline
+        = std::min(worker.estimatedClock(now) + startWindow.count(), worker.leaseDeadlineAfter(m_times.leaseTime, now));
     order.fence = m_outbox.workerFence(worker.incarnationNumber);
     order.checkpoint = checkpoint;
     order.ticket = m_admission.ticket(ready, worker);
@@ -353,7 +351,8 @@
                                   OrderClockRecord{order.deadline, worker.estimatedClock(now),
                                                    std::chrono::duration_cast<Duration>(now - worker.clockAt)}});
     m_pacer.take(order.payload.size());
-    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now, worker.incarnationNumber};
+    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now, worker.id, worker.incarnationNumber};
+    ++worker.pendingStarts;
     if (worker.renewal.value == 0) {
         // The lease must cover the start deadline even when the next periodic renewal is late.
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -377,7 +376,7 @@
     const PendingStart pending = std::move(found->second);
     m_pendingStarts.erase(found);
     m_pacer.recordAnswer(pending.sentAt, event.outcome, m_outbox.now.steady);
-    applyClock(pending, event);
+    updateWorker(pending, event);
     startAnswered(pending.task, pending.run, event);
     return true;
 }
@@ -397,6 +396,17 @@
     }
 }
 
+void StartController::updateWorker(const PendingStart &start, const OrderAnswered &event)
+{
+    if (Worker *worker = m_roster.find(start.worker)) {
+        worker->pendingStarts -= std::min<std::size_t>(worker->pendingStarts, 1);
+        if (event.outcome == OrderOutcome::Unknown) {
+            m_runs.recordUnansweredStart(*worker);
+        }
+    }
+    applyClock(start, event);
+}
+
 void StartController::applyClock(const PendingStart &start, const OrderAnswered &event)
 {
     const Task *task = m_registry.task(start.task);
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -5,9 +5,11 @@
 #include "core/cells/start_backlog.h"
 #include "core/cells/start_pacer.h"
 #include "core/cells/start_planner.h"
+#include "core/cells/unknown_runs.h"
 #include "core/cells/work_backlog.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace radishvane::cells
@@ -63,6 +65,7 @@
         TaskId task;
         RunNumber run = 0;
         TimePoint sentAt;
+        WorkerId worker;
         /// Incarnation of the worker to which the order was sent.
         std::uint64_t incarnationNumber = 0;
         /// The writer was told to store the order.
@@ -93,6 +96,8 @@
                const std::string &checkpoint);
     RunNumber nextRun(const Job &job, const Task &task) const;
     void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
+    /// Updates what is known about the incarnation of the worker that was called.
+    void updateWorker(const PendingStart &start, const OrderAnswered &event);
     /// Corrects the estimate of the worker's clock, or detects from the clock in an answer that the worker has
     /// restarted.
     void applyClock(const PendingStart &start, const OrderAnswered &event);
@@ -107,8 +112,8 @@
     StartBacklog m_backlog;
     WorkBacklog m_work;
     std::map<CallId, PendingStart> m_pendingStarts;
-    /// A worker may run unknown tasks of earlier owners in the present pass.
-    bool m_hasUnreconciledWorker = false;
+    /// Of the present planning pass.
+    std::optional<UnknownRuns> m_unknownRuns;
     /// The pacer held back a task in the present pass.
     bool m_isPaced = false;
     bool m_planningRequested = false;
--- a/core/cells/wave_controller.cpp
+++ b/core/cells/wave_controller.cpp
@@ -297,7 +297,9 @@
         }
         // Tasks that a former owner started are unknown until the worker answers or their leases have expired.
         const bool isEmpty = std::all_of(workers.begin(), workers.end(), [&view](const Worker *worker) {
-            return worker->isReconciled(view.now) && worker->tasks.empty() && worker->hasStoredEnds();
+            // The order ends all runs on the host, so that a lease beyond the usual one does no harm.
+            return worker->isReconciled(view.now, LeaseBound::Usual) && worker->tasks.empty()
+                && worker->hasStoredEnds();
         });
         if (!isEmpty || view.inDoubt.count(host) > 0 || !view.isUp(host) || down >= state.wave.maxHostsDown
             || view.now < entry.notBefore) {
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -122,11 +122,15 @@
     if (event.report.startedAtMs > worker->startedAtMs && worker->startedAtMs != 0) {
         m_runs.endIncarnation(*worker, event.report.startedAtMs);
     }
+    if (worker->renewalSentAt >= worker->unansweredAt) {
+        // The incarnation that the start was sent to is still there.
+        worker->unverifiedUntil = TimePoint{};
+    }
     worker->startedAtMs = std::max(worker->startedAtMs, event.report.startedAtMs);
     worker->clock = event.report.clock;
     worker->clockAt = now;
     if (!worker->fenced) {
-        if (now < worker->settledAt) {
+        if (now < worker->settledAt || (worker->mayHoldLongestLease && now < worker->inheritedUntil)) {
             m_runs.settleIncarnation(*worker);
         }
         m_outbox.log(CellDecision::WorkerAdmitted, worker->id.name(), worker->pool.name(), worker->startedAtMs);
@@ -262,8 +266,8 @@
     m_runs.recordCarriedOut(row.task, row.run, worker.id);
     // An owner starts a task again only after its run has ended, so this is the only active run.
     task->hasKnownRuns = true;
-    // No owner grants a longer lease.
-    worker.leaseDeadline = std::max(worker.leaseDeadline, worker.clock + m_times.leaseTime.count());
+    // An earlier owner may have sent orders that referred to the clock of a former incarnation.
+    worker.leaseDeadline = std::max(worker.leaseDeadline, worker.clock + m_times.longestLease.count());
     return true;
 }
 
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -27,16 +27,17 @@
 
 } // namespace
 
-bool Worker::isReconciled(TimePoint now) const
+bool Worker::isReconciled(TimePoint now, LeaseBound bound) const
 {
     if (incarnationEnded) {
         return true;
     }
+    const TimePoint until = bound == LeaseBound::Longest ? inheritedUntil : inheritedUsuallyUntil;
     if (hasUnlistedEnds) {
         // The further ends come with the next lists, unless the worker no longer answers.
-        return (!fenced || unreachable) && now >= inheritedUntil;
+        return (!fenced || unreachable) && now >= until;
     }
-    return fenced || now >= inheritedUntil;
+    return fenced || now >= until;
 }
 
 bool Worker::acceptsTasks(TimePoint now) const
@@ -94,12 +95,13 @@
 
 bool Worker::hasLeaseExpired(TimePoint now) const
 {
-    return now >= inheritedUntil && now >= settledAt && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
+    return now >= inheritedUntil && now >= settledAt && now >= unverifiedUntil
+        && minClock(now) > leaseDeadline + leaseExpiryMarginMs;
 }
 
 std::optional<Duration> Worker::leaseLeft(TimePoint now) const
 {
-    if (hasUnlistedEnds || hasUnknownTasks || now < settledAt) {
+    if (hasUnlistedEnds || hasUnknownTasks || now < settledAt || now < unverifiedUntil || pendingStarts > 0) {
         return std::nullopt;
     }
     if (fenced && tasks.empty() && foreignTasks.empty()) {
@@ -120,7 +122,8 @@
     return WorkerAddress{id, endpoint};
 }
 
-void WorkerRoster::reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil)
+void WorkerRoster::reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil,
+                         TimePoint inheritedUsuallyUntil)
 {
     m_workers.clear();
     m_partBytes.clear();
@@ -146,6 +149,8 @@
             worker.startedAtMs = known.startedAtMs;
             worker.recorded = true;
             worker.inheritedUntil = inheritedUntil;
+            worker.mayHoldLongestLease = known.mayHoldLongestLease;
+            worker.inheritedUsuallyUntil = known.mayHoldLongestLease ? inheritedUntil : inheritedUsuallyUntil;
             worker.rosterPart = row.part;
             m_partBytes[row.part] += storedBytes(worker);
         }
@@ -191,6 +196,7 @@
             worker.incarnationNumber = ++m_incarnations;
             worker.startedAtMs = entry.startedAtMs;
             worker.inheritedUntil = m_unknownUntil;
+            worker.inheritedUsuallyUntil = m_unknownUntil;
         } else if (entry.startedAtMs > worker.startedAtMs) {
             // Discovery may lag behind the worker's own answer, so an earlier start time is ignored.
             restarted.push_back(entry.id);
@@ -298,17 +304,17 @@
     return m_workers;
 }
 
-bool WorkerRoster::hasUnreconciledWorker(TimePoint now) const
+bool WorkerRoster::hasUnreconciledWorker(TimePoint now, LeaseBound bound) const
 {
-    return hasUnknownWorkers(now) || std::any_of(m_workers.begin(), m_workers.end(), [now](const auto &pair) {
-               return !pair.second.isReconciled(now);
+    return hasUnknownWorkers(now) || std::any_of(m_workers.begin(), m_workers.end(), [now, bound](const auto &pair) {
+               return !pair.second.isReconciled(now, bound);
            });
 }
 
-bool WorkerRoster::isReconciled(const WorkerId &id, TimePoint now) const
+bool WorkerRoster::isReconciled(const WorkerId &id, TimePoint now, LeaseBound bound) const
 {
     const Worker *worker = find(id);
-    return worker == nullptr || worker->isReconciled(now);
+    return worker == nullptr || worker->isReconciled(now, bound);
 }
 
 std::vector<RosterRow> WorkerRoster::rows(TimePoint now) const
@@ -323,7 +329,8 @@
             continue;
         }
         parts[worker.rosterPart].workers.push_back(
-            KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs});
+            KnownWorker{worker.id, worker.host, worker.pool, worker.endpoint, worker.startedAtMs,
+                        now < worker.settledAt || (worker.mayHoldLongestLease && now < worker.inheritedUntil)});
     }
     std::vector<RosterRow> rows;
     rows.reserve(parts.size());
@@ -357,6 +364,8 @@
     worker.unreachable = false;
     worker.hasUnlistedEnds = false;
     worker.incarnationEnded = false;
+    // The starts were sent to the former incarnation, so that settledAt covers them.
+    worker.unverifiedUntil = TimePoint{};
     // The answer to a pending renewal may come from the former incarnation, whose clock and ends are not those of the
     // new one.
     worker.renewal = CallId{};
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -10,6 +10,14 @@
 namespace radishvane::cells
 {
 
+/// Which leases of earlier owners a worker may hold at most.
+enum class LeaseBound {
+    /// Those that owners grant. They are longer only on a worker that has restarted without its owner's knowledge.
+    Usual,
+    /// The longest that the platform's workers grant.
+    Longest,
+};
+
 /// State of one worker as known to the owner of a cell.
 struct Worker
 {
@@ -54,8 +62,18 @@
     std::int64_t previousDeadline = 0;
     /// All runs that an earlier owner started on the worker have ended by this time.
     TimePoint inheritedUntil;
+    /// The same for the leases that owners grant.
+    TimePoint inheritedUsuallyUntil;
+    /// The worker may hold the longest lease of an earlier owner: it has restarted, or left a start unanswered.
+    bool mayHoldLongestLease = false;
     /// Orders that were sent to the former incarnation have lost their effect by this time.
     TimePoint settledAt;
+    /// A start without an answer may have been accepted by a new incarnation, whose leases have expired by this time.
+    TimePoint unverifiedUntil;
+    /// Time at which the last start was found to have no answer.
+    TimePoint unansweredAt;
+    /// Starts that wait for their answers.
+    std::size_t pendingStarts = 0;
     /// Starts without an answer may be carried out until this time by the next incarnation, which refuses them once it
     /// has been called.
     TimePoint lateOrdersUntil;
@@ -92,7 +110,7 @@
     TimePoint avoidedUntil;
 
     /// Whether every run that an earlier owner may have started on the worker is known or has ended.
-    bool isReconciled(TimePoint now) const;
+    bool isReconciled(TimePoint now, LeaseBound bound = LeaseBound::Longest) const;
     /// Whether a task may be started on the worker.
     bool acceptsTasks(TimePoint now) const;
     /// Whether the store holds the end of every run that the worker has reported as ended. Until then the worker's own
@@ -108,7 +126,8 @@
     std::int64_t minClock(TimePoint now) const;
     /// Corrects the estimate by a reading from an answer of the present incarnation.
     void recordClock(std::int64_t reading, TimePoint now);
-    /// Returns the deadline of an order that grants a lease of at most @p leaseTime, however fast the worker's clock is.
+    /// Returns the deadline of an order that grants a lease of at most @p leaseTime, however fast the worker's clock
+    /// is.
     std::int64_t leaseDeadlineAfter(Duration leaseTime, TimePoint now) const;
     /// Whether the leases of all runs on the worker have certainly expired.
     bool hasLeaseExpired(TimePoint now) const;
@@ -131,7 +150,8 @@
 
     /// Starts a new epoch with the workers that the last owner recorded.
     /// @param inheritedUntil time by which all runs of the last owner have ended.
-    void reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil);
+    /// @param inheritedUsuallyUntil the same for workers that hold no longer leases than owners grant.
+    void reset(const std::vector<RosterRow> &recorded, TimePoint inheritedUntil, TimePoint inheritedUsuallyUntil);
     /// Records that parts of the list cannot be read, so that any worker may run tasks of earlier owners.
     /// @param unknownUntil time by which these tasks have ended. The parts are not written before.
     void loseParts(const std::set<std::uint32_t> &parts, TimePoint unknownUntil);
@@ -159,9 +179,9 @@
     const std::map<WorkerId, Worker> &all() const;
     /// Whether a worker may run unknown tasks of an earlier owner. The pool of the worker does not matter, since the
     /// queue of the tasks may have had another pool when they started.
-    bool hasUnreconciledWorker(TimePoint now) const;
+    bool hasUnreconciledWorker(TimePoint now, LeaseBound bound) const;
     /// Whether worker @p id runs no unknown tasks of an earlier owner.
-    bool isReconciled(const WorkerId &id, TimePoint now) const;
+    bool isReconciled(const WorkerId &id, TimePoint now, LeaseBound bound) const;
     /// The workers that may have received orders and whose leases are not known to have expired, in parts. A part
     /// whose workers are gone is empty.
     std::vector<RosterRow> rows(TimePoint now) const;
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -284,11 +284,38 @@
     }
 }
 
+template<typename Archive>
+void saveAddedFields(Archive &archive, cells::RosterRow &row)
+{
+    std::vector<std::uint32_t> positions;
+    for (std::uint32_t position = 0; position < row.workers.size(); ++position) {
+        if (row.workers[position].mayHoldLongestLease) {
+            positions.push_back(position);
+        }
+    }
+    if (!positions.empty()) {
+        listField(archive, positions);
+    }
+}
+
 template<typename Archive, typename Value>
 void loadAddedFields(Archive &, Value &)
 {
 }
 
+template<typename Archive>
+void loadAddedFields(Archive &archive, cells::RosterRow &row)
+{
+    std::vector<std::uint32_t> positions;
+    listField(archive, positions);
+    for (const std::uint32_t position : positions) {
+        if (position >= row.workers.size()) {
+            throw std::out_of_range("worker " + std::to_string(position) + " of " + std::to_string(row.workers.size()));
+        }
+        row.workers[position].mayHoldLongestLease = true;
+    }
+}
+
 template<typename Archive>
 void loadAddedFields(Archive &archive, cells::ProgressRow &row)
 {
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -492,9 +492,12 @@
         int jobs = 0;
     };
     const std::vector<Figures> cases{
-        {{Duration(500), Duration(50), Duration(3'000)}, 12, 12},  {{Duration(500), Duration(100), Duration(3'000)}, 30, 12},
-        {{Duration(800), Duration(20), Duration(1'500)}, 12, 12},  {{Duration(100), Duration(100), Duration(1'000)}, 40, 20},
-        {{Duration(1'000), Duration(10), Duration(900)}, 12, 8},   {{Duration(50), Duration(5), Duration(200)}, 12, 12},
+        {{Duration(500), Duration(50), Duration(3'000)}, 12, 12},
+        {{Duration(500), Duration(100), Duration(3'000)}, 30, 12},
+        {{Duration(800), Duration(20), Duration(1'500)}, 12, 12},
+        {{Duration(100), Duration(100), Duration(1'000)}, 40, 20},
+        {{Duration(1'000), Duration(10), Duration(900)}, 12, 8},
+        {{Duration(50), Duration(5), Duration(200)}, 12, 12},
         {{Duration(2'000), Duration(0), Duration(10'000)}, 30, 6},
     };
     for (const Figures &figures : cases) {
@@ -513,7 +516,8 @@
                   }
                   site.run(Duration(1'000));
                   for (int job = 0; job < figures.jobs; ++job) {
-                      site.submit(site.owner(), "j" + std::to_string(job), "checked", graphOf(1, 2, 1'000, Duration(300)));
+                      site.submit(site.owner(), "j" + std::to_string(job), "checked",
+                                  graphOf(1, 2, 1'000, Duration(300)));
                       site.run(Duration(540));
                   }
                   section("all accepted jobs are completed within the time of their calls", [&] {
--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Time within which the next owner starts the tasks of a silent worker elsewhere: it takes the cell within 2.25 s, and
+/// waits for the longest lease of the platform, 10 s on a clock that may be 2 % slow.
+constexpr Duration afterLongestLease{13'000};
+
 /// Submits a job of @p count tasks that run for a long time, and waits until all of them run.
 void submitLongJob(CellSite &site, const std::string &job, std::uint32_t count)
 {
@@ -125,7 +129,7 @@
         site.kill(site.owner());
         site.addQueue("plans", "frames");
         section("the next owner starts no task again that may still run in the former pool", [&] {
-            site.run(Duration(12'000));
+            site.run(afterLongestLease);
             EXPECT_EQ(site.runningOn("f0"), 4);
         });
         expectNothingBroken(site);
@@ -144,7 +148,7 @@
         site.kill(site.owner());
         site.worker("w0").entry.endpoint.port = 2;
         section("the next owner starts no task again that may still run on the worker", [&] {
-            site.run(Duration(12'000));
+            site.run(afterLongestLease);
             EXPECT_EQ(site.runningOn("w1"), 4);
         });
         expectNothingBroken(site);
@@ -415,19 +419,90 @@
 TEST(CellOwner, GrantsNoLongerLeaseToAWorkerWhoseClockItHasNotReadForLong)
 {
     for (const int idle : {92'000, 400'000}) {
-        story("a task starts on a worker that was idle for " + std::to_string(idle) + " ms, and the owner crashes", [=] {
+        story("a task starts on a worker that was idle for " + std::to_string(idle) + " ms, and the owner crashes",
+              [=] {
+                  CellSite site;
+                  fillLooms(site, 1);
+                  site.run(Duration(idle));
+                  submitLongJob(site, "j1", 1);
+                  site.addWorker("w1", "looms", 8'000);
+                  site.run(Duration(100));
+                  const std::string owner = site.owner();
+                  site.kill(owner);
+                  site.restart(owner);
+                  site.worker("w0").cut = true;
+                  section("the next owner starts the task elsewhere only after the lease has expired", [&] {
+                      site.run(Duration(14'000));
+                      EXPECT_EQ(site.runningOn("w1"), 1);
+                  });
+                  expectNothingBroken(site);
+              });
+    }
+}
+
+TEST(CellWorkers, WithFastClocksStartTasksAfterALongIdleTime)
+{
+    story("the lowest estimate of an idle worker's clock is further behind than a lease lasts", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.worker("w0").clockRate = 1;
+        site.run(Duration(600'000));
+        section("the worker refuses the first start as late, and its answer corrects the estimate", [&] {
+            submitLongJob(site, "j1", 1);
+            EXPECT_EQ(site.runningOn("w0"), 1);
+        });
+        expectNothingBroken(site);
+    });
+}
+
+// Guards against a run on a worker that has restarted under its id, whose lease outlasts what its owners take for the
+// longest one: the deadline of the order refers to the former clock.
+TEST(CellOwner, WaitsForTheLongestLeaseOfASilentWorker)
+{
+    struct Silence
+    {
+        std::string name;
+        /// Time from the run's start until the worker is silent.
+        int after = 0;
+        bool isListed = true;
+        bool isAnswered = true;
+        void (CellSite::*end)(const std::string &) = nullptr;
+    };
+    const std::vector<Silence> silences{
+        {"the owner has learned of the restart and is killed", 1'000, true, true, &CellSite::kill},
+        {"the owner has learned of the restart and is killed, and discovery loses the worker", 1'000, false, true,
+         &CellSite::kill},
+        {"the owner is killed before it learns of the restart", 12, false, true, &CellSite::kill},
+        {"the owner stops before it learns of the restart", 12, false, true, &CellSite::stop},
+        {"the owner stops, and has no answer to the start", 12, false, false, &CellSite::stop},
+        {"the owner stays, and has no answer to the start", 12, false, false, nullptr},
+    };
+    for (const Silence &silence : silences) {
+        story("a worker that has run for long restarts and carries out a start, and " + silence.name, [&] {
             CellSite site;
             fillLooms(site, 1);
-            site.run(Duration(idle));
-            submitLongJob(site, "j1", 1);
+            site.run(Duration(30'010));
+            site.durations[JobId("j1")] = 40'000;
+            site.crash("w0");
+            site.revive("w0");
+            site.worker("w0").listed = silence.isListed || silence.after > 100;
+            if (!silence.isAnswered) {
+                site.loseNextStart = 2;
+            }
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(40'000)));
+            for (int waited = 0; waited < 500 && site.runs("j1") == 0; ++waited) {
+                site.run(Duration(1));
+            }
+            site.run(Duration(silence.after));
+            ASSERT_EQ(site.runningOn("w0"), 1);
             site.addWorker("w1", "looms", 8'000);
-            site.run(Duration(100));
-            const std::string owner = site.owner();
-            site.kill(owner);
-            site.restart(owner);
             site.worker("w0").cut = true;
-            section("the next owner starts the task elsewhere only after the lease has expired", [&] {
-                site.run(Duration(14'000));
+            site.worker("w0").listed = silence.isListed;
+            if (silence.end != nullptr) {
+                changeOwner(site, silence.end);
+            }
+            section("the task starts elsewhere only after the lease has expired", [&] {
+                site.run(Duration(20'000));
                 EXPECT_EQ(site.runningOn("w1"), 1);
             });
             expectNothingBroken(site);
@@ -435,16 +510,61 @@
     }
 }
 
-TEST(CellWorkers, WithFastClocksStartTasksAfterALongIdleTime)
+TEST(CellOwner, RestartsServiceTasksAfterTheLeaseThatOwnersGrant)
 {
-    story("the lowest estimate of an idle worker's clock is further behind than a lease lasts", [] {
+    const auto awayFor = [](bool hasRestarted) {
         CellSite site;
         fillLooms(site, 1);
-        site.worker("w0").clockRate = 1;
-        site.run(Duration(600'000));
-        section("the worker refuses the first start as late, and its answer corrects the estimate", [&] {
-            submitLongJob(site, "j1", 1);
-            EXPECT_EQ(site.runningOn("w0"), 1);
+        site.run(Duration(30'010));
+        if (hasRestarted) {
+            site.crash("w0");
+            site.revive("w0");
+        }
+        site.submit(site.owner(), "svc", "plans", serviceJob(1, 1));
+        site.run(Duration(1'000));
+        EXPECT_EQ(site.runningOn("w0"), 1);
+        site.addWorker("w1", "looms", 8'000);
+        site.worker("w0").cut = true;
+        const std::int64_t cutAt = site.time();
+        changeOwner(site, &CellSite::kill);
+        while (site.runningOn("w1") == 0 && site.time() < cutAt + 20'000) {
+            site.run(Duration(20));
+        }
+        expectNothingBroken(site);
+        return site.time() - cutAt;
+    };
+    story("a worker runs a service task and is cut off, and its owner is killed", [&] {
+        section("the next owner restarts the task within 2.25 s and the lease that owners grant",
+                [&] { EXPECT_LT(awayFor(false), 9'000); });
+        section("it waits for the longest lease if the worker has restarted before",
+                [&] { EXPECT_GE(awayFor(true), 10'200); });
+    });
+}
+
+TEST(CellOwner, WaitsForTheLongestLeaseOfAWorkerThatItHasCalled)
+{
+    story("a worker restarts and carries out a start, the owner is killed, and the next one adopts the run", [] {
+        CellSite site;
+        fillLooms(site, 1);
+        site.run(Duration(30'010));
+        site.durations[JobId("j1")] = 40'000;
+        site.crash("w0");
+        site.revive("w0");
+        site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(40'000)));
+        site.run(Duration(1'000));
+        ASSERT_EQ(site.runningOn("w0"), 1);
+        const std::string owner = site.owner();
+        site.kill(owner);
+        site.restart(owner);
+        while (site.owner().empty()) {
+            site.run(Duration(5));
+        }
+        site.run(Duration(60));
+        site.worker("w0").cut = true;
+        site.addWorker("w1", "looms", 8'000);
+        section("the task starts elsewhere only after the lease has expired", [&] {
+            site.run(Duration(20'000));
+            EXPECT_EQ(site.runningOn("w1"), 1);
         });
         expectNothingBroken(site);
     });
--- a/tests/core/cells/cell_waves_test.cpp
+++ b/tests/core/cells/cell_waves_test.cpp
@@ -117,6 +117,39 @@
     }
 }
 
+TEST(CellWaves, WaitForTheLongestLeaseOfARestartedWorkerOnly)
+{
+    const auto maintainedAfter = [](bool hasRestarted) {
+        CellSite site;
+        fillLooms(site, 1);
+        site.submit(site.owner(), "j1", "plans", serviceJob(1, 1));
+        site.run(Duration(1'000));
+        if (hasRestarted) {
+            site.crash("w0");
+            site.revive("w0");
+            site.run(Duration(1'000));
+        }
+        site.addWorker("w1", "looms", 8'000);
+        site.addWave(1, {"w0"}, 1);
+        site.worker("w0").cut = true;
+        const std::string owner = site.owner();
+        site.kill(owner);
+        site.restart(owner);
+        const std::int64_t killedAt = site.time();
+        while (!site.isMaintained("w0") && site.time() < killedAt + 20'000) {
+            site.run(Duration(20));
+        }
+        expectNothingBroken(site);
+        return site.time() - killedAt;
+    };
+    story("the owner is killed, and the worker on a host of a wave does not answer the next one", [&] {
+        section("the host is maintained after the lease that owners grant, since its order ends all its runs",
+                [&] { EXPECT_LT(maintainedAfter(false), 7'500); });
+        section("it is maintained after the longest lease if the worker has restarted before",
+                [&] { EXPECT_GE(maintainedAfter(true), 10'200); });
+    });
+}
+
 TEST(CellWaves, SkipHostsThatHaveLeftTheSite)
 {
     story("a wave names a host that has never been part of the site", [] {
--- a/tests/core/cells/cell_writer_test.cpp
+++ b/tests/core/cells/cell_writer_test.cpp
@@ -399,7 +399,7 @@
                 rows.push_back(RosterRow{part, row});
             }
             WorkerRoster next;
-            next.reset(rows, owner.now);
+            next.reset(rows, owner.now, owner.now);
             for (const RosterRow &row : next.rows(owner.now)) {
                 EXPECT_EQ(row.workers, stored[row.part]);
             }
--- a/tests/core/cells/worker_roster_test.cpp
+++ b/tests/core/cells/worker_roster_test.cpp
@@ -81,7 +81,7 @@
         for (const bool isNewerFirst : {true, false}) {
             WorkerRoster roster;
             roster.reset({RosterRow{0, {isNewerFirst ? newer : older}}, RosterRow{2, {isNewerFirst ? older : newer}}},
-                         TimePoint{});
+                         TimePoint{}, TimePoint{});
             section(isNewerFirst ? "the newer one is in the first part" : "the newer one is in another part", [&] {
                 EXPECT_EQ(roster.find(older.id)->startedAtMs, 9);
                 const std::vector<RosterRow> rows = roster.rows(TimePoint{});
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -74,8 +74,35 @@
             ASSERT_TRUE(decoded);
             EXPECT_TRUE(decoded.value().lateStarts.empty());
         });
-        section("a row that ends within them is refused", [&] {
-            EXPECT_FALSE(decodeProgressRow(std::string_view(with).substr(0, with.size() - 1)));
+        section("a row that ends within them is refused",
+                [&] { EXPECT_FALSE(decodeProgressRow(std::string_view(with).substr(0, with.size() - 1))); });
+    });
+}
+
+TEST(CellCodec, CarriesTheWorkersThatMayHoldTheLongestLease)
+{
+    story("an owner stores a list of workers of which one has restarted", [] {
+        RosterRow row;
+        row.workers = {KnownWorker{WorkerId("w1"), HostId("h1"), PoolId("looms"), Endpoint{"127.0.0.1", 1}, 7, false},
+                       KnownWorker{WorkerId("w2"), HostId("h2"), PoolId("looms"), Endpoint{"127.0.0.1", 2}, 8, false}};
+        const std::string without = encodeRow(row);
+        row.workers[1].mayHoldLongestLease = true;
+        const std::string with = encodeRow(row);
+        section("the list arrives unchanged", [&] {
+            const auto decoded = decodeRosterRow(with);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().workers, row.workers);
+        });
+        section("earlier versions read the list without it", [&] {
+            EXPECT_EQ(with.substr(0, without.size()), without);
+            EXPECT_FALSE(decodeRosterRow(without).value().workers[1].mayHoldLongestLease);
+        });
+        section("a position beyond the list is refused", [&] {
+            row.workers[0].mayHoldLongestLease = true;
+            std::string bytes = encodeRow(row);
+            bytes.back() = '\x7f';
+            bytes[bytes.size() - 4] = '\x7f';
+            EXPECT_FALSE(decodeRosterRow(bytes));
         });
     });
 }
