--- a/core/cells/admission_controller.cpp
+++ b/core/cells/admission_controller.cpp
@@ -126,8 +126,7 @@
         call.incarnations[worker->id] = worker->startedAtMs;
     }
     if (query.answerTime >= next.times.validity - marginOf(next.times.validity)) {
-        m_outbox.log(CellDecision::TicketMayExpire, taskName(TaskId{job, occurrence, step, 0}), {},
-                     next.workers.size(),
+        m_outbox.log(CellDecision::TicketMayExpire, taskName(TaskId{job, occurrence, step, 0}), {}, next.workers.size(),
                      "answered-after " + std::to_string(query.answerTime.count()) + " valid-for "
                          + std::to_string(next.times.validity.count()));
     }
--- a/core/cells/admission_controller.h
+++ b/core/cells/admission_controller.h
@@ -76,8 +76,8 @@
     struct StepTickets
     {
         std::map<WorkerId, Ticket> tickets;
-        /// Incarnations of the workers that the service admits and of those that it does not. Its decisions about a step
-        /// do not change.
+        /// Incarnations of the workers that the service admits and of those that it does not. Its decisions about a
+        /// step do not change.
         std::map<WorkerId, std::int64_t> admitted;
         std::map<WorkerId, std::int64_t> rejected;
         TimePoint queryNotBefore;
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -442,7 +442,8 @@
             std::vector<TaskProgress> &tasks = progress.emplace_back();
             for (const Task &task : occurrence.steps[index].tasks) {
                 const auto taskIndex = static_cast<std::uint32_t>(tasks.size());
-                addLateStarts(row, task, LateStart{number, static_cast<std::uint32_t>(index), taskIndex, 0, {}, {}}, now);
+                addLateStarts(row, task, LateStart{number, static_cast<std::uint32_t>(index), taskIndex, 0, {}, {}},
+                              now);
                 TaskProgress &stored = tasks.emplace_back(task.progress);
                 stored.done = stored.done || task.isDoneEarlier;
                 if (stored.done && !job.row.spec.steps[index].gang) {
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -166,10 +166,10 @@
     decided.emit(entry);
     const std::string_view event = enumName(cells::cellDecisionNames, entry.decision);
     std::vector<drivers::LogField> fields{{"subject", entry.subject},
-                              {"worker", entry.worker},
-                              {"epoch", std::to_string(entry.epoch)},
-                              {"number", std::to_string(entry.number)},
-                              {"reason", entry.reason}};
+                                          {"worker", entry.worker},
+                                          {"epoch", std::to_string(entry.epoch)},
+                                          {"number", std::to_string(entry.number)},
+                                          {"reason", entry.reason}};
     drivers::LogLevel level = drivers::LogLevel::Info;
     std::visit(Overloaded{
                    [](const std::monostate &) {},
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -249,9 +249,8 @@
         }
         const std::string ticket = "t-" + id.name() + "-" + std::to_string(admissionCalls);
         answer.tickets[id] = ticket;
-        m_tickets[ticket]
-            = IssuedTicket{query.job, query.step, id.name(), worker(id.name()).bornAt,
-                           (areTicketsValidFromCall ? begin : freeAt) + times.validity.count()};
+        m_tickets[ticket] = IssuedTicket{query.job, query.step, id.name(), worker(id.name()).bornAt,
+                                         (areTicketsValidFromCall ? begin : freeAt) + times.validity.count()};
     }
     later(freeAt - m_now + workerDelay, [this, caller, answer] { give(caller, answer); });
 }
