Add the fields of a log line in a form that clang accepts

clang 14, which clang-tidy uses, has no initialization of aggregates by parentheses. No change of behaviour.

--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -175,18 +175,18 @@
                    [](const std::monostate &) {},
                    [&](const cells::StoreCallRecord &call) {
                        level = drivers::LogLevel::Warning;
-                       fields.emplace_back("status", std::to_string(call.status));
-                       fields.emplace_back("bytes", std::to_string(call.bytes));
-                       fields.emplace_back("entries", std::to_string(call.entries));
-                       fields.emplace_back("problem", call.problem);
+                       fields.push_back({"status", std::to_string(call.status)});
+                       fields.push_back({"bytes", std::to_string(call.bytes)});
+                       fields.push_back({"entries", std::to_string(call.entries)});
+                       fields.push_back({"problem", call.problem});
                    },
                    [&](const cells::OrderClockRecord &order) {
-                       fields.emplace_back("deadline", std::to_string(order.deadline));
-                       fields.emplace_back("clock", std::to_string(order.clock));
-                       fields.emplace_back("clock_age_ms", std::to_string(order.clockAge.count()));
+                       fields.push_back({"deadline", std::to_string(order.deadline)});
+                       fields.push_back({"clock", std::to_string(order.clock)});
+                       fields.push_back({"clock_age_ms", std::to_string(order.clockAge.count())});
                    },
                    [&](const cells::InheritedWaitRecord &inherited) {
-                       fields.emplace_back("wait_ms", std::to_string(inherited.wait.count()));
+                       fields.push_back({"wait_ms", std::to_string(inherited.wait.count())});
                    },
                },
                entry.detail);
