--- a/tests/core/cells/cell_takeover_test.cpp
+++ b/tests/core/cells/cell_takeover_test.cpp
@@ -246,31 +246,13 @@
 TEST(CellWorkers, ThatHaveRestartedDoNotRunAWithdrawnStartBesideItsSuccessor)
 {
     static constexpr std::int64_t crashAfter = 3'000;
-    static constexpr std::int64_t downFor = 1'000;
-    static constexpr std::int64_t listedAfter = 700;
     for (int delay = 4'050; delay <= 6'000; delay += 50) {
         story("a start that is carried out " + std::to_string(delay) + " ms late meets the next incarnation", [delay] {
             CellSite site;
-            fillLooms(site, 3);
-            site.worker("w1").entry.labels = {"other"};
-            site.run(Duration(4'000));
-            site.durations[JobId("j1")] = 8'000;
-            site.loseNextStart = delay;
-            site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(8'000)));
-            site.run(Duration(100));
-            // Tasks are packed, so that the withdrawn one is started on the worker of this one if any worker will do.
-            GraphSpec other = graphOf(1, 1, 1'000, Duration(30'000));
-            other.steps.front().label = "other";
-            site.durations[JobId("j2")] = 30'000;
-            site.submit(site.owner(), "j2", "plans", other);
-            site.run(Duration(crashAfter - 100));
+            submitWithLateStart(site, delay);
+            site.run(Duration(crashAfter));
             EXPECT_EQ(site.runs("j1"), 1);
-            site.crash("w0");
-            site.run(Duration(downFor));
-            site.revive("w0");
-            site.worker("w0").listed = false;
-            site.run(Duration(listedAfter));
-            site.worker("w0").listed = true;
+            restartUnlisted(site);
             site.run(Duration(40'000));
             section("the job is completed", [&] { EXPECT_EQ(site.state("j1"), GraphState::Completed); });
             expectNothingBroken(site);
