--- a/tests/support/cell_stories.cpp
+++ b/tests/support/cell_stories.cpp
@@ -38,4 +38,24 @@
     }
 }
 
+void submitLongJob(CellSite &site, const std::string &job, std::uint32_t count)
+{
+    site.durations[JobId(job)] = 20'000;
+    site.submit(site.owner(), job, "plans", graphOf(1, count, 1'000, Duration(20'000)));
+    for (int waited = 0; waited < 4'000 && site.runs(job) < count; waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_EQ(site.runs(job), count);
+}
+
+void changeOwner(CellSite &site, void (CellSite::*end)(const std::string &))
+{
+    const std::string second = other(site);
+    (site.*end)(site.owner());
+    for (int waited = 0; waited < 10'000 && site.owner() != second; waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_EQ(site.owner(), second);
+}
+
 } // namespace radishvane::tests
