Log what a new owner waits for, and what makes an inherited start safe

Change: worker-awaited names a worker of the owner before that does not answer, with the waits by both bounds and why the longer one holds; task-started of an inherited task gives as reason what rules out another run.

--- a/core/cells/cell_messages.h
+++ b/core/cells/cell_messages.h
@@ -453,6 +453,8 @@
     WorkerRestarted,
     WorkerLost,
     WorkerAvoided,
+    /// A worker of the owner before does not answer, so that tasks that it may run wait.
+    WorkerAwaited,
     HostMaintained,
     HostMoved,
     HostFenced,
@@ -467,12 +469,13 @@
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 23> cellDecisionNames{
-    "ownership-taken",      "ownership-lost",     "ownership-released", "cell-rebuilt",   "job-accepted",
-    "job-refused",          "job-ended",          "task-started",       "task-ended",     "task-stopped",
-    "order-in-doubt",       "worker-admitted",    "worker-reborn",      "worker-lost",    "worker-avoided",
-    "host-maintained",      "host-moved",         "host-fenced",        "wave-completed", "store-write-failed",
-    "store-change-dropped", "checkpoint-ignored", "ticket-may-expire",
+inline constexpr std::array<std::string_view, 24> cellDecisionNames{
+    "ownership-taken",    "ownership-lost",       "ownership-released", "cell-rebuilt",
+    "job-accepted",       "job-refused",          "job-ended",          "task-started",
+    "task-ended",         "task-stopped",         "order-in-doubt",     "worker-admitted",
+    "worker-reborn",      "worker-lost",          "worker-avoided",     "worker-awaited",
+    "host-maintained",    "host-moved",           "host-fenced",        "wave-completed",
+    "store-write-failed", "store-change-dropped", "checkpoint-ignored", "ticket-may-expire",
 };
 
 /// The estimate of a worker's clock on which the deadline of a start order rests, for the log.
@@ -491,7 +494,17 @@
     Duration wait{0};
 };
 
-using DecisionDetail = std::variant<std::monostate, StoreCallRecord, OrderClockRecord, InheritedWaitRecord>;
+/// How long the tasks of one silent worker wait, for the log.
+struct SilentWorkerRecord
+{
+    /// For most tasks.
+    Duration wait{0};
+    /// For service tasks, and for the host in a wave.
+    Duration usualWait{0};
+};
+
+using DecisionDetail
+    = std::variant<std::monostate, StoreCallRecord, OrderClockRecord, InheritedWaitRecord, SilentWorkerRecord>;
 
 /// Log entry for one decision, with its subject and reason.
 struct DecisionLogEntry
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -339,15 +339,12 @@
     run.worker = worker.id;
     run.startDeadline = order.deadline;
     run.orderedAt = now;
+    const std::string safety = safetyOf(id);
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
     m_registry.task(id)->hasKnownRuns = true;
-    m_outbox.add(DecisionLogEntry{CellDecision::TaskStarted,
-                                  taskName(id),
-                                  worker.id.name(),
-                                  m_outbox.epoch,
-                                  order.run,
-                                  {},
+    m_outbox.add(DecisionLogEntry{CellDecision::TaskStarted, taskName(id), worker.id.name(), m_outbox.epoch, order.run,
+                                  safety,
                                   OrderClockRecord{order.deadline, worker.estimatedClock(now),
                                                    std::chrono::duration_cast<Duration>(now - worker.clockAt)}});
     m_pacer.take(order.payload.size());
@@ -359,6 +356,15 @@
     }
 }
 
+std::string StartController::safetyOf(const TaskId &id) const
+{
+    if (!m_registry.find(id.job)->inherited) {
+        return {};
+    }
+    const StartSafety safety = m_unknownRuns->safety(*m_registry.spec(id), *m_registry.task(id));
+    return std::string(enumName(startSafetyNames, safety));
+}
+
 RunNumber StartController::nextRun(const Job &job, const Task &task) const
 {
     // The store may not hold the latest runs of earlier owners, so the numbers of an inherited job skip a range for
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -94,6 +94,8 @@
                             std::uint32_t index, bool mayMarkFull);
     void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
                const std::string &checkpoint);
+    /// What makes the start of an inherited task safe, for the log; empty for other tasks.
+    std::string safetyOf(const TaskId &id) const;
     RunNumber nextRun(const Job &job, const Task &task) const;
     void startAnswered(const TaskId &id, RunNumber number, const OrderAnswered &event);
     /// Updates what is known about the incarnation of the worker that was called.
--- a/core/cells/unknown_runs.cpp
+++ b/core/cells/unknown_runs.cpp
@@ -1,5 +1,7 @@
 #include "core/cells/unknown_runs.h"
 
+#include <algorithm>
+
 namespace radishvane::cells
 {
 
@@ -23,4 +25,19 @@
     return task.releasedOn.empty() || !m_roster->isReconciled(task.releasedOn, m_now, bound);
 }
 
+StartSafety UnknownRuns::safety(const StepSpec &step, const Task &task) const
+{
+    if (task.hasKnownRuns) {
+        return StartSafety::RunsKnown;
+    }
+    if (step.isService ? m_isAnyUsuallyUnreconciled : m_isAnyUnreconciled) {
+        return StartSafety::ReleasedWorkerSettled;
+    }
+    const auto &workers = m_roster->all();
+    const bool isAnySilent = std::any_of(workers.begin(), workers.end(), [](const auto &pair) {
+        return !pair.second.fenced && !pair.second.incarnationEnded && pair.second.recorded;
+    });
+    return isAnySilent ? StartSafety::LeasesExpired : StartSafety::WorkersAnswered;
+}
+
 } // namespace radishvane::cells
--- a/core/cells/unknown_runs.h
+++ b/core/cells/unknown_runs.h
@@ -3,9 +3,32 @@
 #include "core/cells/job_registry.h"
 #include "core/cells/worker_roster.h"
 
+#include <array>
+#include <string_view>
+
 namespace radishvane::cells
 {
 
+/// Why a task of an inherited job can have no active run of an earlier owner.
+enum class StartSafety {
+    /// Its runs are known and have ended.
+    RunsKnown,
+    /// The only worker that may run it has answered, or its lease has expired.
+    ReleasedWorkerSettled,
+    /// Every worker has answered.
+    WorkersAnswered,
+    /// The leases of the workers that have not answered have expired.
+    LeasesExpired,
+};
+
+/// Log names, in the order of the enumerators.
+inline constexpr std::array<std::string_view, 4> startSafetyNames{
+    "runs-known",
+    "released-worker-settled",
+    "workers-answered",
+    "leases-expired",
+};
+
 /// Tells which tasks may have active runs of earlier owners that this owner does not know, at one moment.
 ///
 /// A worker that does not answer may have restarted without the last owner's knowledge, so that most tasks wait for the
@@ -18,6 +41,8 @@
 
     /// Whether a task of @p step may have such runs.
     bool mayExist(const Job &job, const StepSpec &step, const Task &task) const;
+    /// Why an inherited task that has no such runs has none.
+    StartSafety safety(const StepSpec &step, const Task &task) const;
 
 private:
     const WorkerRoster *m_roster;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -80,6 +80,22 @@
     m_renewals[worker.renewal] = worker.id;
 }
 
+void WorkerLeaseController::logWait(Worker &worker)
+{
+    const TimePoint now = m_outbox.now.steady;
+    if (worker.isWaitLogged || worker.isReconciled(now)) {
+        return;
+    }
+    worker.isWaitLogged = true;
+    const auto left = [now](TimePoint until) {
+        return std::max(Duration{0}, std::chrono::ceil<Duration>(until - now));
+    };
+    m_outbox.add(DecisionLogEntry{CellDecision::WorkerAwaited, worker.id.name(), worker.pool.name(), m_outbox.epoch,
+                                  static_cast<std::uint64_t>(worker.startedAtMs),
+                                  worker.mayHoldLongestLease ? "may-hold-longest-lease" : "silent",
+                                  SilentWorkerRecord{left(worker.inheritedUntil), left(worker.inheritedUsuallyUntil)}});
+}
+
 void WorkerLeaseController::answered(const LeaseRenewalAnswered &event)
 {
     const auto found = m_renewals.find(event.call);
@@ -100,6 +116,7 @@
     if (event.outcome != OrderOutcome::Accepted) {
         worker->nextRenewal = now + renewalRetry;
         worker->unreachable = true;
+        logWait(*worker);
         if (event.outcome == OrderOutcome::NotSent) {
             worker->leaseDeadline = worker->previousDeadline;
         }
--- a/core/cells/worker_lease_controller.h
+++ b/core/cells/worker_lease_controller.h
@@ -34,6 +34,8 @@
 
 private:
     void sendRenewal(Worker &worker);
+    /// Logs once how long tasks wait for a worker of the owner before that does not answer.
+    void logWait(Worker &worker);
     void applyEnded(Worker &worker, const LeaseRenewalReport &report);
     void applyEnd(Worker &worker, const EndedRow &row);
     /// Records the end of a run that is not the current run of its task.
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -42,6 +42,8 @@
     bool unreachable = false;
     /// The worker's last list of ended runs was full, so it may have ended runs that the owner does not know.
     bool hasUnlistedEnds = false;
+    /// The log says that tasks wait for the worker.
+    bool isWaitLogged = false;
     /// The incarnation is known to have ended, although discovery may still list the worker.
     bool incarnationEnded = false;
     /// Time at which the end of the incarnation was detected.
--- a/drivers/log_trace.cpp
+++ b/drivers/log_trace.cpp
@@ -27,8 +27,9 @@
                                                 HostEvent::NotReady,       HostEvent::Ready,
                                                 HostEvent::DependencyLost, HostEvent::DependencyRegained};
 /// Decisions that concern the jobs that met the worker which is their subject.
-constexpr std::array<CellDecision, 4> workerDecisions{CellDecision::WorkerAdmitted, CellDecision::WorkerRestarted,
-                                                      CellDecision::WorkerLost, CellDecision::WorkerAvoided};
+constexpr std::array<CellDecision, 5> workerDecisions{CellDecision::WorkerAdmitted, CellDecision::WorkerRestarted,
+                                                      CellDecision::WorkerLost, CellDecision::WorkerAvoided,
+                                                      CellDecision::WorkerAwaited};
 
 template<typename Enum, std::size_t size, typename Names>
 bool isOneOf(const std::array<Enum, size> &values, const Names &names, const std::string &event)
--- a/servers/cell_task.cpp
+++ b/servers/cell_task.cpp
@@ -188,6 +188,10 @@
                    [&](const cells::InheritedWaitRecord &inherited) {
                        fields.push_back({"wait_ms", std::to_string(inherited.wait.count())});
                    },
+                   [&](const cells::SilentWorkerRecord &silent) {
+                       fields.push_back({"wait_ms", std::to_string(silent.wait.count())});
+                       fields.push_back({"usual_wait_ms", std::to_string(silent.usualWait.count())});
+                   },
                },
                entry.detail);
     m_log.line(level, event, fields);
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -525,7 +525,7 @@
             [](const OwnershipChanged &) {},
             [](const CellLeaseRenewed &) {},
             [](const CellRebuilt &) {},
-            [](const DecisionLogEntry &) {},
+            [&](const DecisionLogEntry &entry) { log.push_back(entry); },
         },
         effect);
 }
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -194,6 +194,8 @@
     bool areHostOrdersLost = false;
 
     std::vector<std::string> broken;
+    /// Decisions of all nodes in the order of their log.
+    std::vector<cells::DecisionLogEntry> log;
     std::set<std::uint64_t> completedWaves;
     /// Whether the store rejects reports of waves, and how many it has rejected.
     bool rejectsReports = false;
