--- a/tests/core/cells/cell_restart_test.cpp
+++ b/tests/core/cells/cell_restart_test.cpp
@@ -27,36 +27,6 @@
     ASSERT_EQ(site.runs("j1"), 1);
 }
 
-/// Submits a job of one task whose start on "w0" is carried out after @p delay, and one that makes "w1" the worker on
-/// which tasks are packed.
-void submitWithLateStart(CellSite &site, int delay)
-{
-    fillLooms(site, 3);
-    site.worker("w1").entry.labels = {"other"};
-    site.run(Duration(4'000));
-    site.durations[JobId("j1")] = 8'000;
-    site.loseNextStart = delay;
-    site.submit(site.owner(), "j1", "plans", graphOf(1, 1, 1'000, Duration(8'000)));
-    while (site.loseNextStart) {
-        site.run(Duration(1));
-    }
-    GraphSpec other = graphOf(1, 1, 1'000, Duration(30'000));
-    other.steps.front().label = "other";
-    site.durations[JobId("j2")] = 30'000;
-    site.submit(site.owner(), "j2", "plans", other);
-}
-
-/// Crashes "w0", and starts it again under the same id. Discovery lists the new incarnation a while later.
-void restartUnlisted(CellSite &site)
-{
-    site.crash("w0");
-    site.run(Duration(1'000));
-    site.revive("w0");
-    site.worker("w0").listed = false;
-    site.run(Duration(700));
-    site.worker("w0").listed = true;
-}
-
 } // namespace
 
 TEST(CellWorkers, ThatHaveRestartedMayRunOrdersForTheirFormerIncarnation)
--- a/tests/support/cell_stories.cpp
+++ b/tests/support/cell_stories.cpp
@@ -58,4 +58,36 @@
     ASSERT_EQ(site.owner(), second);
 }
 
+void submitWithLateStart(CellSite &site, int delay)
+{
+    submitWithLateStart(site, delay, graphOf(1, 1, 1'000, Duration(8'000)));
+}
+
+void submitWithLateStart(CellSite &site, int delay, GraphSpec spec)
+{
+    fillLooms(site, 3);
+    site.worker("w1").entry.labels = {"other"};
+    site.run(Duration(4'000));
+    site.durations[JobId("j1")] = 8'000;
+    site.loseNextStart = delay;
+    site.submit(site.owner(), "j1", "plans", std::move(spec));
+    while (site.loseNextStart) {
+        site.run(Duration(1));
+    }
+    GraphSpec other = graphOf(1, 1, 1'000, Duration(30'000));
+    other.steps.front().label = "other";
+    site.durations[JobId("j2")] = 30'000;
+    site.submit(site.owner(), "j2", "plans", other);
+}
+
+void restartUnlisted(CellSite &site)
+{
+    site.crash("w0");
+    site.run(Duration(1'000));
+    site.revive("w0");
+    site.worker("w0").listed = false;
+    site.run(Duration(700));
+    site.worker("w0").listed = true;
+}
+
 } // namespace radishvane::tests
--- a/tests/support/cell_stories.h
+++ b/tests/support/cell_stories.h
@@ -23,4 +23,12 @@
 /// Ends the owner with @p end, and waits until the other entry host owns the cell.
 void changeOwner(CellSite &site, void (CellSite::*end)(const std::string &));
 
+/// Submits job "j1" of one task whose start on "w0" is carried out after @p delay, and one that makes "w1" the worker
+/// on which tasks are packed.
+void submitWithLateStart(CellSite &site, int delay);
+/// The same with steps of @p spec for "j1".
+void submitWithLateStart(CellSite &site, int delay, cells::GraphSpec spec);
+/// Crashes "w0", and starts it again under the same id. Discovery lists the new incarnation a while later.
+void restartUnlisted(CellSite &site);
+
 } // namespace radishvane::tests
