Store each start before its order is sent

What callers saw: a task ran twice at the same time (TWICE), after its owner was killed and a worker was back under its id. Cause: a start order left its owner before anything that outlives the owner told of it. An owner that was killed within 100 ms left no record, so the next one found the worker without the run and started the task elsewhere. The worker crashed, and its next life, which knows neither the fencing token nor the clock of the former one, carried the order out. Change: a planned start is stored in the progress of its job, with the worker and the number of the run, and its order is sent when the store has taken it. All starts that are planned while a transaction is under way go with the next one, in the same rows. Each later owner knows the only worker that may run a task, so that it waits for that worker alone and starts tasks without a record at once. The owner's row says since which epoch every owner has done so; jobs from before wait as they did. A start that is not confirmed in the store counts as one that may still be carried out. Service tasks, which wait for the usual lease, store the confirmation as well. Two stories of takeovers waited 13 s from the kill, which held by the phase of the last renewal: they now wait for the takeover, which is bounded, and then 10.7 s from it.

--- a/core/cells/cell_controller.cpp
+++ b/core/cells/cell_controller.cpp
@@ -205,7 +205,7 @@
 {
     const TimePoint now = m_outbox.now.steady;
     if (m_isRebuilt && isGivingUp()) {
-        m_runs.storeUnansweredStarts();
+        m_runs.settleStarts();
     }
     auto transaction = m_writer.next(m_cell, m_runs.registry(), m_runs.roster(), m_lease, now);
     dropUnstorable();
@@ -368,7 +368,7 @@
         m_retryNotBefore = m_outbox.now.steady + storeRetryPause;
         return;
     }
-    m_runs.rebuild(*event.contents, m_entries);
+    m_runs.rebuild(*event.contents, m_entries, m_lease.owner()->startsRecordedSince);
     for (auto &[id, job] : m_runs.registry().jobs()) {
         applyConfig(job);
     }
--- a/core/cells/cell_lease.cpp
+++ b/core/cells/cell_lease.cpp
@@ -99,7 +99,10 @@
 OwnerRow CellLease::nextRow() const
 {
     const Epoch last = m_owner ? m_owner->epoch : 0;
-    return OwnerRow{m_host, m_incarnation, m_link, owns() ? last : last + 1};
+    const Epoch epoch = owns() ? last : last + 1;
+    // An owner of a version that records no starts leaves the field out.
+    const bool isRecorded = m_owner && m_owner->startsRecordedSince != 0;
+    return OwnerRow{m_host, m_incarnation, m_link, epoch, isRecorded ? m_owner->startsRecordedSince : epoch};
 }
 
 OwnerRow CellLease::releasedRow() const
--- a/core/cells/cell_rows.h
+++ b/core/cells/cell_rows.h
@@ -19,6 +19,8 @@
     /// Address at which other entry hosts reach the owner.
     Endpoint link;
     Epoch epoch = 0;
+    /// Each owner since this epoch has stored its starts before it sent them; 0 if the last one has not.
+    Epoch startsRecordedSince = 0;
 
     bool operator==(const OwnerRow &) const = default;
 };
@@ -64,6 +66,21 @@
     Duration left{0};
 };
 
+/// A start of which no end is stored. It is stored before its order is sent, so that each later owner knows which
+/// worker may run the task.
+struct RecordedStart
+{
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    RunNumber run = 0;
+    WorkerId worker;
+    /// The incarnation of the worker that the order was meant for runs the task.
+    bool isConfirmed = false;
+
+    bool operator==(const RecordedStart &) const = default;
+};
+
 /// Stored progress of a job. A job without this row has not started.
 struct ProgressRow
 {
@@ -74,6 +91,7 @@
     std::uint32_t firstOpen = 0;
     std::map<std::uint32_t, OccurrenceProgress> open;
     std::vector<LateStart> lateStarts;
+    std::vector<RecordedStart> starts;
     /// Number of rows that the progress takes in the store; not part of its value.
     std::size_t storedRows = 1;
 };
--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -75,6 +75,19 @@
     }
 }
 
+/// Adds the start of @p task whose end is not known to @p row.
+void addStart(ProgressRow &row, const Task &task, RecordedStart place)
+{
+    if (task.run) {
+        place.run = task.run->number;
+        place.worker = task.run->worker;
+        place.isConfirmed = task.run->isConfirmed;
+        row.starts.push_back(place);
+    } else if (task.recordedStart && !task.progress.done && task.progress.endedRun < task.recordedStart->run) {
+        row.starts.push_back(*task.recordedStart);
+    }
+}
+
 } // namespace
 
 void JobRegistry::clear()
@@ -144,6 +157,17 @@
             lateTask->abandonedStarts.push_back(AbandonedStart{late.worker, late.run, now.steady + late.left});
         }
     }
+    for (const RecordedStart &start : row.starts) {
+        restoreStart(row.id, start);
+    }
+}
+
+void JobRegistry::restoreStart(const JobId &job, const RecordedStart &start)
+{
+    Task *started = task(TaskId{job, start.occurrence, start.step, start.index});
+    if (started != nullptr && !started->progress.done && start.run > started->progress.endedRun) {
+        started->recordedStart = start;
+    }
 }
 
 void JobRegistry::openDueOccurrences(Job &job, Instant now)
@@ -249,19 +273,34 @@
 Run &JobRegistry::begin(const TaskId &id, Run run)
 {
     Step &taskStep = *step(id);
-    Job &job = *find(id.job);
-    job.begun = true;
-    if (job.state == GraphState::Queued) {
-        job.state = GraphState::Running;
+    if (run.phase != RunPhase::Recording) {
+        markBegun(*find(id.job));
     }
     taskStep.waiting.erase(id.index);
     ++taskStep.onWorker[run.worker];
     Task &task = taskStep.tasks[id.index];
     task.startedRun = std::max(task.startedRun, run.number);
+    task.recordedStart.reset();
     task.run = std::move(run);
     return *task.run;
 }
 
+void JobRegistry::markSent(const TaskId &id, TimePoint now)
+{
+    Run &run = *task(id)->run;
+    run.phase = RunPhase::Ordered;
+    run.orderedAt = now;
+    markBegun(*find(id.job));
+}
+
+void JobRegistry::markBegun(Job &job)
+{
+    job.begun = true;
+    if (job.state == GraphState::Queued) {
+        job.state = GraphState::Running;
+    }
+}
+
 void JobRegistry::requeue(Step &step, const TaskId &id)
 {
     Task &task = step.tasks[id.index];
@@ -442,8 +481,9 @@
             std::vector<TaskProgress> &tasks = progress.emplace_back();
             for (const Task &task : occurrence.steps[index].tasks) {
                 const auto taskIndex = static_cast<std::uint32_t>(tasks.size());
-                addLateStarts(row, task, LateStart{number, static_cast<std::uint32_t>(index), taskIndex, 0, {}, {}},
-                              now);
+                const auto stepIndex = static_cast<std::uint32_t>(index);
+                addLateStarts(row, task, LateStart{number, stepIndex, taskIndex, 0, {}, {}}, now);
+                addStart(row, task, RecordedStart{number, stepIndex, taskIndex, 0, {}, false});
                 TaskProgress &stored = tasks.emplace_back(task.progress);
                 stored.done = stored.done || task.isDoneEarlier;
                 if (stored.done && !job.row.spec.steps[index].gang) {
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -15,6 +15,8 @@
 {
 
 enum class RunPhase {
+    /// The store does not hold the start yet, so that its order is not sent.
+    Recording,
     /// The start order was sent and has no answer yet.
     Ordered,
     /// The start order had no answer, so the worker may or may not run the task.
@@ -23,7 +25,7 @@
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 3> runPhaseNames{"ordered", "in-doubt", "running"};
+inline constexpr std::array<std::string_view, 4> runPhaseNames{"recording", "ordered", "in-doubt", "running"};
 
 /// One start of a task on a worker, from the order until its end is known.
 struct Run
@@ -49,6 +51,8 @@
     /// The worker restarted after the order was sent. Its new incarnation may carry out the order until it has accepted
     /// a stop of the run, since the order's deadline refers to the former clock.
     bool hasWorkerRestarted = false;
+    /// The incarnation of the worker that the order was meant for runs the task.
+    bool isConfirmed = false;
     /// The pending stop call; 0 when there is none.
     CallId stop;
     TimePoint stopNotBefore;
@@ -78,6 +82,8 @@
     std::optional<Run> run;
     /// This owner knows every run that earlier owners started.
     bool hasKnownRuns = false;
+    /// The last start of an earlier owner, while this owner does not know its outcome.
+    std::optional<RecordedStart> recordedStart;
     /// The only worker that may execute an unknown run of an earlier owner; empty if any worker may.
     WorkerId releasedOn;
     /// A run that had been given up turned out to be done while a later run was active. The task is done when the later
@@ -87,6 +93,12 @@
     TimePoint notBefore;
     /// Worker of the last run that failed. Other workers are preferred for the next run.
     WorkerId failedOn;
+
+    /// Whether an earlier owner has recorded a later start than @p earlier.
+    bool isSuperseded(RunNumber earlier) const
+    {
+        return recordedStart && earlier < recordedStart->run;
+    }
 };
 
 struct Step
@@ -134,6 +146,8 @@
     bool endStored = false;
     /// The job was accepted by an earlier owner, so runs of it may exist that this owner does not know.
     bool inherited = false;
+    /// The stored progress named every start of earlier owners that may be active.
+    bool areStartsRecorded = false;
     /// The team was within its share when it submitted the job.
     bool withinShare = true;
     /// Failures of one task that fail the job, by the newest configuration that contains its queue.
@@ -187,6 +201,8 @@
     static bool isReady(const Job &job, const Occurrence &occurrence, std::uint32_t step);
 
     Run &begin(const TaskId &id, Run run);
+    /// Records that the order of a run that was being recorded is sent.
+    void markSent(const TaskId &id, TimePoint now);
     /// Ends the task's current run. The job fails when a task reaches @p maxFailures failures.
     EndEffect end(const TaskId &id, RunNumber run, RunEnd how, std::uint32_t maxFailures, TimePoint now);
     /// Completes a task without a current run, because a run that had been given up turned out to be done.
@@ -217,6 +233,8 @@
 private:
     Step *step(const TaskId &id);
     void requeue(Step &step, const TaskId &id);
+    static void markBegun(Job &job);
+    void restoreStart(const JobId &job, const RecordedStart &start);
     EndEffect countDone(const TaskId &id, TimePoint now);
     void recordAborted(const Job &job);
 
--- a/core/cells/released_runs.cpp
+++ b/core/cells/released_runs.cpp
@@ -108,6 +108,9 @@
     if (!task.run && !unknownRuns.mayExist(job, step, task)) {
         return Place{0, ReleasedTask::nowhere};
     }
+    if (!task.run && task.recordedStart) {
+        return rows.placeOf(task.recordedStart->worker);
+    }
     return rows.placeOf(task.run ? task.run->worker : task.releasedOn);
 }
 
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -28,7 +28,8 @@
     m_stops.clear();
 }
 
-void RunController::rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries)
+void RunController::rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries,
+                            Epoch startsRecordedSince)
 {
     clear();
     const Instant now = m_outbox.now;
@@ -38,6 +39,7 @@
         Job &job = m_registry.add(row, now.steady);
         job.stored = true;
         job.inherited = true;
+        job.areStartsRecorded = row.epoch >= startsRecordedSince;
     }
     for (const ProgressRow &row : contents.progress) {
         m_registry.restore(row, now);
@@ -58,20 +60,47 @@
     }
     observe(entries);
     for (const ProgressRow &row : contents.progress) {
-        for (const LateStart &late : row.lateStarts) {
-            m_runs.expectLateOrders(late.worker, now.steady + late.left);
-            if (Worker *worker = m_roster.find(late.worker)) {
-                worker->mayHoldLongestLease = true;
-                worker->inheritedUsuallyUntil = worker->inheritedUntil;
-            }
-        }
+        expectLateOrders(row);
     }
     m_stops.forbidDisruptionUntil(now.steady + m_times.stopGrace + disruptionMargin);
     m_runs.requestPlanning();
 }
 
-void RunController::storeUnansweredStarts()
+void RunController::expectLateOrders(const ProgressRow &row)
+{
+    const TimePoint now = m_outbox.now.steady;
+    const auto expectLongestLease = [this](const WorkerId &id) {
+        if (Worker *worker = m_roster.find(id)) {
+            worker->mayHoldLongestLease = true;
+            worker->inheritedUsuallyUntil = worker->inheritedUntil;
+        }
+    };
+    for (const LateStart &late : row.lateStarts) {
+        m_runs.expectLateOrders(late.worker, now + late.left);
+        expectLongestLease(late.worker);
+    }
+    for (const RecordedStart &start : row.starts) {
+        if (start.isConfirmed) {
+            continue;
+        }
+        const TaskId id{row.id, start.occurrence, start.step, start.index};
+        const TimePoint lateUntil = now + inheritedLease();
+        m_runs.expectLateOrders(start.worker, lateUntil);
+        if (Task *task = m_registry.task(id); task != nullptr && task->recordedStart == start) {
+            // The order may be carried out after this owner has called the worker.
+            task->abandonedStarts.push_back(AbandonedStart{start.worker, start.run, lateUntil});
+        }
+        const StepSpec *spec = m_registry.spec(id);
+        // Starts of other tasks are confirmed in the store only by chance, and those tasks wait for the longest lease.
+        if (spec != nullptr && spec->isService) {
+            expectLongestLease(start.worker);
+        }
+    }
+}
+
+void RunController::settleStarts()
 {
+    m_starts.withdrawUnsent();
     m_starts.storeUnanswered(Duration{0});
 }
 
@@ -156,6 +185,7 @@
             }
         }
     }
+    m_starts.recorded(done.transaction.progress);
     m_runs.requestPlanning();
 }
 
@@ -227,7 +257,9 @@
     }
     m_leases.expireLeases();
     m_starts.storeUnanswered(StartController::unansweredAge);
+    m_starts.withdrawStopped();
     if (mayOrder) {
+        m_starts.sendRecorded();
         m_leases.renewLeases();
         m_stops.drainWorkers();
         m_stops.sendStops();
@@ -238,6 +270,7 @@
 void RunController::advanceStarts(const SiteConfig &config, bool mayOrder)
 {
     if (mayOrder) {
+        m_starts.sendRecorded();
         m_starts.planStarts(config);
     }
 }
--- a/core/cells/run_controller.h
+++ b/core/cells/run_controller.h
@@ -26,10 +26,11 @@
     RunController(CellOutbox &outbox, CellWriter &writer, CellTimes times, const HostCapacity &capacity);
 
     /// Restores the state from the store under a new epoch.
-    void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries);
+    /// @param startsRecordedSince first epoch since which all owners have recorded their starts.
+    void rebuild(const CellContents &contents, const std::vector<WorkerEntry> &entries, Epoch startsRecordedSince);
     void clear();
-    /// Stores all starts without an answer, before this owner releases the cell.
-    void storeUnansweredStarts();
+    /// Withdraws the starts that are not sent and stores those without an answer, before this owner releases the cell.
+    void settleStarts();
     /// What the next owner may rely on if this owner releases the cell now.
     std::vector<ReleaseRow> released() const;
 
@@ -39,7 +40,7 @@
     void answered(const OrderAnswered &event);
     void answered(const LeaseRenewalAnswered &event);
     void answered(const AdmissionAnswered &event);
-    /// Updates the workers after a transaction stored the ends of their runs.
+    /// Updates the workers and the planned starts after a transaction stored ends and starts of runs.
     void stored(const CellWriter::Pending &done);
     /// Ends all runs of a worker whose incarnation is known to have ended.
     void endWorker(const WorkerId &id);
@@ -67,6 +68,9 @@
     StartController &starts();
 
 private:
+    /// Prepares for the starts of earlier owners that may still be carried out.
+    void expectLateOrders(const ProgressRow &row);
+
     CellOutbox &m_outbox;
     CellWriter &m_writer;
     CellTimes m_times;
--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -240,7 +240,7 @@
     }
 }
 
-void RunLedger::storeUnanswered(const JobId &job)
+void RunLedger::storeStarts(const JobId &job)
 {
     const Job *known = m_registry.find(job);
     if (known != nullptr && !isFinal(known->state)) {
@@ -248,6 +248,20 @@
     }
 }
 
+void RunLedger::confirm(const TaskId &id, const Worker &worker)
+{
+    Run &run = *m_registry.task(id)->run;
+    // The order may have reached another incarnation until its worker is settled. An adopted run is another owner's.
+    if (run.isConfirmed || run.orderedAt == TimePoint{} || m_outbox.now.steady < worker.settledAt) {
+        return;
+    }
+    run.isConfirmed = true;
+    // Only service tasks wait less for a confirmed start.
+    if (m_registry.spec(id)->isService) {
+        storeStarts(id.job);
+    }
+}
+
 bool RunLedger::mayRunAbandoned(const TaskId &id, const Task &task) const
 {
     const TimePoint now = m_outbox.now.steady;
@@ -336,11 +350,24 @@
     }
 }
 
+bool RunLedger::hasSentRuns(const Worker &worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [this](const TaskId &id) {
+        const Task *task = m_registry.task(id);
+        return task != nullptr && task->run && task->run->phase != RunPhase::Recording;
+    });
+}
+
 void RunLedger::endAllRuns(Worker &worker, CellDecision why)
 {
     const std::set<TaskId> tasks = worker.tasks;
     for (const TaskId &id : tasks) {
-        endRun(id, RunEnd::LeaseExpired);
+        const Task *task = m_registry.task(id);
+        if (task != nullptr && task->run && task->run->phase == RunPhase::Recording) {
+            withdrawRun(id);
+        } else {
+            endRun(id, RunEnd::LeaseExpired);
+        }
     }
     clearForeign(worker);
     worker.fenced = false;
@@ -410,7 +437,8 @@
     std::set<TaskId> tasks;
     for (const TaskId &id : worker.tasks) {
         const Task *task = m_registry.task(id);
-        if (task != nullptr && task->run && task->run->listedAt == TimePoint{}) {
+        const bool isSent = task != nullptr && task->run && task->run->phase != RunPhase::Recording;
+        if (isSent && task->run->listedAt == TimePoint{}) {
             tasks.insert(id);
         }
     }
--- a/core/cells/run_ledger.h
+++ b/core/cells/run_ledger.h
@@ -61,8 +61,10 @@
     void recordCarriedOut(const TaskId &id, RunNumber run, const WorkerId &worker);
     /// Records that a worker, or its next incarnation, may carry out orders of former owners or those given up.
     void expectLateOrders(const WorkerId &worker, TimePoint until);
-    /// Stores the start orders of a job that have no answer, so that a later owner knows of them.
-    void storeUnanswered(const JobId &job);
+    /// Stores the starts of a job without a known end, so that later owners know of them.
+    void storeStarts(const JobId &job);
+    /// Records that the incarnation of the worker that the start was meant for runs the task.
+    void confirm(const TaskId &id, const Worker &worker);
     /// Whether an abandoned start of the task may be active on a worker that has restarted.
     bool mayRunAbandoned(const TaskId &id, const Task &task) const;
     /// The worker of the last start of the task that was abandoned and may still be carried out; empty if there is
@@ -86,6 +88,8 @@
     /// Takes a run on the worker as active until the longest lease has expired, because an incarnation whose clock is
     /// not known has accepted an order.
     void expectUnknownIncarnation(Worker &worker);
+    /// Whether orders for runs on the worker were sent.
+    bool hasSentRuns(const Worker &worker);
     /// Ends all runs on a worker whose lease has expired or which is lost.
     void endAllRuns(Worker &worker, CellDecision why);
     /// Forgets the foreign runs of a worker: those on its newest list that are not the current runs of our tasks.
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -3,6 +3,7 @@
 #include "core/base/enum_names.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace radishvane::cells
 {
@@ -34,6 +35,8 @@
     m_pacer.clear();
     m_backlog.clear();
     m_work.clear();
+    m_unsent.clear();
+    m_recorded.clear();
     m_pendingStarts.clear();
 }
 
@@ -233,7 +236,7 @@
             m_isPaced = true;
             break;
         }
-        start(ready, index, *worker, nextRun(job, task), task.progress.checkpoint);
+        plan(ready, index, *worker, nextRun(job, task), task.progress.checkpoint);
         ++starts;
     }
     return starts;
@@ -281,7 +284,7 @@
         return 0;
     }
     for (std::uint32_t index = 0; index < workers.size(); ++index) {
-        start(ready, index, *workers[index], run, checkpoint);
+        plan(ready, index, *workers[index], run, checkpoint);
     }
     return workers.size();
 }
@@ -315,40 +318,130 @@
     return worker;
 }
 
-void StartController::start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
-                            const std::string &checkpoint)
+void StartController::plan(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
+                           const std::string &checkpoint)
 {
-    const TimePoint now = m_outbox.now.steady;
     const TaskId id{ready.job, ready.occurrence, ready.step, index};
+    UnsentStart start;
+    start.step = ready;
+    start.run = number;
+    start.checkpoint = checkpoint;
+    start.incarnationNumber = worker.incarnationNumber;
+    start.needsTicket = !m_admission.ticket(ready, worker).empty();
+    start.safety = safetyOf(id);
+    Run run;
+    run.number = number;
+    run.worker = worker.id;
+    run.phase = RunPhase::Recording;
+    m_runs.allocate(worker, id);
+    m_registry.begin(id, std::move(run));
+    m_registry.task(id)->hasKnownRuns = true;
+    m_pacer.take(m_registry.find(id.job)->row.spec.payload.size());
+    m_unsent.insert_or_assign(id, std::move(start));
+    m_runs.storeStarts(id.job);
+}
+
+void StartController::recorded(const std::vector<ProgressRow> &rows)
+{
+    for (const ProgressRow &row : rows) {
+        for (const RecordedStart &start : row.starts) {
+            const TaskId id{row.id, start.occurrence, start.step, start.index};
+            const auto found = m_unsent.find(id);
+            if (found != m_unsent.end() && found->second.run == start.run) {
+                m_recorded.push_back(id);
+            }
+        }
+    }
+}
+
+void StartController::sendRecorded()
+{
+    for (const TaskId &id : std::exchange(m_recorded, {})) {
+        const auto found = m_unsent.find(id);
+        if (found == m_unsent.end()) {
+            continue;
+        }
+        const UnsentStart start = std::move(found->second);
+        m_unsent.erase(found);
+        Run *run = runOf(id, start);
+        if (run == nullptr) {
+            continue;
+        }
+        Worker *worker = m_roster.find(run->worker);
+        if (run->stopRequested || !maySend(start, worker)) {
+            m_runs.withdrawRun(id);
+            continue;
+        }
+        send(id, start, *run, *worker);
+    }
+}
+
+void StartController::withdrawStopped()
+{
+    for (auto next = m_unsent.begin(); next != m_unsent.end();) {
+        const Run *run = runOf(next->first, next->second);
+        if (run != nullptr && !run->stopRequested) {
+            ++next;
+            continue;
+        }
+        const TaskId id = next->first;
+        next = m_unsent.erase(next);
+        if (run != nullptr) {
+            m_runs.withdrawRun(id);
+        }
+    }
+}
+
+void StartController::withdrawUnsent()
+{
+    m_recorded.clear();
+    for (const auto &[id, start] : std::exchange(m_unsent, {})) {
+        if (runOf(id, start) != nullptr) {
+            m_runs.withdrawRun(id);
+        }
+    }
+}
+
+Run *StartController::runOf(const TaskId &id, const UnsentStart &start)
+{
+    Task *task = m_registry.task(id);
+    const bool isCurrent
+        = task != nullptr && task->run && task->run->number == start.run && task->run->phase == RunPhase::Recording;
+    return isCurrent ? &*task->run : nullptr;
+}
+
+bool StartController::maySend(const UnsentStart &start, const Worker *worker) const
+{
+    if (worker == nullptr || worker->incarnationNumber != start.incarnationNumber
+        || !worker->acceptsTasks(m_outbox.now.steady)) {
+        return false;
+    }
+    return !start.needsTicket || !m_admission.ticket(start.step, *worker).empty();
+}
+
+void StartController::send(const TaskId &id, const UnsentStart &start, Run &run, Worker &worker)
+{
+    const TimePoint now = m_outbox.now.steady;
     StartOrder order;
     order.worker = worker.address();
     order.task = id;
-    order.run = number;
-    order.payload = m_registry.find(ready.job)->row.spec.payload;
+    order.run = start.run;
+    order.payload = m_registry.find(id.job)->row.spec.payload;
     // The estimated clock may be ahead of the worker's, and a later owner relies on the length of the lease.
     order.deadline
         = std::min(worker.estimatedClock(now) + startWindow.count(), worker.leaseDeadlineAfter(m_times.leaseTime, now));
     order.fence = m_outbox.workerFence(worker.incarnationNumber);
-    order.checkpoint = checkpoint;
-    order.ticket = m_admission.ticket(ready, worker);
+    order.checkpoint = start.checkpoint;
+    order.ticket = m_admission.ticket(start.step, worker);
     worker.leaseDeadline = std::max(worker.leaseDeadline, order.deadline);
     worker.previousDeadline = std::max(worker.previousDeadline, order.deadline);
-
-    Run run;
-    run.number = order.run;
-    run.worker = worker.id;
     run.startDeadline = order.deadline;
-    run.orderedAt = now;
-    const std::string safety = safetyOf(id);
-    m_runs.allocate(worker, id);
-    m_registry.begin(id, std::move(run));
-    m_registry.task(id)->hasKnownRuns = true;
+    m_registry.markSent(id, now);
     m_outbox.add(DecisionLogEntry{CellDecision::TaskStarted, taskName(id), worker.id.name(), m_outbox.epoch, order.run,
-                                  safety,
+                                  start.safety,
                                   OrderClockRecord{order.deadline, worker.estimatedClock(now),
                                                    std::chrono::duration_cast<Duration>(now - worker.clockAt)}});
-    m_pacer.take(order.payload.size());
-    m_pendingStarts[m_outbox.send(std::move(order))] = {id, number, now, worker.id, worker.incarnationNumber};
+    m_pendingStarts[m_outbox.send(std::move(order))] = {id, start.run, now, worker.id, worker.incarnationNumber};
     ++worker.pendingStarts;
     if (worker.renewal.value == 0) {
         // The lease must cover the start deadline even when the next periodic renewal is late.
@@ -358,10 +451,11 @@
 
 std::string StartController::safetyOf(const TaskId &id) const
 {
-    if (!m_registry.find(id.job)->inherited) {
+    const Job &job = *m_registry.find(id.job);
+    if (!job.inherited) {
         return {};
     }
-    const StartSafety safety = m_unknownRuns->safety(*m_registry.spec(id), *m_registry.task(id));
+    const StartSafety safety = m_unknownRuns->safety(job, *m_registry.spec(id), *m_registry.task(id));
     return std::string(enumName(startSafetyNames, safety));
 }
 
@@ -397,7 +491,7 @@
         }
         if (!start.isStored) {
             start.isStored = true;
-            m_runs.storeUnanswered(start.task.job);
+            m_runs.storeStarts(start.task.job);
         }
     }
 }
@@ -445,6 +539,9 @@
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
         run.progressAt = now;
+        if (const Worker *worker = m_roster.find(run.worker); worker != nullptr && event.clock) {
+            m_runs.confirm(id, *worker);
+        }
         return;
     case OrderOutcome::Unknown:
         run.phase = RunPhase::InDoubt;
@@ -452,7 +549,7 @@
             worker->unreachable = true;
         }
         m_runs.expectLateOrders(run.worker, run.orderedAt + AbandonedStart::maxDelay);
-        m_runs.storeUnanswered(id.job);
+        m_runs.storeStarts(id.job);
         m_outbox.log(CellDecision::OrderInDoubt, taskName(id), run.worker.name(), run.number, "start");
         return;
     case OrderOutcome::Unhealthy:
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -15,7 +15,11 @@
 namespace radishvane::cells
 {
 
-/// Starts tasks: selects the next tasks and their workers, sends the start orders, and handles the answers.
+/// Starts tasks: selects the next tasks and their workers, has the starts stored, sends the start orders, and handles
+/// the answers.
+///
+/// A start is stored before its order is sent. An order may be carried out long after its owner has ended, so each
+/// later owner has to know which worker may run the task.
 class StartController
 {
 public:
@@ -44,6 +48,14 @@
     /// @return whether the answer belongs to a start order.
     bool answered(const OrderAnswered &event);
     void answered(const AdmissionAnswered &event);
+    /// Marks the starts in @p rows, which the store now holds, as ready to be sent.
+    void recorded(const std::vector<ProgressRow> &rows);
+    /// Sends the orders of the starts that are stored.
+    void sendRecorded();
+    /// Withdraws the starts that are not sent and have become needless.
+    void withdrawStopped();
+    /// Withdraws all starts that are not sent.
+    void withdrawUnsent();
     /// Stores the starts that have had no answer for @p minAge, so that a later owner knows of them.
     void storeUnanswered(Duration minAge);
     /// Returns how long after its objective a job would end because the pacer limits the starts; zero if it would end
@@ -59,6 +71,19 @@
     StartPacer &pacer();
 
 private:
+    /// A start that was planned and whose order is not sent.
+    struct UnsentStart
+    {
+        ReadyStep step;
+        RunNumber run = 0;
+        std::string checkpoint;
+        /// Incarnation of the worker that the start was planned for.
+        std::uint64_t incarnationNumber = 0;
+        bool needsTicket = false;
+        /// What made the start safe, for the log.
+        std::string safety;
+    };
+
     /// A start order without an answer yet.
     struct PendingStart
     {
@@ -92,8 +117,14 @@
     /// @param mayMarkFull whether a failure shows that the pool is full for such tasks.
     Worker *chooseWorkerFor(const SiteConfig &config, CandidateWorkers &candidates, const ReadyStep &ready,
                             std::uint32_t index, bool mayMarkFull);
-    void start(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
-               const std::string &checkpoint);
+    /// Assigns a task to a worker, and has the start stored.
+    void plan(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
+              const std::string &checkpoint);
+    /// The run that @p start began, unless it has ended meanwhile.
+    Run *runOf(const TaskId &id, const UnsentStart &start);
+    /// Whether the worker may still get the start.
+    bool maySend(const UnsentStart &start, const Worker *worker) const;
+    void send(const TaskId &id, const UnsentStart &start, Run &run, Worker &worker);
     /// What makes the start of an inherited task safe, for the log; empty for other tasks.
     std::string safetyOf(const TaskId &id) const;
     RunNumber nextRun(const Job &job, const Task &task) const;
@@ -113,6 +144,9 @@
     StartPacer m_pacer;
     StartBacklog m_backlog;
     WorkBacklog m_work;
+    std::map<TaskId, UnsentStart> m_unsent;
+    /// Starts of m_unsent that the store holds.
+    std::vector<TaskId> m_recorded;
     std::map<CallId, PendingStart> m_pendingStarts;
     /// Of the present planning pass.
     std::optional<UnknownRuns> m_unknownRuns;
--- a/core/cells/stop_controller.cpp
+++ b/core/cells/stop_controller.cpp
@@ -44,6 +44,10 @@
             continue;
         }
         Run &run = *task->run;
+        if (run.phase == RunPhase::Recording) {
+            // Withdrawn before its order is sent.
+            continue;
+        }
         const Worker *worker = m_roster.find(run.worker);
         if (run.stop.value != 0 || now < run.stopNotBefore || worker == nullptr || !worker->fenced) {
             continue;
--- a/core/cells/unknown_runs.cpp
+++ b/core/cells/unknown_runs.cpp
@@ -22,20 +22,26 @@
         return false;
     }
     const LeaseBound bound = step.isService ? LeaseBound::Usual : LeaseBound::Longest;
+    if (job.areStartsRecorded) {
+        return task.recordedStart && !m_roster->isReconciled(task.recordedStart->worker, m_now, bound);
+    }
     return task.releasedOn.empty() || !m_roster->isReconciled(task.releasedOn, m_now, bound);
 }
 
-StartSafety UnknownRuns::safety(const StepSpec &step, const Task &task) const
+StartSafety UnknownRuns::safety(const Job &job, const StepSpec &step, const Task &task) const
 {
     if (task.hasKnownRuns) {
         return StartSafety::RunsKnown;
     }
+    if (job.areStartsRecorded) {
+        return task.recordedStart ? StartSafety::RecordedWorkerSettled : StartSafety::NoRecordedStart;
+    }
     if (step.isService ? m_isAnyUsuallyUnreconciled : m_isAnyUnreconciled) {
         return StartSafety::ReleasedWorkerSettled;
     }
     const auto &workers = m_roster->all();
     const bool isAnySilent = std::any_of(workers.begin(), workers.end(), [](const auto &pair) {
-        return !pair.second.fenced && !pair.second.incarnationEnded && pair.second.recorded;
+        return !pair.second.fenced && !pair.second.incarnationEnded && pair.second.inheritedUntil != TimePoint{};
     });
     return isAnySilent ? StartSafety::LeasesExpired : StartSafety::WorkersAnswered;
 }
--- a/core/cells/unknown_runs.h
+++ b/core/cells/unknown_runs.h
@@ -13,6 +13,10 @@
 enum class StartSafety {
     /// Its runs are known and have ended.
     RunsKnown,
+    /// No earlier owner has recorded a start without a stored end.
+    NoRecordedStart,
+    /// The worker of the last recorded start has answered, or its lease has expired.
+    RecordedWorkerSettled,
     /// The only worker that may run it has answered, or its lease has expired.
     ReleasedWorkerSettled,
     /// Every worker has answered.
@@ -22,15 +26,16 @@
 };
 
 /// Log names, in the order of the enumerators.
-inline constexpr std::array<std::string_view, 4> startSafetyNames{
-    "runs-known",
-    "released-worker-settled",
-    "workers-answered",
-    "leases-expired",
+inline constexpr std::array<std::string_view, 6> startSafetyNames{
+    "runs-known",       "no-recorded-start", "recorded-worker-settled", "released-worker-settled",
+    "workers-answered", "leases-expired",
 };
 
 /// Tells which tasks may have active runs of earlier owners that this owner does not know, at one moment.
 ///
+/// Starts are recorded before they are sent, so that a task may run only on the worker of its last record. Tasks of
+/// jobs from before the first owner that recorded its starts may run on any worker.
+///
 /// A worker that does not answer may have restarted without the last owner's knowledge, so that most tasks wait for the
 /// longest lease. Service tasks are started rarely and must not be away for long: they wait for the lease that owners
 /// grant, unless the store says that the worker may hold a longer one.
@@ -42,7 +47,7 @@
     /// Whether a task of @p step may have such runs.
     bool mayExist(const Job &job, const StepSpec &step, const Task &task) const;
     /// Why an inherited task that has no such runs has none.
-    StartSafety safety(const StepSpec &step, const Task &task) const;
+    StartSafety safety(const Job &job, const StepSpec &step, const Task &task) const;
 
 private:
     const WorkerRoster *m_roster;
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -180,7 +180,7 @@
         return;
     }
     const bool isInherited = !task->run && !task->progress.done && row.run > task->progress.endedRun
-        && m_registry.find(row.task.job)->inherited;
+        && !task->isSuperseded(row.run) && m_registry.find(row.task.job)->inherited;
     if (isInherited) {
         // An earlier owner started the run, and it ended before this owner saw it active.
         m_runs.allocate(worker, row.task);
@@ -248,6 +248,7 @@
             run.confirmedAt = sent;
             run.progressAt = now;
         }
+        m_runs.confirm(row.task, worker);
         if (now - run.listedAt > stallTimeout) {
             // After a long gap between two reports, progress during the gap is unknown.
             run.progressAt = now;
@@ -267,7 +268,7 @@
     Task *task = m_registry.task(row.task);
     const Job *job = m_registry.find(row.task.job);
     if (task == nullptr || task->run || task->progress.done || !job->inherited || isFinal(job->state)
-        || row.run <= task->progress.endedRun) {
+        || row.run <= task->progress.endedRun || task->isSuperseded(row.run)) {
         return false;
     }
     m_runs.allocate(worker, row.task);
@@ -279,6 +280,7 @@
     run.progressAt = m_outbox.now.steady;
     run.listedAt = m_outbox.now.steady;
     run.percent = row.percent;
+    run.isConfirmed = task->recordedStart && task->recordedStart->run == row.run && task->recordedStart->isConfirmed;
     m_registry.begin(row.task, std::move(run));
     m_runs.recordCarriedOut(row.task, row.run, worker.id);
     // An owner starts a task again only after its run has ended, so this is the only active run.
@@ -366,7 +368,7 @@
 {
     const TimePoint now = m_outbox.now.steady;
     for (auto &[id, worker] : m_roster.all()) {
-        if (!worker.tasks.empty() && worker.hasLeaseExpired(now)) {
+        if (worker.hasLeaseExpired(now) && m_runs.hasSentRuns(worker)) {
             m_runs.endAllRuns(worker, CellDecision::WorkerLost);
         }
         if (worker.recorded && worker.holdsNoLease(now)) {
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -314,7 +314,7 @@
 bool WorkerRoster::isReconciled(const WorkerId &id, TimePoint now, LeaseBound bound) const
 {
     const Worker *worker = find(id);
-    return worker == nullptr || worker->isReconciled(now, bound);
+    return worker == nullptr ? !hasUnknownWorkers(now) : worker->isReconciled(now, bound);
 }
 
 std::vector<RosterRow> WorkerRoster::rows(TimePoint now) const
--- a/drivers/cell_codec.cpp
+++ b/drivers/cell_codec.cpp
@@ -269,6 +269,61 @@
     std::size_t m_bytes = 0;
 };
 
+bool hasMore(std::istream &stream)
+{
+    return stream.peek() != std::istream::traits_type::eof();
+}
+
+/// A recorded start as encoded, with the position of its worker in a list that precedes the starts.
+struct EncodedStart
+{
+    cells::RecordedStart start;
+    std::uint32_t worker = 0;
+};
+
+template<typename Archive>
+void serialize(Archive &archive, EncodedStart &encoded)
+{
+    cells::RecordedStart &start = encoded.start;
+    archive(start.occurrence, start.step, start.index, start.run, encoded.worker);
+    flagField(archive, start.isConfirmed);
+}
+
+template<typename Archive>
+void saveStarts(Archive &archive, const std::vector<cells::RecordedStart> &starts)
+{
+    std::vector<cells::WorkerId> workers;
+    std::map<cells::WorkerId, std::uint32_t> positions;
+    std::vector<EncodedStart> encoded;
+    encoded.reserve(starts.size());
+    for (const cells::RecordedStart &start : starts) {
+        const auto [place, isNew] = positions.try_emplace(start.worker, static_cast<std::uint32_t>(workers.size()));
+        if (isNew) {
+            workers.push_back(start.worker);
+        }
+        encoded.push_back(EncodedStart{start, place->second});
+    }
+    listField(archive, workers);
+    listField(archive, encoded);
+}
+
+template<typename Archive>
+void loadStarts(Archive &archive, std::vector<cells::RecordedStart> &starts)
+{
+    std::vector<cells::WorkerId> workers;
+    std::vector<EncodedStart> encoded;
+    listField(archive, workers);
+    listField(archive, encoded);
+    starts.reserve(encoded.size());
+    for (EncodedStart &entry : encoded) {
+        if (entry.worker >= workers.size()) {
+            throw std::out_of_range("worker " + std::to_string(entry.worker) + " of " + std::to_string(workers.size()));
+        }
+        entry.start.worker = workers[entry.worker];
+        starts.push_back(std::move(entry.start));
+    }
+}
+
 /// Writes the fields that a later version has added to a row. They are left out when they are empty, and an earlier
 /// version does not read them.
 template<typename Archive, typename Value>
@@ -279,9 +334,20 @@
 template<typename Archive>
 void saveAddedFields(Archive &archive, cells::ProgressRow &row)
 {
-    if (!row.lateStarts.empty()) {
+    if (!row.lateStarts.empty() || !row.starts.empty()) {
         listField(archive, row.lateStarts);
     }
+    if (!row.starts.empty()) {
+        saveStarts(archive, row.starts);
+    }
+}
+
+template<typename Archive>
+void saveAddedFields(Archive &archive, cells::OwnerRow &row)
+{
+    if (row.startsRecordedSince != 0) {
+        archive(row.startsRecordedSince);
+    }
 }
 
 template<typename Archive>
@@ -299,12 +365,12 @@
 }
 
 template<typename Archive, typename Value>
-void loadAddedFields(Archive &, Value &)
+void loadAddedFields(Archive &, std::istream &, Value &)
 {
 }
 
 template<typename Archive>
-void loadAddedFields(Archive &archive, cells::RosterRow &row)
+void loadAddedFields(Archive &archive, std::istream &, cells::RosterRow &row)
 {
     std::vector<std::uint32_t> positions;
     listField(archive, positions);
@@ -317,9 +383,18 @@
 }
 
 template<typename Archive>
-void loadAddedFields(Archive &archive, cells::ProgressRow &row)
+void loadAddedFields(Archive &archive, std::istream &stream, cells::ProgressRow &row)
 {
     listField(archive, row.lateStarts);
+    if (hasMore(stream)) {
+        loadStarts(archive, row.starts);
+    }
+}
+
+template<typename Archive>
+void loadAddedFields(Archive &archive, std::istream &, cells::OwnerRow &row)
+{
+    archive(row.startsRecordedSince);
 }
 
 template<typename Value>
@@ -358,8 +433,8 @@
         cereal::PortableBinaryInputArchive archive(stream);
         Value value;
         archive(value);
-        if (stream.peek() != std::istringstream::traits_type::eof()) {
-            loadAddedFields(archive, value);
+        if (hasMore(stream)) {
+            loadAddedFields(archive, stream, value);
         }
         return value;
     } catch (const std::exception &error) {
--- a/tests/drivers/cell_codec_test.cpp
+++ b/tests/drivers/cell_codec_test.cpp
@@ -79,6 +79,54 @@
     });
 }
 
+TEST(CellCodec, CarriesTheRecordedStarts)
+{
+    story("an owner stores the progress of a job with three starts on two workers", [] {
+        ProgressRow row;
+        row.id = JobId("j");
+        row.open[0] = {{TaskProgress{}, TaskProgress{}, TaskProgress{}}};
+        const std::string without = encodeRow(row);
+        row.starts = {RecordedStart{0, 0, 0, 1, WorkerId("w1"), true}, RecordedStart{0, 0, 1, 2, WorkerId("w2"), false},
+                      RecordedStart{0, 0, 2, 10'001, WorkerId("w1"), false}};
+        const std::string with = encodeRow(row);
+        section("they arrive unchanged, with and without late starts", [&] {
+            const auto decoded = decodeProgressRow(with);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().starts, row.starts);
+            EXPECT_TRUE(decoded.value().lateStarts.empty());
+            ProgressRow late = row;
+            late.lateStarts.push_back(LateStart{0, 0, 2, 10'001, WorkerId("w1"), Duration(7'000)});
+            const auto both = decodeProgressRow(encodeRow(late));
+            ASSERT_TRUE(both);
+            EXPECT_EQ(both.value().starts, row.starts);
+            EXPECT_EQ(both.value().lateStarts.size(), 1);
+        });
+        section("they follow the fields that earlier versions read", [&] {
+            EXPECT_EQ(with.substr(0, without.size()), without);
+            EXPECT_EQ(encodedSize(row), with.size());
+        });
+        section("a row that ends within them is refused",
+                [&] { EXPECT_FALSE(decodeProgressRow(std::string_view(with).substr(0, with.size() - 1))); });
+    });
+    story("an owner stores since when starts are recorded", [] {
+        OwnerRow row{HostId("a"), 1, Endpoint{"127.0.0.1", 1}, 7};
+        const std::string without = encodeRow(row);
+        row.startsRecordedSince = 5;
+        const std::string with = encodeRow(row);
+        section("it arrives, behind the fields that earlier versions read", [&] {
+            const auto decoded = decodeOwnerRow(with);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value(), row);
+            EXPECT_EQ(with.substr(0, without.size()), without);
+        });
+        section("a row of an earlier version says that none are", [&] {
+            const auto decoded = decodeOwnerRow(without);
+            ASSERT_TRUE(decoded);
+            EXPECT_EQ(decoded.value().startsRecordedSince, 0);
+        });
+    });
+}
+
 TEST(CellCodec, CarriesTheWorkersThatMayHoldTheLongestLease)
 {
     story("an owner stores a list of workers of which one has restarted", [] {
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -107,6 +107,8 @@
     /// Whether the store rejects each call that writes a row with this key.
     std::function<bool(const std::string &)> isRejected;
     std::uint64_t rejectedWrites = 0;
+    /// Whether rows are kept as a version writes them that stores no starts.
+    bool omitsStarts = false;
     /// The next write of rows gets no answer, and is carried out three seconds later.
     bool loseNextWrite = false;
     /// The next write that releases the cell gets no answer, and is carried out after so many milliseconds.
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -121,6 +121,7 @@
     ++m_version;
     if (transaction.owner) {
         m_owner = transaction.owner;
+        m_owner->startsRecordedSince = omitsStarts ? 0 : m_owner->startsRecordedSince;
         m_ownerVersion = m_version;
     }
     for (const JobRow &row : transaction.jobs) {
@@ -128,6 +129,9 @@
     }
     for (const ProgressRow &row : transaction.progress) {
         m_progress[row.id] = row;
+        if (omitsStarts) {
+            m_progress[row.id].starts.clear();
+        }
         if (row.state == GraphState::Failed) {
             checkFailed(row.id);
         }
--- a/tests/support/cell_stories.cpp
+++ b/tests/support/cell_stories.cpp
@@ -38,6 +38,18 @@
     }
 }
 
+void runPastLongestLease(CellSite &site)
+{
+    // 2.6 s after the last renewal that it has seen, which it may see 200 ms late.
+    constexpr int takeover = 2'800;
+    constexpr Duration longestLease{10'700};
+    for (int waited = 0; waited < takeover && site.owner().empty(); waited += 10) {
+        site.run(Duration(10));
+    }
+    ASSERT_FALSE(site.owner().empty());
+    site.run(longestLease);
+}
+
 void submitLongJob(CellSite &site, const std::string &job, std::uint32_t count)
 {
     site.durations[JobId(job)] = 20'000;
