Wait for a silent worker that may run a withdrawn start of an earlier owner

What callers would see: a task runs twice at the same time. Cause: a task waited only for the worker of its last recorded start. A start without an answer that was withdrawn is in the store as a late start only, and a new owner counted that one only after discovery had shown a restart of its worker. Change: late starts of earlier owners count as possible runs, for starts and for the ceilings of teams, until their worker has answered or its lease is over.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -267,6 +267,10 @@
     const TimePoint now = m_outbox.now.steady;
     const std::vector<AbandonedStart> &starts = task.abandonedStarts;
     return std::any_of(starts.begin(), starts.end(), [&](const AbandonedStart &start) {
+        // A silent worker may have carried the start out under its last owner or in a new incarnation.
+        if (!m_roster.isReconciled(start.worker, now, LeaseBound::Longest)) {
+            return true;
+        }
         const Worker *worker = m_roster.find(start.worker);
         if (worker == nullptr) {
             return false;
--- a/core/cells/unknown_runs.cpp
+++ b/core/cells/unknown_runs.cpp
@@ -23,7 +23,12 @@
     }
     const LeaseBound bound = step.isService ? LeaseBound::Usual : LeaseBound::Longest;
     if (job.areStartsRecorded) {
-        return task.recordedStart && !m_roster->isReconciled(task.recordedStart->worker, m_now, bound);
+        const auto mayRunOn = [&](const WorkerId &worker) {
+            return !m_roster->isReconciled(worker, m_now, bound);
+        };
+        return (task.recordedStart && mayRunOn(task.recordedStart->worker))
+            || std::any_of(task.abandonedStarts.begin(), task.abandonedStarts.end(),
+                           [&](const AbandonedStart &start) { return mayRunOn(start.worker); });
     }
     return task.releasedOn.empty() || !m_roster->isReconciled(task.releasedOn, m_now, bound);
 }
--- a/tests/core/cells/cell_start_records_test.cpp
+++ b/tests/core/cells/cell_start_records_test.cpp
@@ -214,4 +214,45 @@
     });
 }
 
+// Guards against a withdrawn start of an earlier owner that a silent worker's new incarnation runs beside a successor.
+TEST(CellOwner, WaitsForASilentWorkerThatMayRunAWithdrawnStart)
+{
+    for (int delay = 5'000; delay <= 6'200; delay += 200) {
+        story("a start is withdrawn, its owner is killed, and the restarted worker gets it after "
+                  + std::to_string(delay) + " ms",
+              [&] {
+                  CellSite site;
+                  fillLooms(site, 1);
+                  site.run(Duration(4'000));
+                  site.durations[JobId("j1")] = 3'000;
+                  site.loseNextStart = delay;
+                  site.submit(site.owner(), "j1", "plans", graphOf(1, 2, 1'000, Duration(3'000)));
+                  while (site.loseNextStart) {
+                      site.run(Duration(1));
+                  }
+                  const std::int64_t sentAt = site.time();
+                  site.run(Duration(100));
+                  // The other task of the job runs, and the worker accepts no more.
+                  ASSERT_EQ(site.runningOn("w0"), 1);
+                  site.worker("w0").entry.state = WorkerState::Draining;
+                  site.durations[JobId("j1")] = 20'000;
+                  site.run(Duration(sentAt + 4'000 - site.time()));
+                  ASSERT_EQ(site.runs("j1"), 1);
+                  ASSERT_EQ(site.runningOn("w0"), 0);
+                  site.kill(site.owner());
+                  site.crash("w0");
+                  site.run(Duration(500));
+                  site.revive("w0");
+                  site.worker("w0").listed = false;
+                  site.run(Duration(sentAt + delay + 10 - site.time()));
+                  section("the new incarnation runs the start, and is cut off",
+                          [&] { EXPECT_EQ(site.runningOn("w0"), 1); });
+                  site.worker("w0").cut = true;
+                  site.addWorker("w1", "looms", 8'000);
+                  site.run(Duration(30'000));
+                  section("no two runs of a task are active at the same time", [&] { expectNothingBroken(site); });
+              });
+    }
+}
+
 } // namespace radishvane::tests
