Confirm adopted runs once the longest lease of earlier orders is over

What callers would see: a service task is away for 12.6 s instead of 8.5 s after its worker is lost with its owner. Cause: a run that was adopted from an owner without records was never confirmed in the store, so that each later owner waited for the longest lease. Change: an adopted run is confirmed when its worker still lists it after the longest lease from the adoption. Orders of earlier owners have lost their effect then. Before: CellOwner.RestartsAnAdoptedServiceTaskAfterTheUsualLease failed. After: it passes.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -251,8 +251,11 @@
 void RunLedger::confirm(const TaskId &id, const Worker &worker)
 {
     Run &run = *m_registry.task(id)->run;
-    // The order may have reached another incarnation until its worker is settled. An adopted run is another owner's.
-    if (run.isConfirmed || run.orderedAt == TimePoint{} || m_outbox.now.steady < worker.settledAt) {
+    const TimePoint now = m_outbox.now.steady;
+    // Orders of earlier owners, which may have reached another incarnation, have lost their effect by then.
+    const bool isAdopted = run.orderedAt == TimePoint{};
+    const TimePoint knownAt = isAdopted ? run.confirmedAt + m_times.longestLeaseTime() : run.orderedAt;
+    if (run.isConfirmed || now < knownAt || now < worker.settledAt) {
         return;
     }
     run.isConfirmed = true;
--- a/tests/core/cells/cell_start_records_test.cpp
+++ b/tests/core/cells/cell_start_records_test.cpp
@@ -255,4 +255,45 @@
     }
 }
 
+// Guards against a service task that waits for the longest lease, since its adopted run is never confirmed.
+TEST(CellOwner, RestartsAnAdoptedServiceTaskAfterTheUsualLease)
+{
+    const auto awayFor = [](bool isUpgraded, int age) {
+        CellSite site;
+        site.omitsStarts = isUpgraded;
+        fillLooms(site, 2);
+        GraphSpec spec = serviceJob(2, 1);
+        spec.steps.front().maxPerWorker = 1;
+        site.submit(site.owner(), "svc", "plans", spec);
+        site.run(Duration(3'000));
+        EXPECT_EQ(site.runningOn("w0") + site.runningOn("w1"), 2);
+        const std::string first = site.owner();
+        changeOwner(site, &CellSite::kill);
+        site.restart(first);
+        site.omitsStarts = false;
+        site.run(Duration(age));
+        // The other task starts again, which stores the progress of the job.
+        site.crash("w1");
+        site.revive("w1");
+        site.run(Duration(age));
+        EXPECT_EQ(site.runningOn("w0") + site.runningOn("w1"), 2);
+        site.addWorker("w2", "looms", 8'000);
+        site.run(Duration(1'000));
+        site.worker("w0").cut = true;
+        const std::int64_t cutAt = site.time();
+        changeOwner(site, &CellSite::kill);
+        const std::size_t before = site.runningOn("w2");
+        for (int waited = 0; waited < 20'000 && site.runningOn("w2") == before; waited += 10) {
+            site.run(Duration(10));
+        }
+        expectNothingBroken(site);
+        return site.time() - cutAt;
+    };
+    story("a service task is adopted from an owner, and its worker is cut off 30 s later", [&] {
+        const std::int64_t usual = awayFor(false, 15'000);
+        section("it is away for as long if the first owner recorded no starts",
+                [&] { EXPECT_NEAR(awayFor(true, 15'000), usual, 500); });
+    });
+}
+
 } // namespace radishvane::tests
