Check stored starts together before any of them is sent

What callers would see: a part of a gang runs alone and ends as gang-incomplete, and jobs that need tickets never run while a write takes as long as a ticket is valid. Cause: stored starts were checked and sent one by one, so that the first members of a gang were out when a later one could not start. A start whose ticket had expired was withdrawn and planned again, with a ticket that expired in the same way. Change: all stored starts are checked first, and a member that cannot start takes its gang with it. A stored start that lacks only a ticket waits for a new one, for 5 s at most; members of gangs are planned anew. Capacity and pool of the worker are checked again as well.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -118,6 +118,7 @@
     CandidateWorkers candidates(m_roster, now);
     m_unknownRuns.emplace(m_roster, now);
     m_runs.reserveInheritedUsage(config);
+    requestTickets(config);
     std::size_t starts = 0;
     for (const ReadyStep &ready : rankReadySteps(m_registry, config, m_outbox.now)) {
         const Job &job = *m_registry.find(ready.job);
@@ -327,6 +328,7 @@
     start.run = number;
     start.checkpoint = checkpoint;
     start.incarnationNumber = worker.incarnationNumber;
+    start.plannedAt = m_outbox.now.steady;
     start.needsTicket = !m_admission.ticket(ready, worker).empty();
     start.safety = safetyOf(id);
     Run run;
@@ -356,49 +358,105 @@
 
 void StartController::sendRecorded()
 {
-    for (const TaskId &id : std::exchange(m_recorded, {})) {
+    const std::vector<TaskId> recorded = std::exchange(m_recorded, {});
+    // A member of a gang that cannot start takes the others with it, so that all are checked before any is sent.
+    std::vector<TaskId> ready;
+    for (const TaskId &id : recorded) {
         const auto found = m_unsent.find(id);
         if (found == m_unsent.end()) {
             continue;
         }
-        const UnsentStart start = std::move(found->second);
-        m_unsent.erase(found);
-        Run *run = runOf(id, start);
-        if (run == nullptr) {
-            continue;
+        switch (readinessOf(id, found->second)) {
+        case Readiness::Ready:
+            ready.push_back(id);
+            break;
+        case Readiness::LacksTicket:
+            m_recorded.push_back(id);
+            m_planningRequested = true;
+            break;
+        case Readiness::Needless:
+            withdraw(id);
+            break;
         }
-        Worker *worker = m_roster.find(run->worker);
-        if (run->stopRequested || !maySend(start, worker)) {
-            m_runs.withdrawRun(id);
+    }
+    for (const TaskId &id : ready) {
+        const UnsentStart &start = m_unsent.at(id);
+        Run &run = *runOf(id, start);
+        if (run.stopRequested) {
+            withdraw(id);
             continue;
         }
-        send(id, start, *run, *worker);
+        send(id, start, run, *m_roster.find(run.worker));
+        m_unsent.erase(id);
     }
 }
 
-void StartController::withdrawStopped()
+StartController::Readiness StartController::readinessOf(const TaskId &id, const UnsentStart &start)
+{
+    const Run *run = runOf(id, start);
+    const Worker *worker = run == nullptr ? nullptr : m_roster.find(run->worker);
+    const TimePoint now = m_outbox.now.steady;
+    if (worker == nullptr || run->stopRequested || worker->incarnationNumber != start.incarnationNumber
+        || worker->pool != start.step.pool || !worker->acceptsTasks(now)
+        || !(worker->used + worker->foreignUsed).fitsIn(worker->room())) {
+        return Readiness::Needless;
+    }
+    if (!start.needsTicket || !m_admission.ticket(start.step, *worker).empty()) {
+        return Readiness::Ready;
+    }
+    // The tickets of a gang are valid together only if they are asked for together.
+    const bool mayWait = !m_registry.spec(id)->gang && now - start.plannedAt < maxTicketWait;
+    return mayWait ? Readiness::LacksTicket : Readiness::Needless;
+}
+
+void StartController::requestTickets(const SiteConfig &config)
 {
-    for (auto next = m_unsent.begin(); next != m_unsent.end();) {
-        const Run *run = runOf(next->first, next->second);
-        if (run != nullptr && !run->stopRequested) {
-            ++next;
+    for (const TaskId &id : m_recorded) {
+        const auto found = m_unsent.find(id);
+        const Run *run = found == m_unsent.end() ? nullptr : runOf(id, found->second);
+        const Job *job = m_registry.find(id.job);
+        const auto queue = job == nullptr ? config.queues.end() : config.queues.find(job->row.queue);
+        if (run == nullptr || queue == config.queues.end() || !queue->second.admission) {
             continue;
         }
-        const TaskId id = next->first;
-        next = m_unsent.erase(next);
-        if (run != nullptr) {
-            m_runs.withdrawRun(id);
+        AdmissionController::Request request;
+        request.step = found->second.step;
+        request.times = *queue->second.admission;
+        request.tasks = 1;
+        request.withCapacity = {m_roster.find(run->worker)};
+        m_admission.request(request);
+    }
+}
+
+void StartController::withdraw(const TaskId &id)
+{
+    const auto found = m_unsent.find(id);
+    const UnsentStart start = std::move(found->second);
+    m_unsent.erase(found);
+    if (runOf(id, start) != nullptr) {
+        m_runs.withdrawRun(id);
+    }
+}
+
+void StartController::withdrawStopped()
+{
+    std::vector<TaskId> needless;
+    for (const auto &[id, start] : m_unsent) {
+        const Run *run = runOf(id, start);
+        if (run == nullptr || run->stopRequested) {
+            needless.push_back(id);
         }
     }
+    for (const TaskId &id : needless) {
+        withdraw(id);
+    }
 }
 
 void StartController::withdrawUnsent()
 {
     m_recorded.clear();
-    for (const auto &[id, start] : std::exchange(m_unsent, {})) {
-        if (runOf(id, start) != nullptr) {
-            m_runs.withdrawRun(id);
-        }
+    while (!m_unsent.empty()) {
+        withdraw(m_unsent.begin()->first);
     }
 }
 
@@ -410,15 +468,6 @@
     return isCurrent ? &*task->run : nullptr;
 }
 
-bool StartController::maySend(const UnsentStart &start, const Worker *worker) const
-{
-    if (worker == nullptr || worker->incarnationNumber != start.incarnationNumber
-        || !worker->acceptsTasks(m_outbox.now.steady)) {
-        return false;
-    }
-    return !start.needsTicket || !m_admission.ticket(start.step, *worker).empty();
-}
-
 void StartController::send(const TaskId &id, const UnsentStart &start, Run &run, Worker &worker)
 {
     const TimePoint now = m_outbox.now.steady;
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -37,6 +37,8 @@
     static constexpr std::size_t maxStartsPerPass = 64;
     /// Age at which a start without an answer is stored for later owners.
     static constexpr Duration unansweredAge{100};
+    /// Time from planning after which a stored start whose ticket has expired is withdrawn.
+    static constexpr Duration maxTicketWait{5'000};
     /// Shortest interval between two planning passes while the pacer limits the starts.
     static constexpr Duration pacedPlanningInterval{10};
 
@@ -79,11 +81,21 @@
         std::string checkpoint;
         /// Incarnation of the worker that the start was planned for.
         std::uint64_t incarnationNumber = 0;
+        TimePoint plannedAt;
         bool needsTicket = false;
         /// What made the start safe, for the log.
         std::string safety;
     };
 
+    /// Whether the order of a stored start may be sent.
+    enum class Readiness {
+        Ready,
+        /// Its ticket has expired.
+        LacksTicket,
+        /// The worker can no longer get it, or it was stopped.
+        Needless,
+    };
+
     /// A start order without an answer yet.
     struct PendingStart
     {
@@ -122,8 +134,11 @@
               const std::string &checkpoint);
     /// The run that @p start began, unless it has ended meanwhile.
     Run *runOf(const TaskId &id, const UnsentStart &start);
-    /// Whether the worker may still get the start.
-    bool maySend(const UnsentStart &start, const Worker *worker) const;
+    Readiness readinessOf(const TaskId &id, const UnsentStart &start);
+    /// Asks for new tickets for stored starts whose tickets have expired.
+    void requestTickets(const SiteConfig &config);
+    /// Forgets a start that is not sent, and withdraws its run.
+    void withdraw(const TaskId &id);
     void send(const TaskId &id, const UnsentStart &start, Run &run, Worker &worker);
     /// What makes the start of an inherited task safe, for the log; empty for other tasks.
     std::string safetyOf(const TaskId &id) const;
--- a/tests/core/cells/cell_start_records_test.cpp
+++ b/tests/core/cells/cell_start_records_test.cpp
@@ -255,6 +255,29 @@
     }
 }
 
+// Guards against a gang of which a part is sent although one member can no longer be started.
+TEST(CellOwner, SendsNoMemberOfAGangOfWhichAnotherCannotStart)
+{
+    for (int waveAt = 0; waveAt < 1'200; waveAt += 100) {
+        story("a gang is submitted, and the host of one member gets its maintenance " + std::to_string(waveAt)
+                  + " ms later",
+              [&] {
+                  CellSite site;
+                  fillLooms(site, 2);
+                  site.run(Duration(1'000));
+                  site.storeDelay = 500;
+                  GraphSpec gang = graphOf(1, 2, 5'000, Duration(300));
+                  gang.steps.front().gang = true;
+                  site.submit(site.owner(), "j1", "plans", gang);
+                  site.run(Duration(waveAt));
+                  site.addWave(1, {"w1"}, 1);
+                  site.run(Duration(1'500));
+                  section("all members start, or none", [&] { EXPECT_NE(site.runs("j1"), 1); });
+                  expectNothingBroken(site);
+              });
+    }
+}
+
 // Guards against a service task that waits for the longest lease, since its adopted run is never confirmed.
 TEST(CellOwner, RestartsAnAdoptedServiceTaskAfterTheUsualLease)
 {
@@ -296,4 +319,27 @@
     });
 }
 
+// Guards against tickets that expire each time while the start that needs them is being stored.
+TEST(CellOwner, StartsTasksWhoseTicketsAreShorterThanAWriteOfTheStore)
+{
+    for (const int validity : {3'000, 1'000, 500, 300}) {
+        for (const int storeDelay : {6, 150, 300, 450}) {
+            story("tickets are valid for " + std::to_string(validity) + " ms, and a write takes "
+                      + std::to_string(storeDelay) + " ms",
+                  [&] {
+                      CellSite site;
+                      fillLooms(site, 2);
+                      site.setAdmission("plans", AdmissionTimes{Duration(20), Duration(2), Duration(validity)});
+                      site.admitted = {"w0", "w1"};
+                      site.run(Duration(1'000));
+                      site.storeDelay = storeDelay;
+                      site.submit(site.owner(), "j1", "plans", graphOf(1, 4, 1'000, Duration(300)));
+                      site.run(Duration(10'000));
+                      section("the job is completed", [&] { EXPECT_EQ(site.state("j1"), GraphState::Completed); });
+                      expectNothingBroken(site);
+                  });
+        }
+    }
+}
+
 } // namespace radishvane::tests
