Use recorded starts only of jobs whose starts are all recorded

Cause, by reading in the review of: a release named the worker of a recorded start even if an owner of an earlier version had started the task elsewhere since; late starts that only repeat a record took the places of others in the row of a large job; and run numbers of recorded starts were not kept. Change: the release asks whether the starts of the job are recorded, repeated late starts are left out, and run numbers continue after the recorded one.

--- a/core/cells/job_registry.cpp
+++ b/core/cells/job_registry.cpp
@@ -68,7 +68,10 @@
         }
     };
     for (const AbandonedStart &start : task.abandonedStarts) {
-        add(start.worker, start.run, start.lateUntil);
+        // The record of the start says the same.
+        if (!start.isAssumed || !task.recordedStart) {
+            add(start.worker, start.run, start.lateUntil);
+        }
     }
     if (task.run && task.run->phase != RunPhase::Running && task.run->orderedAt != TimePoint{}) {
         add(task.run->worker, task.run->number, task.run->orderedAt + AbandonedStart::maxDelay);
@@ -167,6 +170,7 @@
     Task *started = task(TaskId{job, start.occurrence, start.step, start.index});
     if (started != nullptr && !started->progress.done && start.run > started->progress.endedRun) {
         started->recordedStart = start;
+        started->startedRun = std::max(started->startedRun, start.run);
     }
 }
 
--- a/core/cells/job_registry.h
+++ b/core/cells/job_registry.h
@@ -70,6 +70,8 @@
     RunNumber run = 0;
     /// The order is not carried out after this time.
     TimePoint lateUntil;
+    /// An earlier owner has recorded the start, and this one does not know whether it had an answer.
+    bool isAssumed = false;
 };
 
 struct Task
--- a/core/cells/released_runs.cpp
+++ b/core/cells/released_runs.cpp
@@ -108,7 +108,7 @@
     if (!task.run && !unknownRuns.mayExist(job, step, task)) {
         return Place{0, ReleasedTask::nowhere};
     }
-    if (!task.run && task.recordedStart) {
+    if (!task.run && job.areStartsRecorded && task.recordedStart) {
         return rows.placeOf(task.recordedStart->worker);
     }
     return rows.placeOf(task.run ? task.run->worker : task.releasedOn);
--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -88,7 +88,7 @@
         m_runs.expectLateOrders(start.worker, lateUntil);
         if (Task *task = m_registry.task(id); task != nullptr && task->recordedStart == start) {
             // The order may be carried out after this owner has called the worker.
-            task->abandonedStarts.push_back(AbandonedStart{start.worker, start.run, lateUntil});
+            task->abandonedStarts.push_back(AbandonedStart{start.worker, start.run, lateUntil, true});
         }
         const StepSpec *spec = m_registry.spec(id);
         // Starts of other tasks are confirmed in the store only by chance, and those tasks wait for the longest lease.
