Acknowledge ends so that a worker's next life cannot forget others

What callers saw: a task that was done started again (TWICE), after its worker had crashed and was back under its id. Cause: numbers of ends begin at 1 in each life of a worker, and only the fencing token, which rose when the owner had learned of the restart, ties an acknowledgement to a life. One that is held up and carried out by the next life makes it forget the end of a run whose start has reached that life as well. Change: the first start after an acknowledgement without an answer carries a higher fencing token, so that the life that carries the start out refuses the acknowledgement, however late. An acknowledgement goes only while each start to the worker is known to have been carried out by the present life or refused: by a list, or by an answer whose clock no later life can have. A renewal that such a start has overtaken is repeated at once. The model can now lose one acknowledgement.

--- a/core/cells/run_controller.cpp
+++ b/core/cells/run_controller.cpp
@@ -75,8 +75,14 @@
             worker->inheritedUsuallyUntil = worker->inheritedUntil;
         }
     };
+    const auto expectStart = [this](const WorkerId &id, const TaskId &task, RunNumber run, TimePoint until) {
+        m_runs.expectLateOrders(id, until);
+        if (Worker *worker = m_roster.find(id)) {
+            worker->unlistedStarts[{task, run}] = UnlistedStart{until};
+        }
+    };
     for (const LateStart &late : row.lateStarts) {
-        m_runs.expectLateOrders(late.worker, now + late.left);
+        expectStart(late.worker, TaskId{row.id, late.occurrence, late.step, late.index}, late.run, now + late.left);
         expectLongestLease(late.worker);
     }
     for (const RecordedStart &start : row.starts) {
@@ -85,7 +91,7 @@
         }
         const TaskId id{row.id, start.occurrence, start.step, start.index};
         const TimePoint lateUntil = now + inheritedLease();
-        m_runs.expectLateOrders(start.worker, lateUntil);
+        expectStart(start.worker, id, start.run, lateUntil);
         if (Task *task = m_registry.task(id); task != nullptr && task->recordedStart == start) {
             // The order may be carried out after this owner has called the worker.
             task->abandonedStarts.push_back(AbandonedStart{start.worker, start.run, lateUntil});
--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -430,7 +430,11 @@
     // The estimated clock may be ahead of the worker's, and a later owner relies on the length of the lease.
     order.deadline
         = std::min(worker.estimatedClock(now) + startWindow.count(), worker.leaseDeadlineAfter(m_times.leaseTime, now));
-    order.fence = m_outbox.workerFence(worker.incarnationNumber);
+    if (worker.openAcknowledgements > 0) {
+        // An acknowledgement that the next incarnation carries out after the start would make it forget the run's end.
+        m_roster.raiseFence(worker);
+    }
+    order.fence = m_outbox.workerFence(worker.fenceNumber);
     order.checkpoint = start.checkpoint;
     order.ticket = m_admission.ticket(start.step, worker);
     worker.leaseDeadline = std::max(worker.leaseDeadline, order.deadline);
@@ -443,6 +447,8 @@
                                                    std::chrono::duration_cast<Duration>(now - worker.clockAt)}});
     m_pendingStarts[m_outbox.send(std::move(order))] = {id, start.run, now, worker.id, worker.incarnationNumber};
     ++worker.pendingStarts;
+    std::erase_if(worker.unlistedStarts, [now](const auto &known) { return now >= known.second.lateUntil; });
+    worker.unlistedStarts[{id, start.run}] = UnlistedStart{now + AbandonedStart::maxDelay};
     if (worker.renewal.value == 0) {
         // The lease must cover the start deadline even when the next periodic renewal is late.
         worker.nextRenewal = std::min(worker.nextRenewal, now);
@@ -502,6 +508,12 @@
         worker->pendingStarts -= std::min<std::size_t>(worker->pendingStarts, 1);
         if (event.outcome == OrderOutcome::Unknown) {
             m_runs.recordUnansweredStart(*worker);
+        } else if (event.outcome != OrderOutcome::Accepted || worker->incarnationNumber != start.incarnationNumber
+                   || (event.clock && worker->isOwnClock(*event.clock, m_outbox.now.steady))) {
+            worker->unlistedStarts.erase({start.task, start.run});
+        } else if (const auto known = worker->unlistedStarts.find({start.task, start.run});
+                   known != worker->unlistedStarts.end()) {
+            known->second.isAccepted = true;
         }
     }
     applyClock(start, event);
--- a/core/cells/stop_controller.cpp
+++ b/core/cells/stop_controller.cpp
@@ -56,7 +56,7 @@
         order.worker = worker->address();
         order.task = id;
         order.run = run.number;
-        order.fence = m_outbox.workerFence(worker->incarnationNumber);
+        order.fence = m_outbox.workerFence(worker->fenceNumber);
         run.stop = m_outbox.send(order);
         m_pendingStops[run.stop] = id;
     }
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -41,7 +41,7 @@
         }
         const bool needsContact = (!worker.fenced || worker.unreachable) && (worker.entry || !worker.isReconciled(now));
         const bool hasEnds = worker.processed > worker.acknowledged;
-        const bool mayAcknowledge = worker.stored == worker.processed;
+        const bool mayAcknowledge = worker.hasStoredEnds();
         const bool mayGetLateOrders = now < worker.lateOrdersUntil && worker.entry;
         if (needsContact || mayGetLateOrders || (hasEnds && mayAcknowledge)
             || (!hasEnds && !(worker.tasks.empty() && worker.foreignTasks.empty() && !worker.hasUnknownTasks))) {
@@ -61,10 +61,13 @@
     const TimePoint now = m_outbox.now.steady;
     LeaseRenewalOrder order;
     order.worker = worker.address();
-    order.fence = m_outbox.workerFence(worker.incarnationNumber);
+    order.fence = m_outbox.workerFence(worker.fenceNumber);
+    worker.renewalFenceNumber = worker.fenceNumber;
     // The worker may have restarted, and would forget the first ends of its new incarnation.
-    order.acknowledged = worker.stored > worker.acknowledged ? worker.stored : 0;
+    const bool hasEnds = worker.stored > worker.acknowledged;
+    order.acknowledged = hasEnds && worker.mayAcknowledge(now) ? worker.stored : 0;
     worker.renewalAcknowledges = order.acknowledged;
+    worker.openAcknowledgements += order.acknowledged > 0 ? 1 : 0;
     worker.previousDeadline = worker.leaseDeadline;
     // An unreachable worker is only queried. A renewal without an answer may or may not extend the lease, so that the
     // owner could never know when it has expired.
@@ -72,7 +75,9 @@
         order.deadline = worker.leaseDeadlineAfter(m_times.leaseTime, now);
         worker.leaseDeadline = std::max(worker.leaseDeadline, *order.deadline);
     }
-    if (worker.fenced && !worker.unreachable && (order.deadline || now < worker.lateOrdersUntil)) {
+    // A list that is to show starts before the acknowledgement does not wait.
+    const bool isListOnly = hasEnds && order.acknowledged == 0;
+    if (worker.fenced && !worker.unreachable && !isListOnly && (order.deadline || now < worker.lateOrdersUntil)) {
         order.wait = renewalWait;
     }
     worker.renewal = m_outbox.send(order);
@@ -113,6 +118,11 @@
         return;
     }
     const TimePoint now = m_outbox.now.steady;
+    if (event.outcome == OrderOutcome::Fenced && worker->renewalFenceNumber < worker->fenceNumber) {
+        // A start with a higher fencing token has overtaken the renewal.
+        worker->nextRenewal = now;
+        return;
+    }
     if (event.outcome != OrderOutcome::Accepted) {
         worker->nextRenewal = now + renewalRetry;
         worker->unreachable = true;
@@ -146,6 +156,7 @@
     worker->startedAtMs = std::max(worker->startedAtMs, event.report.startedAtMs);
     worker->clock = event.report.clock;
     worker->clockAt = now;
+    worker->aliveSince = worker->renewalSentAt;
     if (!worker->fenced) {
         if (now < worker->settledAt || (worker->mayHoldLongestLease && now < worker->inheritedUntil)) {
             m_runs.settleIncarnation(*worker);
@@ -158,12 +169,26 @@
     applyRunning(*worker, event.report, worker->renewalSentAt);
     endUnlistedRuns(*worker, event.report, worker->renewalSentAt);
     worker->acknowledged = std::max(worker->acknowledged, worker->renewalAcknowledges);
+    if (worker->renewalAcknowledges > 0 && worker->renewalFenceNumber == worker->fenceNumber) {
+        worker->openAcknowledgements -= std::min<std::size_t>(worker->openAcknowledgements, 1);
+    }
+    if (worker->stored > worker->acknowledged && worker->hasStoredEnds()) {
+        // Starts that are sent before the next renewal would delay the acknowledgement. A list that does not show an
+        // earlier start is not followed by another at once.
+        const TimePoint latest = worker->renewalSentAt + AbandonedStart::maxDelay;
+        const bool hasMissing
+            = std::any_of(worker->unlistedStarts.begin(), worker->unlistedStarts.end(), [&](const auto &start) {
+                  return now < start.second.lateUntil && start.second.lateUntil <= latest;
+              });
+        worker->nextRenewal = worker->mayAcknowledge(now) ? now : now + (hasMissing ? renewalRetry : renewalPause);
+    }
     m_runs.requestPlanning();
 }
 
 void WorkerLeaseController::applyEnded(Worker &worker, const LeaseRenewalReport &report)
 {
     for (const EndedRow &row : report.ended) {
+        worker.unlistedStarts.erase({row.task, row.run});
         if (row.number > worker.processed) {
             worker.processed = row.number;
             applyEnd(worker, row);
@@ -224,6 +249,7 @@
     const TimePoint now = m_outbox.now.steady;
     m_runs.clearForeign(worker);
     for (const RunningRow &row : report.running) {
+        worker.unlistedStarts.erase({row.task, row.run});
         m_registry.openInheritedOccurrence(row.task);
         Task *task = m_registry.task(row.task);
         const bool isKnown
@@ -235,7 +261,7 @@
                 order.worker = worker.address();
                 order.task = row.task;
                 order.run = row.run;
-                order.fence = m_outbox.workerFence(worker.incarnationNumber);
+                order.fence = m_outbox.workerFence(worker.fenceNumber);
                 m_outbox.send(order);
                 m_outbox.log(CellDecision::TaskStopped, taskName(row.task), worker.id.name(), row.run, "unknown-run");
             }
--- a/core/cells/worker_roster.cpp
+++ b/core/cells/worker_roster.cpp
@@ -11,6 +11,8 @@
 
 /// Lower bound of a worker's clock rate relative to the local clock (published by the platform: 2 % slower).
 constexpr double slowestClock = 0.98;
+/// Clock that a new incarnation may show when it starts.
+constexpr double clockMarginMs = 50;
 /// Time that a worker takes to end runs whose leases have expired.
 constexpr std::int64_t leaseExpiryMarginMs = 250;
 /// A list of hosts that is requested this long after an order reflects the effect of the order.
@@ -51,6 +53,14 @@
     return stored >= processed;
 }
 
+bool Worker::mayAcknowledge(TimePoint now) const
+{
+    // The further ends of a full list, among which those of unlisted starts may be, come only after an acknowledgement.
+    return hasUnlistedEnds || std::none_of(unlistedStarts.begin(), unlistedStarts.end(), [now](const auto &start) {
+               return now < start.second.lateUntil;
+           });
+}
+
 bool Worker::isIdle() const
 {
     return tasks.empty() && foreignTasks.empty() && !hasUnknownTasks && !hasUnlistedEnds && hasStoredEnds();
@@ -88,6 +98,11 @@
     }
 }
 
+bool Worker::isOwnClock(std::int64_t reading, TimePoint now) const
+{
+    return aliveSince != TimePoint{} && static_cast<double>(reading) > toMilliseconds(now - aliveSince) + clockMarginMs;
+}
+
 std::int64_t Worker::leaseDeadlineAfter(Duration leaseTime, TimePoint now) const
 {
     return minClock(now) + leaseTime.count();
@@ -143,6 +158,7 @@
             }
             worker.id = known.id;
             worker.incarnationNumber = ++m_incarnations;
+            worker.fenceNumber = worker.incarnationNumber;
             worker.host = known.host;
             worker.pool = known.pool;
             worker.endpoint = known.endpoint;
@@ -194,6 +210,7 @@
         if (isNew) {
             worker.id = entry.id;
             worker.incarnationNumber = ++m_incarnations;
+            worker.fenceNumber = worker.incarnationNumber;
             worker.startedAtMs = entry.startedAtMs;
             worker.inheritedUntil = m_unknownUntil;
             worker.inheritedUsuallyUntil = m_unknownUntil;
@@ -356,10 +373,17 @@
     m_partBytes.try_emplace(part, emptyPartBytes);
 }
 
+void WorkerRoster::raiseFence(Worker &worker)
+{
+    worker.fenceNumber = ++m_incarnations;
+    worker.openAcknowledgements = 0;
+}
+
 void WorkerRoster::beginIncarnation(Worker &worker, std::int64_t startedAtMs)
 {
     worker.startedAtMs = startedAtMs;
     worker.incarnationNumber = ++m_incarnations;
+    worker.fenceNumber = worker.incarnationNumber;
     worker.fenced = false;
     worker.unreachable = false;
     worker.hasUnlistedEnds = false;
@@ -377,6 +401,9 @@
     worker.stored = 0;
     worker.acknowledged = 0;
     worker.renewalAcknowledges = 0;
+    worker.aliveSince = TimePoint{};
+    worker.openAcknowledgements = 0;
+    std::erase_if(worker.unlistedStarts, [](const auto &start) { return start.second.isAccepted; });
     worker.foreignTasks.clear();
     worker.foreignUsed = Resources{};
     worker.hasUnknownTasks = false;
--- a/core/cells/worker_roster.h
+++ b/core/cells/worker_roster.h
@@ -18,6 +18,16 @@
     Longest,
 };
 
+/// A start order that has not been refused, and that neither a list of the worker nor the clock in an answer shows to
+/// have been carried out by the incarnation that it was meant for.
+struct UnlistedStart
+{
+    /// Time after which the order is no longer carried out.
+    TimePoint lateUntil;
+    /// An incarnation of the worker has accepted the order, so that no later one carries it out.
+    bool isAccepted = false;
+};
+
 /// State of one worker as known to the owner of a cell.
 struct Worker
 {
@@ -28,6 +38,9 @@
     std::int64_t startedAtMs = 0;
     /// Number of the incarnation; it rises with each incarnation of any worker that the owner learns of.
     std::uint64_t incarnationNumber = 0;
+    /// Lower half of the fencing token of the orders to the worker. It rises with each incarnation of any worker, and
+    /// with the first start after an acknowledgement that may still be carried out.
+    std::uint64_t fenceNumber = 0;
     /// Its entry in discovery; empty while discovery does not list the worker.
     std::optional<WorkerEntry> entry;
 
@@ -79,10 +92,14 @@
     /// Starts without an answer may be carried out until this time by the next incarnation, which refuses them once it
     /// has been called.
     TimePoint lateOrdersUntil;
+    /// Starts of this owner and of earlier ones.
+    std::map<std::pair<TaskId, RunNumber>, UnlistedStart> unlistedStarts;
 
     /// The pending lease renewal; 0 if none.
     CallId renewal;
     TimePoint renewalSentAt;
+    /// When the last renewal that the incarnation has answered was sent. A later incarnation is younger than that.
+    TimePoint aliveSince;
     TimePoint nextRenewal;
     /// Number of the last ended run that the job registry includes.
     std::uint64_t processed = 0;
@@ -92,6 +109,10 @@
     std::uint64_t acknowledged = 0;
     /// Number of the last ended run that the pending lease renewal acknowledges.
     std::uint64_t renewalAcknowledges = 0;
+    /// Fence number of the pending lease renewal.
+    std::uint64_t renewalFenceNumber = 0;
+    /// Acknowledgements with the present fencing token that have no answer.
+    std::size_t openAcknowledgements = 0;
 
     /// Tasks that run or may run on the worker.
     std::set<TaskId> tasks;
@@ -113,11 +134,17 @@
 
     /// Whether every run that an earlier owner may have started on the worker is known or has ended.
     bool isReconciled(TimePoint now, LeaseBound bound = LeaseBound::Longest) const;
+    /// Whether an answer at @p now with a reading of the worker's clock is from the incarnation that is known, since
+    /// the clock of a later one would be behind.
+    bool isOwnClock(std::int64_t reading, TimePoint now) const;
     /// Whether a task may be started on the worker.
     bool acceptsTasks(TimePoint now) const;
     /// Whether the store holds the end of every run that the worker has reported as ended. Until then the worker's own
     /// list is the only record that a later owner can read.
     bool hasStoredEnds() const;
+    /// Whether ends that are stored may be acknowledged. The acknowledgement may reach the next incarnation, and must
+    /// not make it forget the end of a run whose start has reached that incarnation as well.
+    bool mayAcknowledge(TimePoint now) const;
     /// Whether nothing runs on the worker and nothing is lost when it ends.
     bool isIdle() const;
     bool hasLabel(const std::string &label) const;
@@ -187,6 +214,8 @@
     /// The workers that may have received orders and whose leases are not known to have expired, in parts. A part
     /// whose workers are gone is empty.
     std::vector<RosterRow> rows(TimePoint now) const;
+    /// Lets the worker refuse all earlier orders once it has carried out the next one.
+    void raiseFence(Worker &worker);
     /// Resets the state of a worker for a new incarnation.
     void beginIncarnation(Worker &worker, std::int64_t startedAtMs);
 
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -117,6 +117,8 @@
     std::optional<std::int64_t> loseNextStart;
     /// The next lease renewal with a deadline gets no answer, and is carried out after so many milliseconds.
     std::optional<std::int64_t> loseNextRenewal;
+    /// The next acknowledgement of ends gets no answer, and is carried out after so many milliseconds.
+    std::optional<std::int64_t> loseNextAcknowledgement;
     /// Requests of entry hosts for a handover.
     std::uint64_t handoverRequests = 0;
     /// Workers for which the admission service gives tickets.
@@ -304,6 +306,8 @@
     void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
     void extendLease(const cells::LeaseRenewalOrder &order);
+    /// Extends the lease and forgets the acknowledged ends, unless the worker has seen a higher fencing token.
+    cells::OrderOutcome carryOut(ModelWorker &worker, const cells::LeaseRenewalOrder &order);
     void answerLeaseRenewal(const Caller &caller, const cells::LeaseRenewalOrder &order, std::int64_t until);
     void checkHostIsStored(const HostId &host);
     /// Whether the host service accepts one more order in this second.
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -504,6 +504,16 @@
         loseNextRenewal.reset();
         return;
     }
+    if (loseNextAcknowledgement && order.acknowledged > 0) {
+        later(*loseNextAcknowledgement, [this, order] {
+            if (ModelWorker *worker = reach(order.worker)) {
+                carryOut(*worker, order);
+            }
+        });
+        later(callTimeout + order.wait.count(), unknown);
+        loseNextAcknowledgement.reset();
+        return;
+    }
     const std::int64_t sendDelay = linkDelay(caller, 0, unknown);
     later(sendDelay + workerDelay, [this, caller, order, unknown] {
         ModelWorker *worker = reach(order.worker);
@@ -511,23 +521,10 @@
             later(callTimeout, unknown);
             return;
         }
-        if (order.fence < worker->fence) {
+        if (carryOut(*worker, order) != OrderOutcome::Accepted) {
             give(caller, LeaseRenewalAnswered{order.call, OrderOutcome::Fenced, {}});
             return;
         }
-        worker->fence = order.fence;
-        if (order.deadline) {
-            worker->deadline = std::max(worker->deadline, std::min(*order.deadline, clockOf(*worker) + mostHold));
-        }
-        for (const EndedRow &row : worker->ended) {
-            if (row.number <= order.acknowledged && row.how == RunEnd::Done) {
-                m_doneNoted[row.task] = row.run;
-            }
-            if (row.number <= order.acknowledged && row.how == RunEnd::Failed) {
-                m_notedFailures[row.task].insert(row.run);
-            }
-        }
-        std::erase_if(worker->ended, [&order](const EndedRow &row) { return row.number <= order.acknowledged; });
         answerLeaseRenewal(caller, order, m_now + order.wait.count());
     });
 }
@@ -542,6 +539,27 @@
     worker->deadline = std::max(worker->deadline, std::min(*order.deadline, clockOf(*worker) + mostHold));
 }
 
+OrderOutcome CellSite::carryOut(ModelWorker &worker, const LeaseRenewalOrder &order)
+{
+    if (order.fence < worker.fence) {
+        return OrderOutcome::Fenced;
+    }
+    worker.fence = order.fence;
+    if (order.deadline) {
+        worker.deadline = std::max(worker.deadline, std::min(*order.deadline, clockOf(worker) + mostHold));
+    }
+    for (const EndedRow &row : worker.ended) {
+        if (row.number <= order.acknowledged && row.how == RunEnd::Done) {
+            m_doneNoted[row.task] = row.run;
+        }
+        if (row.number <= order.acknowledged && row.how == RunEnd::Failed) {
+            m_notedFailures[row.task].insert(row.run);
+        }
+    }
+    std::erase_if(worker.ended, [&order](const EndedRow &row) { return row.number <= order.acknowledged; });
+    return OrderOutcome::Accepted;
+}
+
 void CellSite::answerLeaseRenewal(const Caller &caller, const LeaseRenewalOrder &order, std::int64_t until)
 {
     ModelWorker *worker = reach(order.worker);
