--- a/tests/core/cells/worker_lease_controller_test.cpp
+++ b/tests/core/cells/worker_lease_controller_test.cpp
@@ -80,6 +80,62 @@
     });
 }
 
+// Guards against an acknowledgement that the next incarnation of the worker carries out after a start.
+TEST(WorkerLeaseController, AcknowledgesNoEndWhileAStartMayReachTheNextIncarnation)
+{
+    story("a worker's end is stored while a start to it has no answer", [] {
+        CellOutbox outbox;
+        CellWriter writer{testStoreLimits()};
+        RunLedger runs(outbox, writer);
+        WorkerLeaseController leases(outbox, writer, runs, CellTimes{});
+        outbox.now = Instant{TimePoint(std::chrono::hours(1'000)), WallTime{}};
+        WorkerEntry entry;
+        entry.id = WorkerId("w");
+        entry.startedAtMs = startedAtMs;
+        runs.roster().observe({entry});
+        Worker &worker = *runs.roster().find(entry.id);
+        const TaskId task{JobId("k"), 0, 0, 0};
+        const auto next = [&] {
+            outbox.now.steady += WorkerLeaseController::renewalRetry;
+            leases.renewLeases();
+            return renewalOf(outbox.take());
+        };
+        const auto first = next();
+        ASSERT_TRUE(first);
+        leases.answered(answerTo(*first, 1));
+        worker.stored = 1;
+        worker.unlistedStarts[{task, 2}] = UnlistedStart{outbox.now.steady + AbandonedStart::maxDelay};
+        section("a renewal asks for a list at once, and does not acknowledge the end", [&] {
+            const auto second = next();
+            ASSERT_TRUE(second);
+            EXPECT_EQ(second->acknowledged, 0);
+            EXPECT_EQ(second->wait, Duration(0));
+            LeaseRenewalAnswered answer = answerTo(*second, 1);
+            answer.report.running.push_back(RunningRow{task, 2, {}, 10, 0});
+            leases.answered(answer);
+        });
+        section("the end is acknowledged when the list has shown the start", [&] {
+            const auto third = next();
+            ASSERT_TRUE(third);
+            EXPECT_EQ(third->acknowledged, 1);
+            EXPECT_EQ(worker.openAcknowledgements, 1);
+        });
+        section("a renewal that a start with a higher fencing token has overtaken is repeated with that token", [&] {
+            const std::uint64_t former = worker.fenceNumber;
+            runs.roster().raiseFence(worker);
+            LeaseRenewalAnswered refused{worker.renewal, OrderOutcome::Fenced, {}};
+            leases.answered(refused);
+            EXPECT_FALSE(worker.unreachable);
+            leases.renewLeases();
+            const auto fourth = renewalOf(outbox.take());
+            ASSERT_TRUE(fourth);
+            EXPECT_EQ(fourth->acknowledged, 1);
+            EXPECT_EQ(fourth->fence, outbox.workerFence(worker.fenceNumber));
+            EXPECT_GT(worker.fenceNumber, former);
+        });
+    });
+}
+
 TEST(WorkerLeaseController, IgnoresTheListsOfAFormerIncarnation)
 {
     story("a worker restarts while the answer of its former incarnation is held up", [] {
