Complete a gang when the next owner reads the end of one member

Cause: RunLedger::endGang ended only members with a known run. The next owner does not know the run of a member on a lost worker, so that the member was neither done nor, without the others, to be started. Change: a member without a known run is completed with the others, since a gang ends done together and one such end represents all. Evidence: CellGangs.AreDoneWhenTheNextOwnerReadsTheEndOfOneMember failed in 2 of 2 stories with run_ledger.cpp as it was (the job is not completed), and passes.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -339,6 +339,9 @@
         if (task != nullptr && task->run && task->run->number == number) {
             release(member);
             m_registry.end(member, number, RunEnd::Done, maxFailures(id.job), m_outbox.now.steady);
+        } else if (task != nullptr && !task->run && !task->progress.done && !isFinal(m_registry.find(id.job)->state)) {
+            // An earlier owner started the run, and the member's worker has not listed it or is lost.
+            m_registry.complete(member, number, m_outbox.now.steady);
         }
     }
 }
--- a/tests/core/cells/cell_ends_test.cpp
+++ b/tests/core/cells/cell_ends_test.cpp
@@ -91,4 +91,37 @@
     }
 }
 
+// Guards against a gang that never ends, since a member's worker was lost before the next owner has read its end.
+TEST(CellGangs, AreDoneWhenTheNextOwnerReadsTheEndOfOneMember)
+{
+    for (const bool isBack : {false, true}) {
+        story(std::string("a gang ends without an owner, and a member's worker crashes")
+                  + (isBack ? " and is back" : ""),
+              [&] {
+                  CellSite site;
+                  fillLooms(site, 2);
+                  site.durations[JobId("j1")] = 1'000;
+                  GraphSpec spec = graphOf(1, 2, 5'000, Duration(1'000));
+                  spec.steps.front().gang = true;
+                  site.submit(site.owner(), "j1", "plans", spec);
+                  runUntil(site, [&] { return site.runs("j1") == 2; });
+                  site.run(Duration(500));
+                  site.kill(site.owner());
+                  site.run(Duration(700));
+                  ASSERT_EQ(site.runningOn("w0") + site.runningOn("w1"), 0);
+                  site.crash("w1");
+                  site.run(Duration(500));
+                  if (isBack) {
+                      site.revive("w1");
+                  }
+                  site.run(Duration(20'000));
+                  section("the job is completed without another run", [&] {
+                      EXPECT_EQ(site.state("j1"), GraphState::Completed);
+                      EXPECT_EQ(site.runs("j1"), 2);
+                  });
+                  expectNothingBroken(site);
+              });
+    }
+}
+
 } // namespace radishvane::tests
