Complete a gang when one end is read after another member was given up

What callers saw: an accepted job never ended (LOST). A gang of two was done; the worker of one member restarted before its end was read. Cause: the end of a run as done completes the members that still have that run. A member that had been given up, since its worker restarted, waited for another start, and a gang does not start while some of its members are done. Change: such a member is completed as well, as when the end of an earlier run is read: one end as done stands for all members. Evidence: CellGangs.AreDoneWhenOneEndIsReadAfterAnotherWorkerHasRestarted failed before and passes.

--- a/core/cells/run_ledger.cpp
+++ b/core/cells/run_ledger.cpp
@@ -339,6 +339,9 @@
         if (task != nullptr && task->run && task->run->number == number) {
             release(member);
             m_registry.end(member, number, RunEnd::Done, maxFailures(id.job), m_outbox.now.steady);
+        } else {
+            // Its run was given up when its worker restarted.
+            completeEarlier(member, number);
         }
     }
 }
--- a/tests/core/cells/cell_runs_test.cpp
+++ b/tests/core/cells/cell_runs_test.cpp
@@ -406,6 +406,37 @@
     });
 }
 
+TEST(CellGangs, AreDoneWhenOneEndIsReadAfterAnotherWorkerHasRestarted)
+{
+    story("a gang is done while its workers are cut off", [] {
+        CellSite site;
+        fillLooms(site, 2);
+        GraphSpec gang = graphOf(1, 2, 5'000, Duration(1'000));
+        gang.steps[0].gang = true;
+        site.durations[JobId("g")] = 1'000;
+        site.submit(site.owner(), "g", "plans", gang);
+        site.run(Duration(900));
+        ASSERT_EQ(site.runningOn("w0"), 1);
+        ASSERT_EQ(site.runningOn("w1"), 1);
+        site.worker("w0").cut = true;
+        site.worker("w1").cut = true;
+        site.run(Duration(300));
+        section("one of them restarts before its end is read", [&] {
+            site.crash("w1");
+            site.revive("w1");
+            site.run(Duration(2'000));
+            EXPECT_EQ(site.state("g"), GraphState::Running);
+        });
+        section("the end on the other one stands for both members", [&] {
+            site.worker("w0").cut = false;
+            site.run(Duration(15'000));
+            EXPECT_EQ(site.state("g"), GraphState::Completed);
+            EXPECT_EQ(site.runs("g"), 2);
+        });
+        expectNothingBroken(site);
+    });
+}
+
 TEST(CellGangs, DoNotHoldUpOtherTasksWhileTheyDoNotFit)
 {
     story("a gang that is larger than the pool, and a job that was submitted later", [] {
