Expect the late start of a former owner that the next one has repeated

What callers saw: a task ran twice at the same time (TWICE) in a random test; not seen on a site. Cause: an owner expects a late start that it has sent for 20 s, with the lease that it may bring, but one of the former owner for 10.35 s from the takeover. It starts the task again on the same worker, the worker restarts, its next incarnation carries out the order of the former owner and is silent, and the task starts elsewhere while that lease lasts. Change: when an owner repeats a start of the former one, it expects that start for as long as its own. What is not repeated waits as before. Evidence: CellOwner.WaitsForALateStartOfTheFormerOwnerThatItHasRepeated failed (7 s late: "two runs at a time") and passes. Trial that was not kept: 20 s for all starts of the former owner, which made two stories of silent workers wait beyond their bounds (cell_restart_test.cpp).

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -333,6 +333,7 @@
     run.number = number;
     run.worker = worker.id;
     run.phase = RunPhase::Recording;
+    expectRecordedStart(*m_registry.task(id));
     m_runs.allocate(worker, id);
     m_registry.begin(id, std::move(run));
     m_registry.task(id)->hasKnownRuns = true;
@@ -341,6 +342,20 @@
     m_runs.storeStarts(id.job);
 }
 
+void StartController::expectRecordedStart(Task &task)
+{
+    if (!task.recordedStart) {
+        return;
+    }
+    // The next incarnation of a worker that has been called may hold the longest lease from a late order.
+    for (AbandonedStart &start : task.abandonedStarts) {
+        if (start.run == task.recordedStart->run) {
+            start.lateUntil += AbandonedStart::maxDelay - m_times.longestLeaseTime();
+            m_runs.expectLateOrders(start.worker, start.lateUntil);
+        }
+    }
+}
+
 void StartController::recorded(const std::vector<ProgressRow> &rows)
 {
     for (const ProgressRow &row : rows) {
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -120,6 +120,8 @@
     /// Assigns a task to a worker, and has the start stored.
     void plan(const ReadyStep &ready, std::uint32_t index, Worker &worker, RunNumber number,
               const std::string &checkpoint);
+    /// Expects the late start of an earlier owner beside a run of the task that begins now.
+    void expectRecordedStart(Task &task);
     /// The run that @p start began, unless it has ended meanwhile.
     Run *runOf(const TaskId &id, const UnsentStart &start);
     /// Whether the worker may still get the start.
--- a/tests/core/cells/cell_start_records_test.cpp
+++ b/tests/core/cells/cell_start_records_test.cpp
@@ -98,6 +98,38 @@
     }
 }
 
+// Guards against a late start of the former owner that a restarted worker runs beside the third start of the task.
+TEST(CellOwner, WaitsForALateStartOfTheFormerOwnerThatItHasRepeated)
+{
+    for (const int delay : {4'500, 5'500, 7'000}) {
+        story("a start is " + std::to_string(delay) + " ms late, its owner is killed, and the next one repeats it",
+              [&] {
+                  CellSite site;
+                  submitWithLateStart(site, delay);
+                  site.durations[JobId("j1")] = 20'000;
+                  const std::int64_t sentAt = site.time();
+                  killOwnerAfterStart(site, 15);
+                  section("the worker restarts and carries out the first order", [&] {
+                      site.run(Duration(sentAt + delay - 900 - site.time()));
+                      ASSERT_EQ(site.runningOn("w0"), 1);
+                      site.crash("w0");
+                      site.run(Duration(300));
+                      site.revive("w0");
+                      site.worker("w0").listed = false;
+                      site.run(Duration(610));
+                      ASSERT_EQ(site.runningOn("w0"), 1);
+                  });
+                  site.worker("w0").cut = true;
+                  site.worker("w0").listed = true;
+                  section("the task starts elsewhere when the lease has expired", [&] {
+                      site.run(Duration(25'000));
+                      EXPECT_EQ(site.runs("j1"), 3);
+                  });
+                  expectNothingBroken(site);
+              });
+    }
+}
+
 TEST(CellOwner, StartsInheritedTasksThatNoSilentWorkerMayRunAtOnce)
 {
     const auto startedOn = [](bool omitsStarts) {
