End a call of the model with the worker that has received it

Cause: a lease renewal that waits at a worker of the model was answered by the next incarnation, if that began within 10 ms. The new incarnation had not seen the fencing token of the call, and the owner took it as fenced. A connection does not outlive its process.

--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -552,7 +552,15 @@
         return;
     }
     if (worker->ended.empty() && m_now < until) {
-        later(10, [this, caller, order, until] { answerLeaseRenewal(caller, order, until); });
+        later(10, [this, caller, order, until, bornAt = worker->bornAt] {
+            const ModelWorker *called = reach(order.worker);
+            // The call ends with the incarnation that has received it.
+            if (called != nullptr && called->bornAt != bornAt) {
+                give(caller, LeaseRenewalAnswered{order.call, OrderOutcome::Unknown, {}});
+                return;
+            }
+            answerLeaseRenewal(caller, order, until);
+        });
         return;
     }
     LeaseRenewalAnswered answer{order.call, OrderOutcome::Accepted, {}};
