Take the id of a withdrawn start by value

What callers would see: the owner's process crashes at a planned stop while a start is being stored. Cause: withdrawUnsent() passed the key of the map entry that withdraw() erases by reference. CellOwner.DoesNotSendAStartThatTheStoreDoesNotTake has a stop and a kill while starts are being stored.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -443,7 +443,7 @@
     }
 }
 
-void StartController::withdraw(const TaskId &id)
+void StartController::withdraw(TaskId id)
 {
     const auto found = m_unsent.find(id);
     const UnsentStart start = std::move(found->second);
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -140,7 +140,7 @@
     /// Asks for new tickets for stored starts whose tickets have expired.
     void requestTickets(const SiteConfig &config);
     /// Forgets a start that is not sent, and withdraws its run.
-    void withdraw(const TaskId &id);
+    void withdraw(TaskId id);
     void send(const TaskId &id, const UnsentStart &start, Run &run, Worker &worker);
     /// What makes the start of an inherited task safe, for the log; empty for other tasks.
     std::string safetyOf(const TaskId &id) const;
--- a/tests/core/cells/cell_start_records_test.cpp
+++ b/tests/core/cells/cell_start_records_test.cpp
@@ -197,6 +197,24 @@
         });
         expectNothingBroken(site);
     });
+    for (const bool isStopped : {true, false}) {
+        story(std::string("the owner ") + (isStopped ? "stops" : "is killed") + " while starts are being stored", [=] {
+            CellSite site;
+            fillLooms(site, 1);
+            site.storeDelay = 200;
+            site.submit(site.owner(), "j1", "plans", graphOf(1, 3, 1'000, Duration(300)));
+            site.run(Duration(300));
+            const std::string first = site.owner();
+            changeOwner(site, isStopped ? &CellSite::stop : &CellSite::kill);
+            EXPECT_EQ(site.runs("j1"), 0);
+            section("the next owner starts each task once", [&] {
+                site.run(Duration(6'000));
+                EXPECT_EQ(site.runs("j1"), 3);
+                EXPECT_EQ(site.state("j1"), GraphState::Completed);
+            });
+            expectNothingBroken(site);
+        });
+    }
     story("the worker restarts while the start is being stored", [] {
         CellSite site;
         fillLooms(site, 1);
