Let stories of a site fail at once where a port is taken

A platform in small that could not bind a port of the store or of the host service ended without a word, and the story went on to wait 40 s for it and 40 s for each entry host. Another process that answers on the store's port was even taken for the platform.

The platform now says which port it lacks, and writes a line when it has all; the story waits for the line and fails with the reason when the platform has ended.

The wait before is read from the code, not measured.

--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -608,9 +608,14 @@
     const auto make = [&loop](std::uint16_t own) {
         return std::make_unique<SiteWorkerStandIn>(loop, own);
     };
-    if (!store.listen() || !hosts.listen() || !listenOnEach(ports, workers, make)) {
+    if (!store.listen() || !hosts.listen()) {
+        std::cerr << "port " << port << " or the next one cannot be bound\n";
         return 1;
     }
+    if (!listenOnEach(ports, workers, make)) {
+        return 1;
+    }
+    std::cout << json{{"listening", port}}.dump() << std::endl;
     json machines = json::array();
     for (const auto &worker : workers) {
         hosts.place(*worker, "looms");
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <stdexcept>
 
 namespace radishvane::tests
 {
@@ -30,6 +31,8 @@
     std::vector<std::string> arguments{"--port", std::to_string(storePort())};
     arguments.insert(arguments.end(), platformOptions.begin(), platformOptions.end());
     m_platform = std::make_unique<Process>(binaries + "/tests/stand_ins/site_stand_in", arguments, log("platform"));
+    // Another process may answer on the port of a platform that has ended.
+    waitFor([this] { return isListening(); });
     waitFor([this] { return ask(storePort(), drivers::HttpMethod::Get, "/-/rows-get?table=op&part=", {}, {}) == 200; });
     for (int index = 0; index < hosts; ++index) {
         start(index);
@@ -98,6 +101,17 @@
     return waitFor([&] { return state(job) == wanted; });
 }
 
+bool Site::isListening()
+{
+    std::ifstream stream(log("platform"));
+    std::string line;
+    std::getline(stream, line);
+    if (!m_platform->running()) {
+        throw std::runtime_error("the platform in small has ended: " + line);
+    }
+    return line.starts_with("{\"listening\"");
+}
+
 int Site::ask(int port, drivers::HttpMethod method, const std::string &target, const std::string &body,
               const std::string &key)
 {
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -73,6 +73,8 @@
     }
 
 private:
+    /// Whether the platform in small has all its ports. Throws when it has ended.
+    bool isListening();
     /// The host that took the cell last, by the hosts' logs; -1 when none has.
     int lastOwner() const;
     std::string address(int index, int which) const;
