Keep the logs of a failed seed where the ports are shifted

misc/soak.sh copied the folder of the port without RADISHVANE_PORT_SHIFT, so that with a shift the copy failed or was of another run. It copies the folder of the port that the test uses.

--- a/misc/soak.sh
+++ b/misc/soak.sh
@@ -22,7 +22,7 @@
     if ! "$build/tests/process_tests" --gtest_filter='ProcessSiteSoak.*' > "$logs/$seed.txt" 2>&1; then
         verdict=FAILED
         rm -rf "${logs:?}/$seed"
-        cp -r "${TMPDIR:-/tmp}/site-$port" "$logs/$seed"
+        cp -r "${TMPDIR:-/tmp}/site-$((port + ${RADISHVANE_PORT_SHIFT:-0}))" "$logs/$seed"
     fi
     printf '%s %s\n' "$verdict" "$(grep "^seed $seed," "$logs/$seed.txt" || echo "seed $seed")"
     [ "$verdict" = passed ]
