Play restarts, cuts and late orders around long tasks in the soak

Some jobs now take 12 to 30 s. A series of its own, beside the others, waits in the platform in small for the next start of a long task and then lets its worker crash, be back under its id after 0.6 to 3 s with clock, numbers of ends and fence anew, carry out orders of its former incarnation that were held up, be listed late, and be cut off for 2 to 11 s. The owner is killed after the restart. A second test kills it at once instead, so that held up orders meet the starts of the next owner.

Restarts of workers and their entries in the old series skip a worker that is in trouble.

--- a/misc/soak.sh
+++ b/misc/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs the soak of separate processes with many seeds, a few at a time, and prints a line for each.
 # usage: misc/soak.sh SEEDS [FIRST] [AT_ONCE] [SECONDS] [HOSTS]; without HOSTS each seed draws 3 to 5.
+# TEST names another test of the suite.
 # The logs of a seed that fails stay under soak/ in the folder of the build (BUILD, default build/release).
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -13,13 +14,14 @@
     export RADISHVANE_SOAK_HOSTS=$5
 fi
 build=${BUILD:-build/release}
+test=${TEST:-KeepsItsPromisesWhileSignalsAndChangesOverlap}
 logs=$build/soak
 mkdir -p "$logs"
 
 run_seed() {
     local seed=$1 port=$2 verdict=passed
     export RADISHVANE_SOAK_SEED=$seed RADISHVANE_SOAK_PORT=$port
-    if ! "$build/tests/process_tests" --gtest_filter='ProcessSiteSoak.*' > "$logs/$seed.txt" 2>&1; then
+    if ! "$build/tests/process_tests" --gtest_filter="ProcessSiteSoak.$test" > "$logs/$seed.txt" 2>&1; then
         verdict=FAILED
         rm -rf "${logs:?}/$seed"
         cp -r "${TMPDIR:-/tmp}/site-$((port + ${RADISHVANE_PORT_SHIFT:-0}))" "$logs/$seed"
--- a/tests/servers/site_soak_test.cpp
+++ b/tests/servers/site_soak_test.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds contactTime{3'000};
 
 constexpr int workers = 6;
+/// In the last part no long task and no trouble of a worker begins.
+constexpr milliseconds lastPart{15'000};
 /// Of the configuration that the platform in small starts with.
 constexpr int firstVersion = 3;
 constexpr std::size_t failureLimit = 3;
@@ -46,11 +48,29 @@
     RefuseStore,
     SilenceStore,
     LoseStoreAnswer,
+    /// A worker restarts around the start of a long task, the owner is killed, and the worker is cut off.
+    TroubleWorker,
 };
 
-constexpr std::array<std::string_view, 9> actionNames{"stop",         "reload",        "kill",
-                                                      "freeze",       "configure",     "restart-worker",
-                                                      "refuse-store", "silence-store", "lose-store-answer"};
+constexpr std::array<std::string_view, 10> actionNames{"stop",          "reload",        "kill",
+                                                       "freeze",        "configure",     "restart-worker",
+                                                       "refuse-store",  "silence-store", "lose-store-answer",
+                                                       "trouble-worker"};
+
+/// When the owner is killed in the trouble of a worker.
+enum class OwnerDeath {
+    AfterRestart,
+    /// At once, so that orders which are held up meet the starts of the next owner.
+    BeforeCrash,
+};
+
+/// Times of a worker's trouble: those of the platform in small, from the start of a long task on, and when the owner
+/// is killed.
+struct Trouble
+{
+    json worker;
+    milliseconds killAfter{0};
+};
 
 struct Step
 {
@@ -58,6 +78,7 @@
     Action action = Action::Stop;
     int target = 0;
     milliseconds length{0};
+    std::optional<Trouble> trouble;
 };
 
 int fromEnvironment(const char *name, int fallback)
@@ -67,7 +88,7 @@
 }
 
 /// The same seed draws the same steps.
-std::vector<Step> drawSteps(std::uint32_t seed, int hosts, milliseconds length)
+std::vector<Step> drawSteps(std::uint32_t seed, int hosts, milliseconds length, OwnerDeath death)
 {
     std::mt19937 random(seed);
     const auto draw = [&random](int first, int last) {
@@ -78,12 +99,30 @@
         for (milliseconds at{1'000}; at < length; at += milliseconds(draw(50, longestGap))) {
             const auto action = static_cast<Action>(draw(static_cast<int>(first), static_cast<int>(last)));
             const int target = draw(0, hosts - 1);
-            steps.push_back(Step{at, action, target, milliseconds(draw(200, 4'000))});
+            steps.push_back(Step{at, action, target, milliseconds(draw(200, 4'000)), {}});
         }
     };
+    const auto drawTrouble = [&draw, death] {
+        const bool isKillFirst = death == OwnerDeath::BeforeCrash;
+        const int crashAfter = isKillFirst ? draw(1'000, 6'000) : draw(0, 300);
+        const int darkFor = draw(0, 3) == 0 ? draw(1'000, 3'000) : 600;
+        const int carriedOutAfter = draw(0, 600);
+        const int killAfterReturn = carriedOutAfter + draw(0, 500);
+        return Trouble{{{"held-up-for", draw(50, 300)},
+                        {"crash-after", crashAfter},
+                        {"dark-for", darkFor},
+                        {"carried-out-after", carriedOutAfter},
+                        {"listed-after", draw(0, 600)},
+                        {"cut-after", killAfterReturn + draw(0, 600)},
+                        {"cut-for", draw(2'000, 11'000)}},
+                       milliseconds(isKillFirst ? 0 : crashAfter + darkFor + killAfterReturn)};
+    };
     addSeries(Action::Stop, Action::Freeze, 12'000 / hosts);
     addSeries(Action::Configure, Action::Configure, 16'000);
     addSeries(Action::RestartWorker, Action::LoseStoreAnswer, 4'000);
+    for (milliseconds at{1'500}; at < length - lastPart; at += milliseconds(draw(1'000, 6'000))) {
+        steps.push_back(Step{at, Action::TroubleWorker, 0, milliseconds(draw(200, 2'000)), drawTrouble()});
+    }
     std::stable_sort(steps.begin(), steps.end(), [](const Step &one, const Step &other) { return one.at < other.at; });
     return steps;
 }
@@ -108,6 +147,7 @@
                           << " for " << next->length.count() << " ms\n";
                 apply(*next);
             }
+            m_conditions.closing = Time::now() > begin + length - lastPart;
             follow(Time::now());
             std::this_thread::sleep_for(pause);
         }
@@ -145,6 +185,12 @@
         std::int64_t begun = 0;
     };
 
+    struct DueKill
+    {
+        Time::time_point at;
+        milliseconds away{0};
+    };
+
     /// Signals have their meaning from the line in the log on that the host has started.
     bool hasBegun(int index) const
     {
@@ -174,11 +220,7 @@
             }
             return;
         case Action::Kill:
-            if (!host.startAt) {
-                host.away = step.length;
-                m_conditions.killed[static_cast<std::size_t>(step.target)] = SoakConditions::now();
-                kill(step.target);
-            }
+            killUnplanned(step.target, step.length);
             return;
         case Action::Freeze:
             if (isRunning && !host.thawAt) {
@@ -201,6 +243,10 @@
             m_conditions.storeDisturbed = SoakConditions::now();
             m_site.control("lose-next-answer");
             return;
+        case Action::TroubleWorker:
+            m_site.control(json{{"trouble", step.trouble->worker}});
+            m_trouble = step;
+            return;
         }
     }
 
@@ -239,6 +285,16 @@
         m_conditions.disturbed[static_cast<std::size_t>(index)] = SoakConditions::now();
     }
 
+    void killUnplanned(int index, milliseconds away)
+    {
+        Host &host = m_hosts[static_cast<std::size_t>(index)];
+        if (!host.startAt) {
+            host.away = away;
+            m_conditions.killed[static_cast<std::size_t>(index)] = SoakConditions::now();
+            kill(index);
+        }
+    }
+
     void kill(int index)
     {
         Host &host = m_hosts[static_cast<std::size_t>(index)];
@@ -257,11 +313,30 @@
                 m_site.control("serve");
             }
         }
+        followTrouble(now);
         for (int index = 0; index < m_site.hosts(); ++index) {
             follow(index, now);
         }
     }
 
+    /// Kills the owner at its time from the start of the long task on.
+    void followTrouble(Time::time_point now)
+    {
+        if (m_trouble && m_site.control(json::object()) && !json::parse(m_site.body()).at("trouble-waits")) {
+            m_ownerKills.push_back(DueKill{now + m_trouble->trouble->killAfter, m_trouble->length});
+            m_trouble.reset();
+        }
+        std::erase_if(m_ownerKills, [&](const DueKill &next) {
+            if (now < next.at) {
+                return false;
+            }
+            const int owner = std::max(m_site.lastOwner(), 0);
+            std::cout << "the owner, entry-" << owner << ", is killed for " << next.away.count() << " ms\n";
+            killUnplanned(owner, next.away);
+            return true;
+        });
+    }
+
     void follow(int index, Time::time_point now)
     {
         Host &host = m_hosts[static_cast<std::size_t>(index)];
@@ -302,17 +377,18 @@
     SoakConditions &m_conditions;
     std::vector<Host> m_hosts;
     std::optional<Time::time_point> m_serveAt;
+    /// Waits for the start of a long task.
+    std::optional<Step> m_trouble;
+    std::vector<DueKill> m_ownerKills;
     int m_version = firstVersion;
 };
 
-} // namespace
-
-TEST(ProcessSiteSoak, KeepsItsPromisesWhileSignalsAndChangesOverlap)
+void soak(OwnerDeath death, int firstPort)
 {
     const auto seed = static_cast<std::uint32_t>(fromEnvironment("RADISHVANE_SOAK_SEED", 20261205));
     const int hosts = fromEnvironment("RADISHVANE_SOAK_HOSTS", 3 + static_cast<int>(seed % 3));
     const milliseconds length = seconds(fromEnvironment("RADISHVANE_SOAK_SECONDS", 45));
-    const auto port = static_cast<std::uint16_t>(fromEnvironment("RADISHVANE_SOAK_PORT", 24'600));
+    const auto port = static_cast<std::uint16_t>(fromEnvironment("RADISHVANE_SOAK_PORT", firstPort));
     story("entry hosts and workers under signals, restarts, changes and outages", [&] {
         Site site(port, {"--workers", std::to_string(workers), "--transaction-ms", "6"}, hosts);
         SoakConditions conditions(hosts);
@@ -324,7 +400,7 @@
             threads.emplace_back([caller = callers.back().get()] { caller->run(); });
         }
         section("callers go on using their connections meanwhile", [&] {
-            course.play(drawSteps(seed, hosts, length), length);
+            course.play(drawSteps(seed, hosts, length, death), length);
             course.calm();
             conditions.over = true;
             threads.clear();
@@ -353,4 +429,16 @@
     });
 }
 
+} // namespace
+
+TEST(ProcessSiteSoak, KeepsItsPromisesWhileSignalsAndChangesOverlap)
+{
+    soak(OwnerDeath::AfterRestart, 24'600);
+}
+
+TEST(ProcessSiteSoak, KeepsItsPromisesWhileOrdersOfKilledOwnersAreCarriedOutLate)
+{
+    soak(OwnerDeath::BeforeCrash, 24'650);
+}
+
 } // namespace radishvane::tests
--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -13,6 +13,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace
 {
@@ -28,6 +29,35 @@
 constexpr std::int64_t maintenanceMilliseconds = 1'000;
 constexpr std::int64_t longestLeaseMilliseconds = 10'000;
 
+/// Tasks that take this long are long ones.
+constexpr std::int64_t longTaskMilliseconds = 12'000;
+/// Age of the workers that the platform starts with.
+constexpr std::int64_t firstAgeMilliseconds = 1'200'000;
+
+/// What befalls a worker from the next start of a long task on, in milliseconds.
+struct WorkerTrouble
+{
+    /// Orders that arrive within this time of the start, and the start itself, are held up.
+    std::int64_t heldUpFor = 0;
+    /// From the start to the crash, and from there until the worker is back under its id.
+    std::int64_t crashAfter = 0;
+    std::int64_t darkFor = 0;
+    /// From the return until the orders that were held up are carried out, and until discovery lists the new
+    /// incarnation.
+    std::int64_t carriedOutAfter = 0;
+    std::int64_t listedAfter = 0;
+    /// From the return until no call reaches the worker, and for how long.
+    std::int64_t cutAfter = 0;
+    std::int64_t cutFor = 0;
+
+    static WorkerTrouble from(const json &order)
+    {
+        return WorkerTrouble{
+            order.at("held-up-for"),  order.at("crash-after"), order.at("dark-for"), order.at("carried-out-after"),
+            order.at("listed-after"), order.at("cut-after"),   order.at("cut-for")};
+    }
+};
+
 /// What the store does with the next transaction.
 enum class StoreMode {
     Serve,
@@ -103,6 +133,8 @@
 
     /// Called with the number of a worker that is to start again under its id.
     std::function<void(std::size_t)> restartWorker;
+    /// Trouble that waits for the next start of a long task.
+    std::optional<WorkerTrouble> nextTrouble;
 
 private:
     struct Row
@@ -158,7 +190,7 @@
     {
         if (request.path == "/control") {
             obey(json::parse(request.body));
-            m_server.answer(request.id, jsonAnswer(httpStatus::ok, json::object()));
+            m_server.answer(request.id, jsonAnswer(httpStatus::ok, json{{"trouble-waits", nextTrouble.has_value()}}));
             return;
         }
         if (m_mode == StoreMode::Silent) {
@@ -186,7 +218,9 @@
             put("op", "", "config", order.at("config"));
         } else if (order.contains("restart-worker")) {
             restartWorker(order.at("restart-worker").get<std::size_t>());
-        } else {
+        } else if (order.contains("trouble")) {
+            nextTrouble = WorkerTrouble::from(order.at("trouble"));
+        } else if (order.contains("mode")) {
             m_mode = readMode<StoreMode>(storeModeNames, order).value_or(StoreMode::Serve);
         }
     }
@@ -279,7 +313,7 @@
 public:
     SiteWorkerStandIn(EventLoop &loop, std::uint16_t port)
         : m_port(port)
-        , m_born(milliseconds())
+        , m_born(milliseconds() - firstAgeMilliseconds)
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
         , m_timer(loop, tickInterval, [this] { tick(); })
@@ -320,6 +354,7 @@
             record("gone", id(), task, run.number);
         }
         m_running.clear();
+        m_waiting.clear();
         m_ended.clear();
         m_highest.clear();
         m_lastEnd = 0;
@@ -329,7 +364,33 @@
         m_born = milliseconds();
     }
 
+    bool isTroubled() const
+    {
+        return m_trouble.has_value();
+    }
+
+    /// Called with each start of a long task while the worker is not troubled. @return what befalls the worker then.
+    std::function<std::optional<WorkerTrouble>()> longStart;
+    /// Called when discovery is to list the incarnation.
+    std::function<void()> list;
+
 private:
+    /// The trouble, with its times by the steady clock.
+    struct Trouble
+    {
+        std::int64_t heldUpUntil = 0;
+        std::int64_t crashAt = 0;
+        std::int64_t returnAt = 0;
+        std::int64_t carryOutAt = 0;
+        std::int64_t listAt = 0;
+        std::int64_t cutAt = 0;
+        std::int64_t cutUntil = 0;
+        std::vector<HttpRequest> heldUp;
+        bool hasCrashed = false;
+        bool hasReturned = false;
+        bool isListed = false;
+    };
+
     struct Run
     {
         std::uint64_t number = 0;
@@ -355,6 +416,94 @@
     }
 
     void take(const HttpRequest &request)
+    {
+        const std::int64_t now = milliseconds();
+        if (!m_trouble && isLongStart(request)) {
+            if (const std::optional<WorkerTrouble> next = longStart()) {
+                befall(*next);
+            }
+        }
+        if (m_trouble && now < std::min(m_trouble->heldUpUntil, m_trouble->crashAt)) {
+            m_trouble->heldUp.push_back(request);
+        } else if (!isUnreachable(now)) {
+            carryOut(request);
+        }
+    }
+
+    static bool isLongStart(const HttpRequest &request)
+    {
+        return request.path == "/-/run-start"
+            && durationOf(json::parse(request.body).at("spec")) >= longTaskMilliseconds;
+    }
+
+    static std::int64_t durationOf(const std::string &payload)
+    {
+        return std::stoll(payload.substr(payload.find('=') + 1));
+    }
+
+    void befall(const WorkerTrouble &next)
+    {
+        const std::int64_t now = milliseconds();
+        const std::int64_t returnAt = now + next.crashAfter + next.darkFor;
+        m_trouble = Trouble{now + next.heldUpFor,
+                            now + next.crashAfter,
+                            returnAt,
+                            returnAt + next.carriedOutAfter,
+                            returnAt + next.listedAfter,
+                            returnAt + next.cutAfter,
+                            returnAt + next.cutAfter + next.cutFor,
+                            {}};
+        std::cout << json{{"trouble", id()},
+                          {"ms", now},
+                          {"held-up-until", m_trouble->heldUpUntil},
+                          {"crash", m_trouble->crashAt},
+                          {"return", m_trouble->returnAt},
+                          {"carry-out", m_trouble->carryOutAt},
+                          {"list", m_trouble->listAt},
+                          {"cut", m_trouble->cutAt},
+                          {"cut-until", m_trouble->cutUntil}}
+                         .dump()
+                  << std::endl;
+    }
+
+    bool isUnreachable(std::int64_t now) const
+    {
+        return m_trouble
+            && ((now >= m_trouble->crashAt && now < m_trouble->returnAt)
+                || (now >= m_trouble->cutAt && now < m_trouble->cutUntil));
+    }
+
+    void followTrouble()
+    {
+        const std::int64_t now = milliseconds();
+        if (now >= m_trouble->crashAt && !m_trouble->hasCrashed) {
+            m_trouble->hasCrashed = true;
+            goDown();
+        }
+        if (now >= m_trouble->returnAt && !m_trouble->hasReturned) {
+            m_trouble->hasReturned = true;
+            m_born = now;
+        }
+        if (now >= m_trouble->listAt && !m_trouble->isListed) {
+            m_trouble->isListed = true;
+            list();
+        }
+        if (now >= m_trouble->carryOutAt) {
+            for (HttpRequest &request : std::exchange(m_trouble->heldUp, {})) {
+                // The connection that it came on ended with the crash.
+                request.id = ExchangeId{};
+                carryOut(request);
+            }
+        }
+        if (isUnreachable(now)) {
+            m_waiting.clear();
+        }
+        if (now >= std::max({m_trouble->cutUntil, m_trouble->carryOutAt, m_trouble->listAt})) {
+            m_trouble.reset();
+        }
+    }
+
+    void carryOut(const HttpRequest &request)
     {
         constexpr int misdirected = 421;
         if (headerValue(request.headers, "X-Radishvane-Target-Instance") != id()) {
@@ -394,9 +543,8 @@
         }
         if (running == m_running.end() || running->second.number < number) {
             const std::string payload = body.at("spec");
-            const std::int64_t duration = std::stoll(payload.substr(payload.find('=') + 1));
             record("start", id(), task, number);
-            m_running[task] = Run{number, milliseconds() + duration, milliseconds(),
+            m_running[task] = Run{number, milliseconds() + durationOf(payload), milliseconds(),
                                   payload.starts_with("fail") ? "failed" : "done"};
         }
         m_server.answer(request.id, jsonAnswer(httpStatus::ok, {{"clockMs", clock()}}));
@@ -436,6 +584,9 @@
 
     void tick()
     {
+        if (m_trouble) {
+            followTrouble();
+        }
         const bool lapsed = clock() > m_deadline;
         m_lastLapsed = lapsed ? m_lastEnd : m_lastLapsed;
         for (auto running = m_running.begin(); running != m_running.end();) {
@@ -484,6 +635,7 @@
     std::map<std::string, std::uint64_t> m_highest;
     std::vector<json> m_ended;
     std::list<Waiting> m_waiting;
+    std::optional<Trouble> m_trouble;
     HttpServer m_server;
     Timer m_timer;
 };
@@ -619,11 +771,19 @@
     json machines = json::array();
     for (const auto &worker : workers) {
         hosts.place(*worker, "looms");
+        worker->longStart = [&store] {
+            return std::exchange(store.nextTrouble, std::nullopt);
+        };
+        worker->list = [&hosts, own = worker.get()] {
+            hosts.place(*own, "looms");
+        };
         machines.push_back("m-" + worker->id().substr(2));
     }
     store.restartWorker = [&](std::size_t index) {
-        workers.at(index)->goDown();
-        hosts.place(*workers.at(index), "looms");
+        if (!workers.at(index)->isTroubled()) {
+            workers.at(index)->goDown();
+            hosts.place(*workers.at(index), "looms");
+        }
     };
     // Entries of other writers name no worker to use, and end nothing.
     store.put("servers", "", "i-other", json{{"service", 7}});
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -176,6 +176,10 @@
     json last;
     std::ifstream stream(log("entry-" + std::to_string(index)));
     for (std::string line; std::getline(stream, line);) {
+        // Parsing every line of a long log takes seconds.
+        if (line.find(name) == std::string::npos) {
+            continue;
+        }
         json event = json::parse(line, nullptr, false);
         if (event.is_object() && event.value("event", "") == name) {
             last = std::move(event);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -53,6 +53,8 @@
 
     /// The host that owns the cell; waits until one does.
     int owner();
+    /// The host that took the cell last, by the hosts' logs; -1 when none has.
+    int lastOwner() const;
     /// The last line of an event in the log of a host; null if there is none.
     nlohmann::json lastLine(int index, const std::string &name) const;
 
@@ -75,8 +77,6 @@
 private:
     /// Whether the platform in small has all its ports. Throws when it has ended.
     bool isListening();
-    /// The host that took the cell last, by the hosts' logs; -1 when none has.
-    int lastOwner() const;
     std::string address(int index, int which) const;
 
     std::uint16_t m_firstPort;
--- a/tests/support/soak_caller.cpp
+++ b/tests/support/soak_caller.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds visibleWithin{3'000};
 constexpr milliseconds contactTime{3'000};
 
+constexpr int longestShortTask = 300;
+
 } // namespace
 
 SoakConditions::SoakConditions(int hosts)
@@ -107,11 +109,17 @@
     std::array<char, 17> id{};
     std::snprintf(id.data(), id.size(), "%04x%012x", static_cast<unsigned>(m_index), ++m_lastJob);
     Job job{id.data(), 0, draw(0, 15) == 0};
-    const json step{{"count", soakStepSize}, {"cpu", 1'000}, {"memMb", 100}, {"estimateMs", 300}};
-    json second = step;
-    second["after"] = {0};
-    const std::string payload = (job.fails ? "fail=" : "ms=") + std::to_string(draw(20, 300));
-    const std::string body = json{{"spec", payload}, {"steps", {step, second}}}.dump();
+    const bool isLong = !job.fails && draw(0, 23) == 0 && !m_conditions.closing;
+    const int duration = isLong ? draw(12'000, 30'000) : draw(20, longestShortTask);
+    const json step{
+        {"count", soakStepSize}, {"cpu", 1'000}, {"memMb", 100}, {"estimateMs", isLong ? duration : longestShortTask}};
+    json steps = json::array({step});
+    if (!isLong) {
+        steps.push_back(step);
+        steps.back()["after"] = {0};
+    }
+    const std::string payload = (job.fails ? "fail=" : "ms=") + std::to_string(duration);
+    const std::string body = json{{"spec", payload}, {"steps", steps}}.dump();
     constexpr int attempts = 12;
     bool isInDoubt = false;
     for (int attempt = 0; attempt < attempts; ++attempt) {
--- a/tests/support/soak_caller.h
+++ b/tests/support/soak_caller.h
@@ -13,7 +13,7 @@
 namespace radishvane::tests
 {
 
-/// Tasks of each of the two steps of a job of the soak.
+/// Tasks of each step of a job of the soak.
 constexpr int soakStepSize = 3;
 
 /// What the callers and the course of a soak share. Times are steady and in milliseconds.
@@ -30,6 +30,8 @@
     std::atomic<std::int64_t> storeDisturbed{0};
     /// When the second key was last withdrawn; 0 while it is valid, which it is not at first.
     std::atomic<std::int64_t> withdrawn{1};
+    /// No more long tasks are handed in, so that all end soon after the soak is over.
+    std::atomic<bool> closing{false};
     std::atomic<bool> over{false};
     std::mutex mutex;
     /// Broken promises; guarded by the mutex.
