--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -313,7 +313,8 @@
 public:
     SiteWorkerStandIn(EventLoop &loop, std::uint16_t port)
         : m_port(port)
-        , m_born(milliseconds() - firstAgeMilliseconds)
+        , m_born(milliseconds())
+        , m_clockBegin(m_born - firstAgeMilliseconds)
         , m_server(
               loop, HttpLimits{}, [this](HttpRequest &&request) { take(request); }, [](ExchangeId) {})
         , m_timer(loop, tickInterval, [this] { tick(); })
@@ -361,7 +362,7 @@
         m_lastLapsed = 0;
         m_fence = 0;
         m_deadline = 0;
-        m_born = milliseconds();
+        begin();
     }
 
     bool isTroubled() const
@@ -405,9 +406,15 @@
         std::int64_t until = 0;
     };
 
+    void begin()
+    {
+        m_born = milliseconds();
+        m_clockBegin = m_born;
+    }
+
     std::int64_t clock() const
     {
-        return milliseconds() - m_born;
+        return milliseconds() - m_clockBegin;
     }
 
     void refuse(const HttpRequest &request, const std::string &reason)
@@ -482,7 +489,7 @@
         }
         if (now >= m_trouble->returnAt && !m_trouble->hasReturned) {
             m_trouble->hasReturned = true;
-            m_born = now;
+            begin();
         }
         if (now >= m_trouble->listAt && !m_trouble->isListed) {
             m_trouble->isListed = true;
@@ -625,6 +632,8 @@
 
     std::uint16_t m_port;
     std::int64_t m_born;
+    /// When the worker's clock showed 0.
+    std::int64_t m_clockBegin;
     std::uint64_t m_fence = 0;
     std::int64_t m_deadline = 0;
     std::uint64_t m_lastEnd = 0;
