Record acknowledgements of a former incarnation in the platform in small

In the soak an end may be acknowledged by a number of the worker's former incarnation, which an owner sends that does not know of the restart. The record now has a line for each, so that such a breach can be told from a late start.

--- a/tests/stand_ins/site_stand_in.cpp
+++ b/tests/stand_ins/site_stand_in.cpp
@@ -579,6 +579,15 @@
     {
         const std::uint64_t noted = body.at("ackSeq");
         extendLease(body.value("deadlineMs", std::int64_t{0}));
+        if (noted > m_lastEnd) {
+            std::cout << json{{"acknowledged-beyond", m_lastEnd},
+                              {"acknowledged", noted},
+                              {"worker", id()},
+                              {"fence", m_fence},
+                              {"ms", milliseconds()}}
+                             .dump()
+                      << std::endl;
+        }
         for (const json &end : m_ended) {
             if (end[0] <= noted && end[0] > m_lastLapsed) {
                 record("noted", id(), end[1], end[2], end[3]);
