Send a stored start once, and only the one that is stored

What callers would see: a process that ends with an exception, or a start that the store does not hold, while a start waits for a ticket: the list of stored starts could name a task twice, or a task whose start was withdrawn and planned again since. Cause, by reading: the list was kept apart from the starts that are not sent. Change: the two change together. The model checks for each start that the store names it, with its run and worker, when its order leaves the owner.

--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -340,6 +340,7 @@
     m_registry.begin(id, std::move(run));
     m_registry.task(id)->hasKnownRuns = true;
     m_pacer.take(m_registry.find(id.job)->row.spec.payload.size());
+    m_recorded.erase(id);
     m_unsent.insert_or_assign(id, std::move(start));
     m_runs.storeStarts(id.job);
 }
@@ -365,7 +366,7 @@
             const TaskId id{row.id, start.occurrence, start.step, start.index};
             const auto found = m_unsent.find(id);
             if (found != m_unsent.end() && found->second.run == start.run) {
-                m_recorded.push_back(id);
+                m_recorded.insert(id);
             }
         }
     }
@@ -373,20 +374,15 @@
 
 void StartController::sendRecorded()
 {
-    const std::vector<TaskId> recorded = std::exchange(m_recorded, {});
+    const std::set<TaskId> recorded = m_recorded;
     // A member of a gang that cannot start takes the others with it, so that all are checked before any is sent.
     std::vector<TaskId> ready;
     for (const TaskId &id : recorded) {
-        const auto found = m_unsent.find(id);
-        if (found == m_unsent.end()) {
-            continue;
-        }
-        switch (readinessOf(id, found->second)) {
+        switch (readinessOf(id, m_unsent.at(id))) {
         case Readiness::Ready:
             ready.push_back(id);
             break;
         case Readiness::LacksTicket:
-            m_recorded.push_back(id);
             m_planningRequested = true;
             break;
         case Readiness::Needless:
@@ -396,12 +392,13 @@
     }
     for (const TaskId &id : ready) {
         const UnsentStart &start = m_unsent.at(id);
-        Run &run = *runOf(id, start);
-        if (run.stopRequested) {
+        Run *run = runOf(id, start);
+        if (run == nullptr || run->stopRequested) {
             withdraw(id);
             continue;
         }
-        send(id, start, run, *m_roster.find(run.worker));
+        send(id, start, *run, *m_roster.find(run->worker));
+        m_recorded.erase(id);
         m_unsent.erase(id);
     }
 }
@@ -427,15 +424,15 @@
 void StartController::requestTickets(const SiteConfig &config)
 {
     for (const TaskId &id : m_recorded) {
-        const auto found = m_unsent.find(id);
-        const Run *run = found == m_unsent.end() ? nullptr : runOf(id, found->second);
+        const UnsentStart &start = m_unsent.at(id);
+        const Run *run = runOf(id, start);
         const Job *job = m_registry.find(id.job);
         const auto queue = job == nullptr ? config.queues.end() : config.queues.find(job->row.queue);
         if (run == nullptr || queue == config.queues.end() || !queue->second.admission) {
             continue;
         }
         AdmissionController::Request request;
-        request.step = found->second.step;
+        request.step = start.step;
         request.times = *queue->second.admission;
         request.tasks = 1;
         request.withCapacity = {m_roster.find(run->worker)};
@@ -448,6 +445,7 @@
     const auto found = m_unsent.find(id);
     const UnsentStart start = std::move(found->second);
     m_unsent.erase(found);
+    m_recorded.erase(id);
     if (runOf(id, start) != nullptr) {
         m_runs.withdrawRun(id);
     }
@@ -469,7 +467,6 @@
 
 void StartController::withdrawUnsent()
 {
-    m_recorded.clear();
     while (!m_unsent.empty()) {
         withdraw(m_unsent.begin()->first);
     }
--- a/core/cells/start_controller.h
+++ b/core/cells/start_controller.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace radishvane::cells
@@ -163,7 +164,7 @@
     WorkBacklog m_work;
     std::map<TaskId, UnsentStart> m_unsent;
     /// Starts of m_unsent that the store holds.
-    std::vector<TaskId> m_recorded;
+    std::set<TaskId> m_recorded;
     std::map<CallId, PendingStart> m_pendingStarts;
     /// Of the present planning pass.
     std::optional<UnknownRuns> m_unknownRuns;
--- a/tests/support/cell_site.cpp
+++ b/tests/support/cell_site.cpp
@@ -443,6 +443,7 @@
                 if (m_cancelled.count(order.task.job) > 0) {
                     broken.push_back("a start was ordered after its job was cancelled: " + taskName(order.task));
                 }
+                checkIsStored(order);
                 sendCall(caller, order.call, callTimeout,
                          OrderAnswered{order.call, OrderOutcome::Unknown, std::nullopt},
                          [this, caller, order] { start(caller, order); });
--- a/tests/support/cell_site.h
+++ b/tests/support/cell_site.h
@@ -302,6 +302,8 @@
     /// Whether the worker accepts the ticket of a start; always if its queue needs none.
     bool acceptsTicket(const ModelWorker &worker, const cells::StartOrder &order) const;
     void start(const Caller &caller, const cells::StartOrder &order);
+    /// Checks that the store names the start before its order leaves the owner.
+    void checkIsStored(const cells::StartOrder &order);
     /// @param sentAt time at which the owner decided.
     void stopTask(const Caller &caller, const cells::StopOrder &order, std::int64_t sentAt);
     void renewLease(const Caller &caller, const cells::LeaseRenewalOrder &order);
--- a/tests/support/cell_site_services.cpp
+++ b/tests/support/cell_site_services.cpp
@@ -270,6 +270,20 @@
         && m_now <= found->second.validUntil;
 }
 
+void CellSite::checkIsStored(const StartOrder &order)
+{
+    const auto row = m_progress.find(order.task.job);
+    const bool isStored = row != m_progress.end()
+        && std::any_of(row->second.starts.begin(), row->second.starts.end(), [&order](const RecordedStart &start) {
+                              return TaskId{order.task.job, start.occurrence, start.step, start.index} == order.task
+                                  && start.run == order.run && start.worker == order.worker.id;
+                          });
+    if (!isStored && !omitsStarts) {
+        broken.push_back("a start that the store does not hold: " + taskName(order.task) + " run "
+                         + std::to_string(order.run) + " at " + std::to_string(m_now));
+    }
+}
+
 void CellSite::start(const Caller &caller, const StartOrder &order)
 {
     const auto unknown = [this, caller, order] {
