--- a/core/cells/start_controller.cpp
+++ b/core/cells/start_controller.cpp
@@ -442,12 +442,14 @@
 
 void StartController::withdraw(TaskId id)
 {
-    const auto found = m_unsent.find(id);
+    // The caller may pass the key of the entry that is erased.
+    const TaskId task = std::move(id);
+    const auto found = m_unsent.find(task);
     const UnsentStart start = std::move(found->second);
     m_unsent.erase(found);
-    m_recorded.erase(id);
-    if (runOf(id, start) != nullptr) {
-        m_runs.withdrawRun(id);
+    m_recorded.erase(task);
+    if (runOf(task, start) != nullptr) {
+        m_runs.withdrawRun(task);
     }
 }
 
--- a/core/cells/worker_lease_controller.cpp
+++ b/core/cells/worker_lease_controller.cpp
@@ -15,6 +15,30 @@
 /// Limit on the ended runs in one report (published by the platform).
 constexpr std::size_t maxListedEnds = 500;
 
+/// Records that a worker has answered its renewal, and schedules the next one if it acknowledges further ends.
+void recordAcknowledgement(Worker &worker, TimePoint now)
+{
+    worker.acknowledged = std::max(worker.acknowledged, worker.renewalAcknowledges);
+    if (worker.renewalAcknowledges > 0 && worker.renewalFenceNumber == worker.fenceNumber) {
+        worker.openAcknowledgements -= std::min<std::size_t>(worker.openAcknowledgements, 1);
+    }
+    if (worker.stored <= worker.acknowledged || !worker.hasStoredEnds()) {
+        return;
+    }
+    if (worker.mayAcknowledge(now)) {
+        // Starts that are sent before the next renewal would delay the acknowledgement.
+        worker.nextRenewal = now;
+        return;
+    }
+    // A list that does not show an earlier start is not followed by another at once.
+    const TimePoint latest = worker.renewalSentAt + AbandonedStart::maxDelay;
+    const bool hasMissing
+        = std::any_of(worker.unlistedStarts.begin(), worker.unlistedStarts.end(), [&](const auto &start) {
+              return now < start.second.lateUntil && start.second.lateUntil <= latest;
+          });
+    worker.nextRenewal = now + (hasMissing ? WorkerLeaseController::renewalRetry : WorkerLeaseController::renewalPause);
+}
+
 } // namespace
 
 WorkerLeaseController::WorkerLeaseController(CellOutbox &outbox, CellWriter &writer, RunLedger &runs, CellTimes times)
@@ -168,20 +192,7 @@
     applyEnded(*worker, event.report);
     applyRunning(*worker, event.report, worker->renewalSentAt);
     endUnlistedRuns(*worker, event.report, worker->renewalSentAt);
-    worker->acknowledged = std::max(worker->acknowledged, worker->renewalAcknowledges);
-    if (worker->renewalAcknowledges > 0 && worker->renewalFenceNumber == worker->fenceNumber) {
-        worker->openAcknowledgements -= std::min<std::size_t>(worker->openAcknowledgements, 1);
-    }
-    if (worker->stored > worker->acknowledged && worker->hasStoredEnds()) {
-        // Starts that are sent before the next renewal would delay the acknowledgement. A list that does not show an
-        // earlier start is not followed by another at once.
-        const TimePoint latest = worker->renewalSentAt + AbandonedStart::maxDelay;
-        const bool hasMissing
-            = std::any_of(worker->unlistedStarts.begin(), worker->unlistedStarts.end(), [&](const auto &start) {
-                  return now < start.second.lateUntil && start.second.lateUntil <= latest;
-              });
-        worker->nextRenewal = worker->mayAcknowledge(now) ? now : now + (hasMissing ? renewalRetry : renewalPause);
-    }
+    recordAcknowledgement(*worker, now);
     m_runs.requestPlanning();
 }
 
